--- /dev/null
+++ b/damaskpoint/config/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration: its model, the sheet it comes from, its versions."""
--- /dev/null
+++ b/damaskpoint/defaults.py
@@ -0,0 +1,53 @@
+"""Default values and bounds, with their units.
+
+``settings`` names each of them as the default of an option; bounds that no
+option sets are used where they apply.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+# HTTP borders.
+MAX_PORT: Final = 65_535
+MAX_BODY_BYTES: Final = 1_048_576
+MAX_HEADER_BYTES: Final = 16_384
+MAX_JSON_DEPTH: Final = 32
+MAX_KEY_CHARACTERS: Final = 128
+MAX_ANSWER_BYTES: Final = 8_388_608
+DEADLINE_MS: Final = 3_000
+MAX_DEADLINE_MS: Final = 600_000
+
+# Platform.
+PLATFORM_TIMEOUT_S: Final = 2.0
+CONFIGURATION_POLL_S: Final = 1.0
+INSTANCE_LIST_POLL_S: Final = 1.0
+CONFIRMATION_BOUND_S: Final = 4.0
+
+# Membership.
+GOSSIP_INTERVAL_S: Final = 0.5
+PEER_TIMEOUT_S: Final = 3.0
+GOSSIP_BYTES_PER_S: Final = 7_000
+MAX_DATAGRAM_BYTES: Final = 1_400
+
+# Routing.
+LOAD_POLL_S: Final = 0.5
+LOAD_REPORT_BOUND_S: Final = 3.0
+CONNECT_TIMEOUT_S: Final = 0.5
+LEASE_S: Final = 4.0
+LEASE_MARGIN_S: Final = 0.5
+
+# Admission.
+QUEUE_LIMIT: Final = 256
+
+# Retries: share of first tries that may be repeated.
+RETRY_SHARE: Final = 0.1
+RETRY_BURST: Final = 10
+
+# Journal.
+JOURNAL_KEEP_S: Final = 86_400
+INLINE_OUTCOME_BYTES: Final = 16_384
+
+# Shutdown.
+SHUTDOWN_NOTICE_S: Final = 2.0
+SHUTDOWN_LIMIT_S: Final = 60.0
--- /dev/null
+++ b/damaskpoint/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: HTTP borders and the wiring of its parts."""
--- /dev/null
+++ b/damaskpoint/journal/__init__.py
@@ -0,0 +1,1 @@
+"""The journal of non-idempotent requests: intents and outcomes."""
--- /dev/null
+++ b/damaskpoint/load/__init__.py
@@ -0,0 +1,1 @@
+"""The load and experiment tool."""
--- /dev/null
+++ b/damaskpoint/main/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points: one thin module for each binary."""
--- /dev/null
+++ b/damaskpoint/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership: gossip between entries, peers and their liveness."""
--- /dev/null
+++ b/damaskpoint/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Observation: metrics, the state dump and logging."""
--- /dev/null
+++ b/damaskpoint/pipeline/__init__.py
@@ -0,0 +1,1 @@
+"""Pipelines: stages, deadlines, retries and streams of one request."""
--- /dev/null
+++ b/damaskpoint/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's table, object store and instance list."""
--- /dev/null
+++ b/damaskpoint/reconcile/__init__.py
@@ -0,0 +1,1 @@
+"""Reconciliation: orders that bring engines into line with the sheet."""
--- /dev/null
+++ b/damaskpoint/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Routing: which upstream takes a call, and how much it may bear."""
--- /dev/null
+++ b/damaskpoint/settings.py
@@ -0,0 +1,196 @@
+"""The settings of a process: read from JSON with comments, validated whole.
+
+One file holds the options of all processes of an instance; each binary
+reads the sections that it needs. Unknown keys are refused.
+"""
+
+from __future__ import annotations
+
+import pathlib
+from typing import final
+
+import json5
+import pydantic
+
+from damaskpoint import defaults
+from damaskpoint.errors import Code, Failure
+
+
+class _Section(pydantic.BaseModel):
+    """A part of the settings; immutable, and strict about its keys."""
+
+    model_config = pydantic.ConfigDict(
+        extra='forbid', frozen=True, use_attribute_docstrings=True
+    )
+
+
+@final
+class InstanceOptions(_Section):
+    """Who this instance is."""
+
+    name: str
+    """Name of the instance in the platform's list."""
+    zone: str
+    """Availability zone of the instance."""
+    host: str = '127.0.0.1'
+    """IP number that the process listens on."""
+    port: int = pydantic.Field(ge=0, le=defaults.MAX_PORT)
+    """TCP port for callers."""
+    operator_port: int = pydantic.Field(ge=0, le=defaults.MAX_PORT)
+    """TCP port for operators: health, metrics and state."""
+    peer_port: int = pydantic.Field(ge=0, le=defaults.MAX_PORT)
+    """UDP port for gossip and TCP port for calls between peers."""
+
+
+@final
+class PlatformOptions(_Section):
+    """Where the platform's services are."""
+
+    table_url: str
+    """Base URL of the transactional table."""
+    objects_url: str
+    """Base URL of the object store."""
+    instances_url: str
+    """URL of the list of instances."""
+    timeout_s: float = pydantic.Field(defaults.PLATFORM_TIMEOUT_S, gt=0)
+    """Time after which a call to the platform counts as failed (seconds)."""
+    configuration_poll_s: float = pydantic.Field(
+        defaults.CONFIGURATION_POLL_S, gt=0
+    )
+    """Time between two reads of the configuration's row (seconds)."""
+    instance_list_poll_s: float = pydantic.Field(
+        defaults.INSTANCE_LIST_POLL_S, gt=0
+    )
+    """Time between two reads of the list of instances (seconds)."""
+    confirmation_bound_s: float = pydantic.Field(
+        defaults.CONFIRMATION_BOUND_S, gt=0
+    )
+    """Age of the last confirmation up to which an entry serves (seconds)."""
+
+
+@final
+class MembershipOptions(_Section):
+    """How entries find and hear each other."""
+
+    peers: tuple[str, ...] = ()
+    """Peers to start from, as HOST:PORT, while the list is down."""
+    gossip_interval_s: float = pydantic.Field(defaults.GOSSIP_INTERVAL_S, gt=0)
+    """Time between two rounds of gossip (seconds)."""
+    peer_timeout_s: float = pydantic.Field(defaults.PEER_TIMEOUT_S, gt=0)
+    """Silence after which a peer counts as gone (seconds)."""
+    bytes_per_s: int = pydantic.Field(defaults.GOSSIP_BYTES_PER_S, gt=0)
+    """Bound on gossip that one instance sends (bytes a second)."""
+
+
+@final
+class RoutingOptions(_Section):
+    """How upstreams are chosen and protected."""
+
+    load_poll_s: float = pydantic.Field(defaults.LOAD_POLL_S, gt=0)
+    """Time between two reads of an upstream's load (seconds)."""
+    load_report_bound_s: float = pydantic.Field(
+        defaults.LOAD_REPORT_BOUND_S, gt=0
+    )
+    """Age past which a load report proves nothing (seconds)."""
+    connect_timeout_s: float = pydantic.Field(defaults.CONNECT_TIMEOUT_S, gt=0)
+    """Time to connect to an upstream (seconds)."""
+    lease_s: float = pydantic.Field(defaults.LEASE_S, gt=0)
+    """Length of a lease on a cold upstream (seconds)."""
+    lease_margin_s: float = pydantic.Field(defaults.LEASE_MARGIN_S, gt=0)
+    """Part of the lease, at its end, that its holder leaves unused."""
+
+
+@final
+class AdmissionOptions(_Section):
+    """How requests are let in."""
+
+    queue_limit: int = pydantic.Field(defaults.QUEUE_LIMIT, ge=0)
+    """Requests that may wait in one entry."""
+    retry_share: float = pydantic.Field(defaults.RETRY_SHARE, ge=0, le=1)
+    """Retries and hedges, as a share of first tries."""
+    retry_burst: int = pydantic.Field(defaults.RETRY_BURST, ge=0)
+    """Retries that a quiet entry may make at once."""
+
+
+@final
+class JournalOptions(_Section):
+    """How non-idempotent requests are recorded."""
+
+    keep_s: int = pydantic.Field(defaults.JOURNAL_KEEP_S, gt=0)
+    """Time for which an idempotency key is remembered (seconds)."""
+    inline_bytes: int = pydantic.Field(defaults.INLINE_OUTCOME_BYTES, ge=0)
+    """Answers up to this size stay in the table (bytes)."""
+
+
+@final
+class BorderOptions(_Section):
+    """Bounds at the callers' border."""
+
+    max_body_bytes: int = pydantic.Field(defaults.MAX_BODY_BYTES, gt=0)
+    """Largest body of a request (bytes)."""
+    max_answer_bytes: int = pydantic.Field(defaults.MAX_ANSWER_BYTES, gt=0)
+    """Largest answer of an upstream (bytes)."""
+
+
+@final
+class ShutdownOptions(_Section):
+    """How a process ends."""
+
+    notice_s: float = pydantic.Field(defaults.SHUTDOWN_NOTICE_S, ge=0)
+    """Time for the balancer to see that the entry is leaving (seconds)."""
+    limit_s: float = pydantic.Field(defaults.SHUTDOWN_LIMIT_S, gt=0)
+    """The platform's bound on a shutdown (seconds)."""
+
+
+@final
+class LogOptions(_Section):
+    """How the process writes its log."""
+
+    level: str = 'info'
+    """Least level that is written: debug, info, warning or error."""
+    as_json: bool = False
+    """Whether log lines are JSON."""
+
+
+@final
+class Options(_Section):
+    """All options of an instance."""
+
+    instance: InstanceOptions
+    """Who this instance is."""
+    platform: PlatformOptions
+    """Where the platform's services are."""
+    membership: MembershipOptions = MembershipOptions()
+    """How entries find and hear each other."""
+    routing: RoutingOptions = RoutingOptions()
+    """How upstreams are chosen and protected."""
+    admission: AdmissionOptions = AdmissionOptions()
+    """How requests are let in."""
+    journal: JournalOptions = JournalOptions()
+    """How non-idempotent requests are recorded."""
+    border: BorderOptions = BorderOptions()
+    """Bounds at the callers' border."""
+    shutdown: ShutdownOptions = ShutdownOptions()
+    """How a process ends."""
+    log: LogOptions = LogOptions()
+    """How the process writes its log."""
+
+
+def load_options(path: pathlib.Path) -> Options | Failure:
+    """Read and validate a settings file; every fault is listed."""
+    try:
+        raw = json5.loads(path.read_text(encoding='utf-8'))
+    except (OSError, UnicodeDecodeError, ValueError) as error:
+        return Failure(Code.SETTINGS_INVALID, f'{path.name}: {error}')
+    try:
+        return Options.model_validate(raw)
+    except pydantic.ValidationError as error:
+        return Failure(Code.SETTINGS_INVALID, _list_faults(error))
+
+
+def _list_faults(error: pydantic.ValidationError) -> str:
+    lines = []
+    for fault in error.errors():
+        place = '.'.join(str(part) for part in fault['loc'])
+        lines.append(f'{place}: {fault["msg"]}')
+    return '\n'.join(lines)
--- /dev/null
+++ b/damaskpoint/wire/__init__.py
@@ -0,0 +1,1 @@
+"""The messages between the system's own processes."""
--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""Behaviour tests: features, their steps and the history checker."""
--- /dev/null
+++ b/features/steps/__init__.py
@@ -0,0 +1,1 @@
+"""Steps of the features."""
