--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -40,6 +40,9 @@
 # Admission.
 QUEUE_LIMIT: Final = 256
 
+# Dump of the state: entries shown of one collection.
+MAX_DUMP_ITEMS: Final = 200
+
 # Retries: share of first tries that may be repeated.
 RETRY_SHARE: Final = 0.1
 RETRY_BURST: Final = 10
--- a/damaskpoint/settings.py
+++ b/damaskpoint/settings.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import pathlib
-from typing import final
+from typing import Literal, final
 
 import json5
 import pydantic
@@ -146,7 +146,7 @@
 class LogOptions(_Section):
     """How the process writes its log."""
 
-    level: str = 'info'
+    level: Literal['debug', 'info', 'warning', 'error'] = 'info'
     """Least level that is written: debug, info, warning or error."""
     as_json: bool = False
     """Whether log lines are JSON."""
