--- a/damaskpoint/settings.py
+++ b/damaskpoint/settings.py
@@ -51,7 +51,7 @@
     objects_url: str
     """Base URL of the object store."""
     instances_url: str
-    """URL of the list of instances."""
+    """Base URL of the list of instances."""
     timeout_s: float = pydantic.Field(defaults.PLATFORM_TIMEOUT_S, gt=0)
     """Time after which a call to the platform counts as failed (seconds)."""
     configuration_poll_s: float = pydantic.Field(
