--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -15,6 +15,7 @@
 MAX_JSON_DEPTH: Final = 32
 MAX_KEY_CHARACTERS: Final = 128
 MAX_ANSWER_BYTES: Final = 8_388_608
+MAX_EVENT_BYTES: Final = 65_536
 DEADLINE_MS: Final = 3_000
 MAX_DEADLINE_MS: Final = 600_000
 
@@ -47,6 +48,18 @@
 RETRY_SHARE: Final = 0.1
 RETRY_BURST: Final = 10
 
+# Requests: tries of one stage, first one included; tries that never reached
+# an upstream count apart.
+MAX_TRIES: Final = 3
+MAX_UNSENT_TRIES: Final = 6
+# Longest time between the choice of an upstream and the send (seconds).
+SEND_BOUND_S: Final = 0.5
+# Connections kept to one upstream, and how long an idle one is kept.
+MAX_IDLE_CONNECTIONS: Final = 16
+IDLE_CONNECTION_S: Final = 5.0
+# Time to tell an engine that a stream is not wanted any more (seconds).
+STOP_STREAM_S: Final = 1.0
+
 # Journal.
 JOURNAL_KEEP_S: Final = 86_400
 INLINE_OUTCOME_BYTES: Final = 16_384
--- /dev/null
+++ b/damaskpoint/pipeline/answer_check.py
@@ -0,0 +1,138 @@
+"""Reads an upstream's answer: is it this call's, whole, and a result?"""
+
+from __future__ import annotations
+
+import http
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, final
+
+import pydantic
+
+from damaskpoint import protocol
+from damaskpoint.routing.base import CallEnd, CallReport
+
+if TYPE_CHECKING:
+    from damaskpoint.pipeline.call import UpstreamAnswer, UpstreamHead
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class CallIdentity:
+    """What an answer has to echo."""
+
+    request_id: str
+    # Empty for a plain service.
+    stage: str
+    attempt: str
+
+    def headers(self) -> tuple[tuple[str, str], ...]:
+        """Return the headers that name the call."""
+        named = [
+            (protocol.HEADER_REQUEST_ID, self.request_id),
+            (protocol.HEADER_ATTEMPT, self.attempt),
+        ]
+        if self.stage:
+            named.append((protocol.HEADER_STAGE, self.stage))
+        return tuple(named)
+
+    def is_echoed(self, head: UpstreamHead) -> bool:
+        """Return whether an answer is this call's."""
+        for name, value in self.headers():
+            if head.find(name) != value:
+                return False
+        return True
+
+
+class StageBody(pydantic.BaseModel):
+    """The body of a stage's answer."""
+
+    request_id: str
+    stage: str
+    attempt: str
+    output: object
+    units: int = pydantic.Field(ge=0)
+
+
+class _EndBody(pydantic.BaseModel):
+    request_id: str
+    stage: str
+    attempt: str
+    tokens: int = pydantic.Field(ge=0)
+    sha256: str
+
+
+def read_stage_body(identity: CallIdentity, body: bytes) -> StageBody | CallEnd:
+    """Return the body of a stage's answer if it belongs to the call."""
+    try:
+        parsed = StageBody.model_validate_json(body)
+    except pydantic.ValidationError:
+        return CallEnd.FAILED
+    found = CallIdentity(parsed.request_id, parsed.stage, parsed.attempt)
+    return parsed if found == identity else CallEnd.MISMATCHED
+
+
+def check_end(
+    identity: CallIdentity, data: str, tokens: int, sha256: str
+) -> CallEnd:
+    """Return SUCCEEDED if the end mark closes exactly this text."""
+    try:
+        parsed = _EndBody.model_validate_json(data)
+    except pydantic.ValidationError:
+        return CallEnd.FAILED
+    found = CallIdentity(parsed.request_id, parsed.stage, parsed.attempt)
+    if found != identity:
+        return CallEnd.MISMATCHED
+    if (parsed.tokens, parsed.sha256) != (tokens, sha256):
+        return CallEnd.MISMATCHED
+    return CallEnd.SUCCEEDED
+
+
+def judge_status(identity: CallIdentity, answer: UpstreamAnswer) -> CallEnd:
+    """Return what the status of a whole answer says of the call.
+
+    An error counts as this call's only if it echoes the call: otherwise a
+    crossed ``"ran": false`` would speak for a call that did run.
+    """
+    if not identity.is_echoed(answer.head):
+        return CallEnd.MISMATCHED
+    status = answer.head.status
+    if status < http.HTTPStatus.BAD_REQUEST:
+        return CallEnd.SUCCEEDED
+    if states_not_run(answer):
+        return CallEnd.OVERLOADED
+    if status < http.HTTPStatus.INTERNAL_SERVER_ERROR:
+        return CallEnd.REFUSED
+    return CallEnd.FAILED
+
+
+def states_not_run(answer: UpstreamAnswer) -> bool:
+    """Return whether an error says that the call did not start here.
+
+    A conflict with the upstream's own state counts: another may take it.
+    """
+    status = answer.head.status
+    is_conflict = status == http.HTTPStatus.CONFLICT
+    if status < http.HTTPStatus.INTERNAL_SERVER_ERROR and not is_conflict:
+        return False
+    try:
+        parsed = json.loads(answer.body)
+    except ValueError:
+        return False
+    return isinstance(parsed, dict) and parsed.get('ran') is False
+
+
+def make_report(
+    end: CallEnd, duration_s: float, head: UpstreamHead | None
+) -> CallReport:
+    """Return the report of a call for the router."""
+    if head is None:
+        return CallReport(end, duration_s)
+    incarnation = head.find(protocol.HEADER_INCARNATION) or ''
+    warmth = head.find(protocol.HEADER_WARMTH)
+    return CallReport(
+        end,
+        duration_s,
+        int(incarnation) if incarnation.isdecimal() else None,
+        None if warmth is None else warmth == 'warm',
+    )
--- /dev/null
+++ b/damaskpoint/pipeline/attempt.py
@@ -0,0 +1,266 @@
+"""One try of one stage: a ticket, a send, and a checked answer."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, final
+from urllib.parse import quote
+
+from damaskpoint import defaults, protocol
+from damaskpoint.errors import Failure
+from damaskpoint.pipeline import metrics
+from damaskpoint.pipeline.answer_check import (
+    CallIdentity,
+    judge_status,
+    make_report,
+    read_stage_body,
+)
+from damaskpoint.pipeline.call import AttemptIds, CallFault, UpstreamCall
+from damaskpoint.pipeline.token_receiver import TokenReceiver
+from damaskpoint.pipeline.work import StageResult, TryFault
+from damaskpoint.routing.base import CallEnd, RouteQuery, Ticket
+
+if TYPE_CHECKING:
+    from damaskpoint.pipeline.background import BackgroundTasks
+    from damaskpoint.pipeline.call import UpstreamAnswer, UpstreamHead
+    from damaskpoint.pipeline.upstream_client import UpstreamClient
+    from damaskpoint.pipeline.work import StageJob
+    from damaskpoint.routing.base import Router, Upstream
+
+_PREFIX_BYTES = 256
+_MAX_RESUMES = 3
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class CallParts:
+    """What every call needs."""
+
+    router: Router
+    client: UpstreamClient
+    background: BackgroundTasks
+    attempt_ids: AttemptIds
+    max_answer_bytes: int
+
+
+@final
+class StageAttempt:
+    """Runs one try; a stream that breaks is resumed within the try."""
+
+    def __init__(self, job: StageJob, parts: CallParts) -> None:
+        """Prepare a try that has no upstream yet."""
+        # Name of the upstream; empty until one is chosen.
+        self.upstream = ''
+        self._job = job
+        self._parts = parts
+        self._receiver: TokenReceiver | None = None
+        if job.sink is not None:
+            self._receiver = TokenReceiver(job.sink, parts.max_answer_bytes)
+        self._is_resume = False
+        self._resumes = 0
+        # What the next call is sent as.
+        self._identity = self._make_identity()
+        self._sent_at = float(0)
+
+    async def run(
+        self, excluded: frozenset[str]
+    ) -> StageResult | TryFault | Failure:
+        """Return the stage's result, or a fault, or why nothing was sent."""
+        ticket = await self._acquire(excluded, only='')
+        if isinstance(ticket, Failure):
+            return ticket
+        self.upstream = ticket.upstream.name
+        outcome = await self._send(ticket)
+        while isinstance(outcome, TryFault) and self._may_resume(outcome):
+            resumed = await self._acquire(frozenset(), only=self.upstream)
+            if isinstance(resumed, Failure):
+                metrics.RESUMES.inc({'result': 'not_allowed'})
+                break
+            if resumed.upstream.name != self.upstream:
+                self._give_back(resumed)
+                break
+            self._is_resume = True
+            self._resumes += 1
+            outcome = await self._send(resumed)
+            result = 'whole' if isinstance(outcome, StageResult) else 'broken'
+            metrics.RESUMES.inc({'result': result})
+        return outcome
+
+    def _may_resume(self, fault: TryFault) -> bool:
+        if self._receiver is None or self._receiver.offset == 0:
+            return False
+        if self._resumes >= _MAX_RESUMES:
+            return False
+        return fault.end in {CallEnd.BROKEN, CallEnd.UNREACHABLE}
+
+    async def _acquire(
+        self, excluded: frozenset[str], only: str
+    ) -> Ticket | Failure:
+        job = self._job
+        query = RouteQuery(
+            job.request.request_id,
+            job.stage.pool,
+            job.stage.model,
+            job.stage.adapter,
+            _make_prefix(job),
+            excluded,
+            job.end_by,
+            only,
+        )
+        return await self._parts.router.acquire(query)
+
+    def _give_back(self, ticket: Ticket) -> None:
+        report = make_report(CallEnd.UNUSED, 0, None)
+        self._parts.router.release(ticket, report)
+
+    async def _send(self, ticket: Ticket) -> StageResult | TryFault:
+        """Send on a ticket and give the ticket back, whatever happens."""
+        self._identity = self._make_identity()
+        self._sent_at = time.monotonic()
+        try:
+            outcome, head = await self._converse(ticket)
+        except BaseException:
+            # The caller has left, or a hedge has won.
+            self._release(ticket, CallEnd.CANCELLED, None)
+            self._stop_stream(ticket.upstream)
+            raise
+        self._release(ticket, _end_of(outcome), head)
+        return outcome
+
+    def _release(
+        self, ticket: Ticket, end: CallEnd, head: UpstreamHead | None
+    ) -> None:
+        report = make_report(end, time.monotonic() - self._sent_at, head)
+        self._parts.router.release(ticket, report)
+        metrics.UPSTREAM_CALLS.inc(
+            {'pool': self._job.stage.pool, 'end': end.value}
+        )
+
+    async def _converse(
+        self, ticket: Ticket
+    ) -> tuple[StageResult | TryFault, UpstreamHead | None]:
+        address = (ticket.upstream.host, ticket.upstream.port)
+        receiver = self._receiver
+        call = self._make_call(ticket)
+        if receiver is None:
+            answer = await self._parts.client.send(address, call)
+        else:
+            receiver.begin_call(self._identity)
+            answer = await self._parts.client.send(
+                address, call, receiver.receive
+            )
+        if isinstance(answer, CallFault):
+            end = answer.end
+            if receiver is not None and receiver.end is not None:
+                end = receiver.end
+            return self._fault(end, answer.detail), None
+        return self._judge(answer), answer.head
+
+    def _judge(self, answer: UpstreamAnswer) -> StageResult | TryFault:
+        end = judge_status(self._identity, answer)
+        if end is not CallEnd.SUCCEEDED:
+            return self._fault(end, f'status {answer.head.status}')
+        if self._receiver is None:
+            return self._read_result(answer)
+        if self._receiver.end is CallEnd.SUCCEEDED:
+            return self._result(self._receiver.text, self._receiver.offset)
+        broken = self._receiver.end or CallEnd.BROKEN
+        return self._fault(broken, 'the stream has no end mark')
+
+    def _read_result(self, answer: UpstreamAnswer) -> StageResult | TryFault:
+        body = read_stage_body(self._identity, answer.body)
+        if isinstance(body, CallEnd):
+            return self._fault(body, 'the body is not an answer to the call')
+        return self._result(body.output, body.units)
+
+    def _result(self, output: object, units: int) -> StageResult:
+        return StageResult(
+            self._identity.request_id,
+            self._identity.stage,
+            self._identity.attempt,
+            output,
+            units,
+            self.upstream,
+            time.monotonic() - self._sent_at,
+        )
+
+    def _fault(self, end: CallEnd, detail: str) -> TryFault:
+        if end is CallEnd.MISMATCHED:
+            metrics.DISCARDED.inc({'reason': end.value})
+        return TryFault(end, detail, self.upstream)
+
+    def _make_identity(self) -> CallIdentity:
+        return CallIdentity(
+            self._job.request.request_id,
+            self._job.stage.name,
+            self._parts.attempt_ids.make(),
+        )
+
+    def _make_call(self, ticket: Ticket) -> UpstreamCall:
+        job = self._job
+        body = {
+            'model': job.stage.model,
+            'adapter': job.stage.adapter,
+            'stream': self._receiver is not None,
+            'input': job.payload,
+        }
+        headers = [
+            ('Host', f'{ticket.upstream.host}:{ticket.upstream.port}'),
+            ('Content-Type', protocol.MEDIA_JSON),
+            (protocol.HEADER_PRIORITY, str(job.request.account.priority)),
+            *self._identity.headers(),
+        ]
+        if self._is_resume and self._receiver is not None:
+            offset = str(self._receiver.offset)
+            headers.append((protocol.HEADER_LAST_EVENT_ID, offset))
+        if job.stage.has_side_effect and job.request.key:
+            headers.append((protocol.HEADER_IDEMPOTENCY_KEY, job.request.key))
+        return UpstreamCall(
+            method='POST',
+            path=f'/v1/stages/{job.stage.kind.value}',
+            headers=tuple(headers),
+            body=json.dumps(body).encode(),
+            deadline=job.end_by,
+            send_by=ticket.taken_at + defaults.SEND_BOUND_S,
+            is_idempotent=not job.stage.has_side_effect,
+        )
+
+    def _stop_stream(self, upstream: Upstream) -> None:
+        """Tell the engine that nobody will resume the stream."""
+        if self._receiver is None:
+            return
+        now = time.monotonic()
+        request_id = quote(self._job.request.request_id, safe='')
+        call = UpstreamCall(
+            method='DELETE',
+            path=f'/v1/streams/{request_id}',
+            headers=(('Host', f'{upstream.host}:{upstream.port}'),),
+            body=b'',
+            deadline=now + defaults.STOP_STREAM_S,
+            send_by=now + defaults.STOP_STREAM_S,
+            is_idempotent=False,
+        )
+        address = (upstream.host, upstream.port)
+        self._parts.background.start(self._parts.client.send(address, call))
+
+
+def _end_of(outcome: StageResult | TryFault) -> CallEnd:
+    if isinstance(outcome, StageResult):
+        return CallEnd.SUCCEEDED
+    return outcome.end
+
+
+def _make_prefix(job: StageJob) -> bytes:
+    """Return what calls that share an engine's cached prompt have alike."""
+    payload = job.payload
+    if isinstance(payload, dict) and isinstance(payload.get('prefix'), str):
+        text = str(payload['prefix'])
+    elif isinstance(payload, str):
+        text = payload
+    else:
+        return b''
+    start = text.encode()[:_PREFIX_BYTES]
+    return hashlib.sha256(start).digest()
--- /dev/null
+++ b/damaskpoint/pipeline/background.py
@@ -0,0 +1,43 @@
+"""Work that goes on after the request that began it has its answer."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, TypeVar, final
+
+from damaskpoint.observe.state import StateSource
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+_Result = TypeVar('_Result')
+
+
+@final
+class BackgroundTasks(StateSource):
+    """Keeps tasks alive, and lets a shutdown wait for them."""
+
+    def __init__(self) -> None:
+        """Start with no task."""
+        self._tasks: set[asyncio.Task[object]] = set()
+
+    def start(
+        self, work: Coroutine[object, object, _Result]
+    ) -> asyncio.Task[_Result]:
+        """Run a coroutine to its end, whoever stops waiting for it."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def wait(self, limit_s: float) -> int:
+        """Wait until no task is left; return how many the limit cut off."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + limit_s
+        while self._tasks and loop.time() < end:
+            await asyncio.wait(self._tasks, timeout=end - loop.time())
+        return len(self._tasks)
+
+    def dump_state(self, now: float) -> dict[str, object]:
+        """Return the number of tasks."""
+        return {'tasks': len(self._tasks)}
--- /dev/null
+++ b/damaskpoint/pipeline/token_receiver.py
@@ -0,0 +1,109 @@
+"""Takes the events of a streaming stage and passes its text on."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from typing import TYPE_CHECKING, final
+
+from damaskpoint import protocol
+from damaskpoint.errors import Failure
+from damaskpoint.pipeline.answer_check import check_end
+from damaskpoint.pipeline.events import EventParser
+from damaskpoint.routing.base import CallEnd
+
+if TYPE_CHECKING:
+    from damaskpoint.pipeline.answer_check import CallIdentity
+    from damaskpoint.pipeline.call import UpstreamHead
+    from damaskpoint.pipeline.events import Event
+    from damaskpoint.pipeline.work import TokenSink
+
+
+@final
+class TokenReceiver:
+    """The text of one stream, over all the calls that resumed it.
+
+    Offsets must go up by one. A piece that was seen before is skipped, and
+    one that comes too early means that something was lost, which ends the
+    call. Only the end mark, with the digest of the whole text, makes the
+    text whole.
+    """
+
+    def __init__(self, sink: TokenSink | None, max_bytes: int) -> None:
+        """Start before the first piece."""
+        self.offset = 0
+        # How the stream ended; None while it has not.
+        self.end: CallEnd | None = None
+        self._sink = sink
+        self._left_bytes = max_bytes
+        self._pieces: list[str] = []
+        self._hash = hashlib.sha256()
+        self._identity: CallIdentity | None = None
+        self._parser = EventParser()
+
+    @property
+    def text(self) -> str:
+        """Return what has come so far."""
+        return ''.join(self._pieces)
+
+    def begin_call(self, identity: CallIdentity) -> None:
+        """Expect the events of a new call that goes on behind the offset."""
+        self._identity = identity
+        self._parser = EventParser()
+        self.end = None
+
+    async def receive(self, head: UpstreamHead, chunk: bytes) -> bool:
+        """Take a piece of the body; return whether more is wanted."""
+        identity = self._identity
+        if identity is None or not identity.is_echoed(head):
+            self.end = CallEnd.MISMATCHED
+            return False
+        events = self._parser.feed(chunk)
+        if isinstance(events, Failure):
+            self.end = CallEnd.FAILED
+            return False
+        for event in events:
+            await self._take(event, identity)
+            if self.end not in {None, CallEnd.SUCCEEDED}:
+                return False
+        return True
+
+    async def _take(self, event: Event, identity: CallIdentity) -> None:
+        if event.name == protocol.EVENT_END:
+            digest = self._hash.hexdigest()
+            self.end = check_end(identity, event.data, self.offset, digest)
+            return
+        if event.name != protocol.EVENT_TOKEN:
+            return
+        text = _read_text(event.data)
+        if text is None or not event.event_id.isdecimal():
+            self.end = CallEnd.FAILED
+            return
+        offset = int(event.event_id)
+        if offset <= self.offset:
+            return
+        if offset > self.offset + 1:
+            self.end = CallEnd.BROKEN
+            return
+        await self._pass_on(offset, text)
+
+    async def _pass_on(self, offset: int, text: str) -> None:
+        encoded = text.encode()
+        self._left_bytes -= len(encoded)
+        if self._left_bytes < 0:
+            self.end = CallEnd.FAILED
+            return
+        self.offset = offset
+        self._pieces.append(text)
+        self._hash.update(encoded)
+        if self._sink is not None:
+            await self._sink.write_token(offset, text)
+
+
+def _read_text(data: str) -> str | None:
+    try:
+        parsed = json.loads(data)
+    except ValueError:
+        return None
+    text = parsed.get('text') if isinstance(parsed, dict) else None
+    return text if isinstance(text, str) else None
--- a/damaskpoint/routing/base.py
+++ b/damaskpoint/routing/base.py
@@ -44,6 +44,8 @@
     excluded: frozenset[str]
     # Monotonic time in seconds by which the call must have ended.
     deadline: float
+    # Name of the only upstream that will do, to resume a stream; or empty.
+    only: str = ''
 
 
 @final
