--- /dev/null
+++ b/damaskpoint/config/document.py
@@ -0,0 +1,92 @@
+"""The accepted configuration as an object: canonical JSON and its digest.
+
+Equal configurations have equal bytes, so the digest names the content
+whatever the order of the sheet's rows was, and the object's name follows
+from the digest. The version stands outside, in the table's row.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+import hashlib
+import json
+from typing import TYPE_CHECKING, Final
+
+import pydantic
+
+from damaskpoint.config.model import Configuration, Zone
+from damaskpoint.errors import Code, Failure
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+MAX_OBJECT_BYTES: Final = 16_777_216
+_ADAPTER: Final = pydantic.TypeAdapter(Configuration)
+
+
+def encode(configuration: Configuration) -> bytes:
+    """Return the canonical text of all but the version and the digest."""
+    content = dataclasses.asdict(configuration)
+    content.pop('version')
+    content.pop('digest')
+    return json.dumps(
+        content, sort_keys=True, separators=(',', ':'), default=_encode_value
+    ).encode()
+
+
+def stamp(configuration: Configuration, version: int) -> Configuration:
+    """Return the configuration with a version and its own digest."""
+    digest = digest_of(encode(configuration))
+    return dataclasses.replace(configuration, version=version, digest=digest)
+
+
+def decode(body: bytes, version: int, digest: str) -> Configuration | Failure:
+    """Return the configuration, if the bytes have the expected digest."""
+    if len(body) > MAX_OBJECT_BYTES or digest_of(body) != digest:
+        return Failure(
+            Code.CONFIGURATION_CORRUPT, f'version {version}: not {digest}'
+        )
+    try:
+        return _build(json.loads(body), version, digest)
+    except (ValueError, TypeError, RecursionError) as error:
+        return Failure(Code.CONFIGURATION_CORRUPT, str(error))
+
+
+def digest_of(body: bytes) -> str:
+    """Return the hexadecimal SHA-256 of an object."""
+    return hashlib.sha256(body).hexdigest()
+
+
+def name_object(digest: str) -> str:
+    """Return the name of the object that holds a configuration."""
+    return f'config/{digest}'
+
+
+def replace_zone(configuration: Configuration, zone: Zone) -> Configuration:
+    """Return the configuration with one zone changed, not yet stamped."""
+    zones_by_name: Mapping[str, Zone] = {
+        **configuration.zones_by_name,
+        zone.name: zone,
+    }
+    return dataclasses.replace(configuration, zones_by_name=dict(zones_by_name))
+
+
+def _build(content: object, version: int, digest: str) -> Configuration:
+    if not isinstance(content, dict):
+        raise TypeError('the content is no JSON object')
+    return _ADAPTER.validate_python(
+        {
+            **content,
+            'version': version,
+            'digest': digest,
+        }
+    )
+
+
+def _encode_value(value: object) -> object:
+    if isinstance(value, frozenset):
+        return sorted(value)
+    if isinstance(value, enum.Enum):
+        return value.value
+    raise TypeError(f'{type(value)} has no place in a configuration')
--- /dev/null
+++ b/damaskpoint/config/sheet_pipelines.py
@@ -0,0 +1,142 @@
+"""Reads the pipelines of a sheet: their stages and client accounts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final, final
+
+from damaskpoint import defaults
+from damaskpoint.config.model import Pipeline, PoolKind, Stage, StageKind
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from damaskpoint.config.model import Account, ModelTarget, Pool
+    from damaskpoint.config.sheet_cells import CellReader
+    from damaskpoint.config.sheet_text import SheetRow
+
+MIN_STAGES: Final = 3
+MAX_STAGES: Final = 6
+
+
+@final
+class PipelineReader:
+    """Reads pipelines against the names that the sheet defines."""
+
+    def __init__(
+        self,
+        cells: CellReader,
+        accounts: Mapping[str, Account],
+        pools: Mapping[str, Pool],
+        targets: Mapping[str, tuple[ModelTarget, ...]],
+    ) -> None:
+        """Keep what stages and bindings may refer to."""
+        self._cells = cells
+        self._accounts = accounts
+        self._pools = pools
+        self._targets = targets
+
+    def read(
+        self,
+        pipeline_rows: Sequence[SheetRow],
+        stage_rows: Sequence[SheetRow],
+        binding_rows: Sequence[SheetRow],
+    ) -> dict[str, Pipeline]:
+        """Return the pipelines by name; faults go to the cell reader."""
+        names = {row.cells_by_column['name'] for row in pipeline_rows}
+        stages = self._read_stages(stage_rows, names)
+        accounts = self._read_bindings(binding_rows, names)
+        pipelines_by_name = {}
+        for row in pipeline_rows:
+            name = self._cells.read_name(row, 'name')
+            deadline_ms = self._cells.read_integer(
+                row, 'deadline_ms', 1, defaults.MAX_DEADLINE_MS
+            )
+            ordered = self._order_stages(row, stages.get(name, {}))
+            pipelines_by_name[name] = Pipeline(
+                name=name,
+                stages=ordered,
+                deadline_ms=deadline_ms,
+                accounts=frozenset(accounts.get(name, ())),
+            )
+        return pipelines_by_name
+
+    def _order_stages(
+        self, row: SheetRow, stages_by_position: Mapping[int, Stage]
+    ) -> tuple[Stage, ...]:
+        count = len(stages_by_position)
+        if not MIN_STAGES <= count <= MAX_STAGES:
+            fault = f'{count} stages; {MIN_STAGES} to {MAX_STAGES} are needed'
+            self._cells.add_fault(row, 'name', fault)
+        positions = sorted(stages_by_position)
+        if positions != list(range(1, count + 1)):
+            fault = f'the positions of its stages are not 1 to {count}'
+            self._cells.add_fault(row, 'name', fault)
+        return tuple(stages_by_position[position] for position in positions)
+
+    def _read_stages(
+        self, rows: Sequence[SheetRow], pipelines: set[str]
+    ) -> dict[str, dict[int, Stage]]:
+        stages_by_pipeline: dict[str, dict[int, Stage]] = {}
+        names: set[tuple[str, str]] = set()
+        for row in rows:
+            pipeline = self._cells.read_name(row, 'pipeline')
+            if pipeline not in pipelines:
+                fault = f'{pipeline!r} is no pipeline'
+                self._cells.add_fault(row, 'pipeline', fault)
+            position = self._cells.read_integer(row, 'position', 1, MAX_STAGES)
+            stage = self._read_stage(row)
+            if (pipeline, stage.name) in names:
+                fault = f'{stage.name!r} stands twice in {pipeline!r}'
+                self._cells.add_fault(row, 'name', fault)
+            names.add((pipeline, stage.name))
+            stages = stages_by_pipeline.setdefault(pipeline, {})
+            # Two spellings of one number pass the check of equal cells.
+            if position in stages:
+                self._cells.add_fault(row, 'position', 'it stands twice')
+            stages[position] = stage
+        return stages_by_pipeline
+
+    def _read_stage(self, row: SheetRow) -> Stage:
+        kinds = tuple(kind.value for kind in StageKind)
+        stage = Stage(
+            name=self._cells.read_name(row, 'name'),
+            kind=StageKind(self._cells.read_choice(row, 'kind', kinds)),
+            pool=self._cells.read_name(row, 'pool'),
+            model=self._cells.read_name(row, 'model'),
+            adapter=self._cells.read_optional_name(row, 'adapter'),
+            has_side_effect=self._cells.read_boolean(row, 'has_side_effect'),
+        )
+        pool = self._pools.get(stage.pool)
+        if pool is None or pool.kind is not PoolKind.MODEL:
+            fault = f'{stage.pool!r} is no pool of kind model'
+            self._cells.add_fault(row, 'pool', fault)
+            return stage
+        self._check_model(row, stage)
+        return stage
+
+    def _check_model(self, row: SheetRow, stage: Stage) -> None:
+        for target in self._targets.get(stage.pool, ()):
+            if target.model != stage.model:
+                continue
+            if stage.adapter and stage.adapter not in target.adapters:
+                fault = f'no target of {stage.pool!r} has {stage.adapter!r}'
+                self._cells.add_fault(row, 'adapter', fault)
+            return
+        fault = f'no target of {stage.pool!r} has the model {stage.model!r}'
+        self._cells.add_fault(row, 'model', fault)
+
+    def _read_bindings(
+        self, rows: Sequence[SheetRow], pipelines: set[str]
+    ) -> dict[str, list[str]]:
+        accounts_by_pipeline: dict[str, list[str]] = {}
+        for row in rows:
+            pipeline = self._cells.read_name(row, 'pipeline')
+            account = self._cells.read_name(row, 'account')
+            if pipeline not in pipelines:
+                fault = f'{pipeline!r} is no pipeline'
+                self._cells.add_fault(row, 'pipeline', fault)
+            if account not in self._accounts:
+                fault = f'{account!r} is no client account'
+                self._cells.add_fault(row, 'account', fault)
+            accounts_by_pipeline.setdefault(pipeline, []).append(account)
+        return accounts_by_pipeline
--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -23,6 +23,8 @@
 CONFIGURATION_POLL_S: Final = 1.0
 INSTANCE_LIST_POLL_S: Final = 1.0
 CONFIRMATION_BOUND_S: Final = 4.0
+# Pool of the system's own instances in the platform's list.
+ENTRY_POOL: Final = 'entry'
 
 # Membership.
 GOSSIP_INTERVAL_S: Final = 0.5
