--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -23,6 +23,10 @@
 CONFIGURATION_POLL_S: Final = 1.0
 INSTANCE_LIST_POLL_S: Final = 1.0
 CONFIRMATION_BOUND_S: Final = 4.0
+# Silence of the loop past which what it reads may have waited long.
+LOOP_STALL_S: Final = 1.5
+# Age that stands for never.
+MAX_AGE_S: Final = 1e9
 # Pool of the system's own instances in the platform's list.
 ENTRY_POOL: Final = 'entry'
 
