--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -11,6 +11,10 @@
 # HTTP borders.
 MAX_PORT: Final = 65_535
 MAX_BODY_BYTES: Final = 1_048_576
+# Time that a connection of a caller may rest, and that a body may take to
+# arrive (seconds).
+IDLE_CALLER_S: Final = 75.0
+BODY_TIMEOUT_S: Final = 30.0
 MAX_HEADER_BYTES: Final = 16_384
 MAX_JSON_DEPTH: Final = 32
 MAX_KEY_CHARACTERS: Final = 128
@@ -69,6 +73,26 @@
 # Journal.
 JOURNAL_KEEP_S: Final = 86_400
 INLINE_OUTCOME_BYTES: Final = 16_384
+# Rows in one transaction, and rows that may wait for theirs.
+JOURNAL_BATCH: Final = 64
+JOURNAL_WAITING: Final = 4_096
+# Tries to open one key, and the pause between two (seconds).
+JOURNAL_OPEN_TRIES: Final = 8
+JOURNAL_PAUSE_S: Final = 0.05
+# Longest pause between two tries to close a row (seconds).
+JOURNAL_MAX_PAUSE_S: Final = 2.0
+# How long an answer waits for its record (seconds).
+JOURNAL_RECORD_WAIT_S: Final = 0.25
+# Rows whose closing may be pending, and their bytes.
+JOURNAL_PENDING: Final = 4_096
+JOURNAL_PENDING_BYTES: Final = 33_554_432
+# Time after a request's deadline at which its row counts as left (seconds).
+JOURNAL_GRACE_S: Final = 5.0
+# Sweep of rows past their time: rows read a round, time between rounds and
+# length of the sweeper's lease (seconds).
+SWEEP_ROWS: Final = 100
+SWEEP_INTERVAL_S: Final = 5.0
+SWEEP_LEASE_S: Final = 60.0
 
 # Shutdown.
 SHUTDOWN_NOTICE_S: Final = 2.0
--- /dev/null
+++ b/damaskpoint/journal/table_journal.py
@@ -0,0 +1,265 @@
+"""The journal in the platform's table."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, final
+
+from damaskpoint import defaults
+from damaskpoint.errors import Code, Failure, Ran
+from damaskpoint.journal import metrics
+from damaskpoint.journal.answers import AnswerStore
+from damaskpoint.journal.base import (
+    GuardedRequest,
+    Intent,
+    Journal,
+    StoredAnswer,
+)
+from damaskpoint.journal.closer import RowCloser
+from damaskpoint.journal.commit_queue import CommitEnd, CommitReceipt
+from damaskpoint.journal.committer import Committer
+from damaskpoint.journal.rows import (
+    TABLE,
+    Answered,
+    Free,
+    Ours,
+    RowData,
+    RowState,
+    judge_row,
+)
+from damaskpoint.observe.state import StateSource
+from damaskpoint.platform.base import RowKey, Write
+
+if TYPE_CHECKING:
+    from damaskpoint.pipeline.background import BackgroundTasks
+    from damaskpoint.pipeline.call import AttemptIds
+    from damaskpoint.platform.base import ObjectStore, Table
+    from damaskpoint.settings import JournalOptions
+
+    Verdict = Free | Ours | Answered | Failure
+
+
+@final
+class TableJournal(Journal, StateSource):
+    """Opens rows by group commit and settles lost answers by reading back."""
+
+    def __init__(
+        self,
+        entry: str,
+        table: Table,
+        committer: Committer,
+        answers: AnswerStore,
+        closer: RowCloser,
+        attempt_ids: AttemptIds,
+    ) -> None:
+        """Start with no open row."""
+        self._entry = entry
+        self._table = table
+        self._committer = committer
+        self._answers = answers
+        self._closer = closer
+        self._attempt_ids = attempt_ids
+        # Rows that this process is opening or holds open.
+        self._held_rows: set[str] = set()
+
+    async def look_up(
+        self, request: GuardedRequest
+    ) -> StoredAnswer | Failure | None:
+        """Return what is known of a key, None if it may be opened."""
+        known = self._find_local(request)
+        if known is not None:
+            return known
+        verdict = await self._read(request, attempt='')
+        if isinstance(verdict, Answered):
+            return await self._answers.load(verdict.answer)
+        if isinstance(verdict, Failure):
+            return verdict
+        return None
+
+    async def open(
+        self, request: GuardedRequest
+    ) -> Intent | StoredAnswer | Failure:
+        """Return a confirmed intent, or what is known of the key."""
+        known = self._find_local(request)
+        if known is not None:
+            return known
+        self._held_rows.add(request.row_name)
+        try:
+            opened = await self._open_row(request)
+        except BaseException:
+            self._held_rows.discard(request.row_name)
+            raise
+        if isinstance(opened, Intent):
+            metrics.OPENED.inc({'result': 'opened'})
+            return opened
+        self._held_rows.discard(request.row_name)
+        if isinstance(opened, Answered):
+            metrics.OPENED.inc({'result': 'answered'})
+            return await self._answers.load(opened.answer)
+        metrics.OPENED.inc({'result': opened.code.value})
+        return opened
+
+    def close_not_run(self, intent: Intent) -> None:
+        """Say that the request was certainly not run; it may be repeated."""
+        self._close(intent, RowState.NOT_RUN)
+
+    def record_unknown(self, intent: Intent) -> None:
+        """Say that nobody can tell whether the request ran."""
+        self._close(intent, RowState.UNKNOWN)
+
+    async def record(self, intent: Intent, answer: StoredAnswer) -> None:
+        """Keep the answer; waits for the platform for a short time only."""
+        self._held_rows.discard(intent.row_name)
+        closing = self._closer.start_answer(intent, answer)
+        if closing is None:
+            return
+        await asyncio.wait((closing,), timeout=defaults.JOURNAL_RECORD_WAIT_S)
+
+    def dump_state(self, now: float) -> dict[str, object]:
+        """Return the counts of rows in each place."""
+        return {
+            'held': len(self._held_rows),
+            'waiting_writes': self._committer.waiting,
+            'pending_closings': self._closer.pending,
+        }
+
+    def _close(self, intent: Intent, state: RowState) -> None:
+        self._held_rows.discard(intent.row_name)
+        self._closer.start_state(intent, state)
+
+    def _find_local(
+        self, request: GuardedRequest
+    ) -> StoredAnswer | Failure | None:
+        """Return what this process itself knows of a key."""
+        pending = self._closer.find_answer(request.row_name)
+        if pending is not None:
+            if pending.digest != request.digest:
+                return Failure(Code.KEY_REUSED)
+            return pending.answer
+        if request.row_name in self._held_rows:
+            return Failure(
+                Code.KEY_IN_PROGRESS, '', Ran.UNKNOWN, retry_after_s=1
+            )
+        return None
+
+    async def _open_row(
+        self, request: GuardedRequest
+    ) -> Intent | Answered | Failure:
+        """Write the intent until it is certain what the row says."""
+        intent = self._make_intent(request)
+        is_in_doubt = False
+        for _ in range(defaults.JOURNAL_OPEN_TRIES):
+            receipt = await self._committer.commit(self._make_write(intent))
+            is_in_doubt = is_in_doubt or receipt.end is CommitEnd.IN_DOUBT
+            verdict = await self._settle(request, intent, receipt)
+            if isinstance(verdict, Ours):
+                return self._confirm(intent, request, verdict.version)
+            if isinstance(verdict, Free):
+                intent = _over_version(intent, verdict.version)
+            elif not _is_lost(verdict):
+                return verdict
+            if time.monotonic() >= request.deadline:
+                break
+            await asyncio.sleep(defaults.JOURNAL_PAUSE_S)
+        return self._give_up(intent, is_in_doubt)
+
+    async def _settle(
+        self, request: GuardedRequest, intent: Intent, receipt: CommitReceipt
+    ) -> Verdict:
+        """Return what the row says after a write, reading if need be."""
+        if receipt.end is CommitEnd.STORED:
+            return Ours(receipt.version)
+        return await self._read(request, intent.attempt)
+
+    def _give_up(self, intent: Intent, is_in_doubt: bool) -> Failure:
+        """Never send in this attempt's name, and say so."""
+        if is_in_doubt:
+            # A late write must not block the key for ever.
+            self._closer.start_state(intent, RowState.NOT_RUN)
+        return Failure(
+            Code.PLATFORM_UNAVAILABLE,
+            'no intent could be written',
+            Ran.NO,
+            retry_after_s=1,
+        )
+
+    def _confirm(
+        self, intent: Intent, request: GuardedRequest, version: int
+    ) -> Intent | Failure:
+        """Return the confirmed intent, unless it comes too late to send."""
+        confirmed = _over_version(intent, version)
+        if time.monotonic() < request.deadline:
+            return confirmed
+        self._closer.start_state(confirmed, RowState.NOT_RUN)
+        return Failure(
+            Code.DEADLINE_PASSED, 'the intent was late', retry_after_s=1
+        )
+
+    async def _read(self, request: GuardedRequest, attempt: str) -> Verdict:
+        rows = await self._table.read((RowKey(TABLE, request.row_name),))
+        if isinstance(rows, Failure):
+            return Failure(
+                Code.PLATFORM_UNAVAILABLE,
+                rows.detail,
+                Ran.NO,
+                rows.retry_after_s or 1,
+            )
+        return judge_row(rows[0], request, attempt, time.time())
+
+    def _make_intent(self, request: GuardedRequest) -> Intent:
+        opened_at = time.time()
+        left_s = request.deadline - time.monotonic()
+        return Intent(
+            request.row_name,
+            self._attempt_ids.make(),
+            request.digest,
+            version=0,
+            opened_at=opened_at,
+            ends_at=opened_at + left_s + defaults.JOURNAL_GRACE_S,
+        )
+
+    def _make_write(self, intent: Intent) -> Write:
+        data = RowData(
+            state=RowState.OPEN,
+            attempt=intent.attempt,
+            entry=self._entry,
+            digest=intent.digest,
+            opened_at=intent.opened_at,
+            ends_at=intent.ends_at,
+        )
+        row_key = RowKey(TABLE, intent.row_name)
+        return Write(row_key, intent.version, data.encode())
+
+
+def create_table_journal(
+    entry: str,
+    table: Table,
+    object_store: ObjectStore,
+    options: JournalOptions,
+    background: BackgroundTasks,
+    attempt_ids: AttemptIds,
+) -> TableJournal:
+    """Return a journal for one entry."""
+    committer = Committer(table, background)
+    answers = AnswerStore(object_store, options.inline_bytes)
+    closer = RowCloser(entry, table, committer, answers, background)
+    return TableJournal(entry, table, committer, answers, closer, attempt_ids)
+
+
+def _over_version(intent: Intent, version: int) -> Intent:
+    return Intent(
+        intent.row_name,
+        intent.attempt,
+        intent.digest,
+        version,
+        intent.opened_at,
+        intent.ends_at,
+    )
+
+
+def _is_lost(verdict: Answered | Failure) -> bool:
+    """Return whether the read itself failed, so that nothing is known."""
+    if isinstance(verdict, Answered):
+        return False
+    return verdict.code is Code.PLATFORM_UNAVAILABLE
--- a/damaskpoint/pipeline/pipeline_runner.py
+++ b/damaskpoint/pipeline/pipeline_runner.py
@@ -28,7 +28,7 @@
         times: StageTimes,
     ) -> None:
         """Start before the first stage; the sink takes the last one's text."""
-        self._request = request
+        self.request = request
         self._sink = sink
         self._runner = runner
         self._times = times
@@ -38,28 +38,28 @@
     @property
     def stage_name(self) -> str:
         """Return the name of the stage that runs, or of the last one."""
-        stages = self._request.pipeline.stages
+        stages = self.request.pipeline.stages
         position = min(len(self._results), len(stages) - 1)
         return stages[position].name
 
     async def run_until(self, end: int) -> Failure | None:
         """Run the stages up to a position; return what stopped them."""
-        stages = self._request.pipeline.stages
+        stages = self.request.pipeline.stages
         for position in range(len(self._results), end):
             now = time.monotonic()
             remaining = self._estimates(position)
             too_late = deadline_split.check_feasible(
-                remaining, self._request.deadline, now
+                remaining, self.request.deadline, now
             )
             if too_late is not None:
                 return self._add_ran(too_late)
             is_last = position == len(stages) - 1
             job = StageJob(
-                self._request,
+                self.request,
                 stages[position],
                 self._payload,
                 deadline_split.end_of_stage(
-                    remaining[1:], self._request.deadline, now
+                    remaining[1:], self.request.deadline, now
                 ),
                 self._sink if is_last else None,
             )
@@ -72,17 +72,14 @@
 
     def answer(self) -> PipelineAnswer:
         """Return the whole answer; all stages have run."""
-        last = self._results[-1]
-        tokens = 0 if self._sink is None else last.units
         return PipelineAnswer(
-            self._request.request_id,
-            last.output,
+            self.request.request_id,
+            self._results[-1].output,
             tuple(self._results),
-            tokens,
         )
 
     def _estimates(self, position: int) -> list[StageEstimate]:
-        pipeline = self._request.pipeline
+        pipeline = self.request.pipeline
         return [
             self._times.find(pipeline.name, stage.name)
             for stage in pipeline.stages[position:]
@@ -97,7 +94,7 @@
         """
         if failure.ran is not Ran.NO or not self._results:
             return failure
-        later = self._request.pipeline.stages[len(self._results) :]
+        later = self.request.pipeline.stages[len(self._results) :]
         if any(stage.has_side_effect for stage in later):
             detail = f'{failure.detail}; the side effect has not happened'
             return replace(failure, ran=Ran.UNKNOWN, detail=detail)
--- a/damaskpoint/pipeline/work.py
+++ b/damaskpoint/pipeline/work.py
@@ -92,14 +92,13 @@
     request_id: str
     output: object
     results: tuple[StageResult, ...]
-    # The piece count and digest of a streamed text; 0 and empty otherwise.
-    tokens: int = 0
 
     def encode(self) -> dict[str, object]:
         """Return the answer as callers see it."""
         stages = [
             {
                 'name': result.stage,
+                'attempt': result.attempt,
                 'units': result.units,
                 'upstream': result.upstream,
                 'seconds': round(result.seconds, _DIGITS),
