--- /dev/null
+++ b/damaskpoint/load/plots.py
@@ -0,0 +1,43 @@
+"""Draws what runs saw: attainment over time, and cost by stage."""
+
+from __future__ import annotations
+
+import pathlib
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, final
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from damaskpoint.load.summary import Second
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Curve:
+    """Attainment by second of one run."""
+
+    label: str
+    seconds: tuple[Second, ...]
+
+
+def plot_attainment(
+    curves: Sequence[Curve], marks_s: Sequence[float], path: pathlib.Path
+) -> None:
+    """Write a PNG of attainment over time; marks are times of faults."""
+    # Importing it takes a second, and most commands draw nothing.
+    from matplotlib import pyplot as plt
+
+    figure, axes = plt.subplots(figsize=(9, 4))
+    for curve in curves:
+        times = [second.at_s for second in curve.seconds]
+        shares = [second.whole / second.offered for second in curve.seconds]
+        axes.plot(times, shares, label=curve.label)
+    for mark_s in marks_s:
+        axes.axvline(mark_s, color='grey', linestyle=':')
+    axes.set_xlabel('seconds from the start')
+    axes.set_ylabel('attainment')
+    axes.set_ylim(bottom=0)
+    axes.legend()
+    figure.savefig(path)
+    plt.close(figure)
--- /dev/null
+++ b/damaskpoint/main/load.py
@@ -0,0 +1,23 @@
+"""``damaskpoint-load``: offers an open-loop load and reports what came."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+
+from damaskpoint import __version__
+from damaskpoint.load.command import add_arguments, run_command
+
+
+def main() -> None:
+    """Parse the command line, run, and exit with the command's status."""
+    parser = argparse.ArgumentParser(
+        prog='damaskpoint-load', description=__doc__
+    )
+    parser.add_argument('--version', action='version', version=__version__)
+    add_arguments(parser)
+    sys.exit(run_command(parser.parse_args()))
+
+
+if __name__ == '__main__':
+    main()
