--- a/damaskpoint/settings.py
+++ b/damaskpoint/settings.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import pathlib
-from typing import final
+from typing import Literal, final
 
 import json5
 import pydantic
@@ -51,7 +51,7 @@
     objects_url: str
     """Base URL of the object store."""
     instances_url: str
-    """URL of the list of instances."""
+    """Base URL of the list of instances."""
     timeout_s: float = pydantic.Field(defaults.PLATFORM_TIMEOUT_S, gt=0)
     """Time after which a call to the platform counts as failed (seconds)."""
     configuration_poll_s: float = pydantic.Field(
@@ -146,7 +146,7 @@
 class LogOptions(_Section):
     """How the process writes its log."""
 
-    level: str = 'info'
+    level: Literal['debug', 'info', 'warning', 'error'] = 'info'
     """Least level that is written: debug, info, warning or error."""
     as_json: bool = False
     """Whether log lines are JSON."""
