--- a/damaskpoint/load/runner.py
+++ b/damaskpoint/load/runner.py
@@ -47,11 +47,10 @@
     client = AsyncHTTPClient(force_instance=True, max_clients=_MAX_CLIENTS)
     # Pauses of the collector would look like delays of the system.
     gc.disable()
-    try:
-        return await _send_all(plan, client)
-    finally:
-        gc.enable()
-        client.close()
+    run = await _send_all(plan, client)
+    gc.enable()
+    client.close()
+    return run
 
 
 async def _send_all(plan: Plan, client: AsyncHTTPClient) -> Run:
