--- a/damaskpoint/load/caller.py
+++ b/damaskpoint/load/caller.py
@@ -46,7 +46,7 @@
 async def send(planned: Planned, target: Target, due: float) -> Sample:
     """Send one request and return what was seen; ``due`` is monotonic."""
     request_id = uuid.uuid4().hex
-    watch = _StreamWatch()
+    watch = _StreamWatch(request_id)
     request = _build(planned, target, request_id)
     if planned.source.shape is Shape.STREAM:
         request.streaming_callback = watch.feed
@@ -60,7 +60,7 @@
         body = response.body or watch.raw
         return _judge_refusal(planned, body, due, watch)
     if planned.source.shape is Shape.STREAM:
-        return _judge_stream(planned, target, request_id, due, watch)
+        return _judge_stream(planned, target, due, watch)
     return _judge_body(planned, target, response, request_id, due)
 
 
@@ -106,15 +106,11 @@
 
 
 def _judge_stream(
-    planned: Planned,
-    target: Target,
-    request_id: str,
-    due: float,
-    watch: _StreamWatch,
+    planned: Planned, target: Target, due: float, watch: _StreamWatch
 ) -> Sample:
     if watch.error is not None:
         return _judge_refusal(planned, watch.error, due, watch)
-    if not watch.is_whole(request_id):
+    if not watch.is_whole():
         return _sample(planned, Verdict.WRONG, 'truncated', due, watch)
     verdict = _in_time(target, due)
     return _sample(planned, verdict, '', due, watch)
@@ -127,7 +123,7 @@
     request_id: str,
     due: float,
 ) -> Sample:
-    watch = _StreamWatch()
+    watch = _StreamWatch(request_id)
     echoed = response.headers.get(protocol.HEADER_REQUEST_ID)
     if echoed != request_id:
         return _sample(planned, Verdict.WRONG, 'not_echoed', due, watch)
@@ -171,6 +167,7 @@
         first_token_s = watch.first_token_at - due
     return Sample(
         planned=planned,
+        request_id=watch.request_id,
         verdict=verdict,
         code=code,
         duration_s=time.monotonic() - due,
@@ -183,7 +180,8 @@
 class _StreamWatch:
     """Follows a stream: its text, its times and its end mark."""
 
-    def __init__(self) -> None:
+    def __init__(self, request_id: str) -> None:
+        self.request_id = request_id
         self.raw = b''
         self.error: bytes | None = None
         self.first_token_at: float | None = None
@@ -202,11 +200,11 @@
         for name, text in self._parser.feed(chunk):
             self._take(name, text)
 
-    def is_whole(self, request_id: str) -> bool:
+    def is_whole(self) -> bool:
         """Return whether the end mark stands and matches the text."""
         if self._end is None:
             return False
-        if self._end.get('request_id') != request_id:
+        if self._end.get('request_id') != self.request_id:
             return False
         return self._end.get('sha256') == self._digest.hexdigest()
 
--- a/damaskpoint/load/model.py
+++ b/damaskpoint/load/model.py
@@ -98,6 +98,7 @@
     """One request as its caller saw it; times are from when it was due."""
 
     planned: Planned
+    request_id: str
     verdict: Verdict
     # Stable code of a refusal or failure; empty for an answer.
     code: str
--- /dev/null
+++ b/standins/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: a whole deployment on loopback under load and faults."""
--- /dev/null
+++ b/standins/bench/cost.py
@@ -0,0 +1,112 @@
+"""Reads from the stand-ins' histories what the work of a run cost."""
+
+from __future__ import annotations
+
+import collections
+import json
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, final
+
+if TYPE_CHECKING:
+    import pathlib
+    from collections.abc import Iterator
+
+
+@final
+@dataclass(slots=True)
+class StageCost:
+    """Calls of one stage, as the upstreams saw them."""
+
+    started: int = 0
+    ended: int = 0
+    cancelled: int = 0
+    refused: int = 0
+    # Calls that no whole answer in time came from.
+    wasted: int = 0
+
+    def wasted_share(self) -> float:
+        """Return the share of started calls that served nobody."""
+        return round(self.wasted / self.started, 4) if self.started else 0
+
+
+@final
+@dataclass(slots=True)
+class Cost:
+    """What a run cost, by stage; and what broke."""
+
+    stages_by_name: dict[str, StageCost] = field(
+        default_factory=lambda: collections.defaultdict(StageCost)
+    )
+    # Cold upstreams that were given more than they bear.
+    breaks: int = 0
+    # Non-idempotent requests that ran more than once.
+    doubled: int = 0
+
+    def as_json(self) -> dict[str, object]:
+        """Return plain JSON data."""
+        stages: dict[str, object] = {}
+        for name in sorted(self.stages_by_name):
+            stage = self.stages_by_name[name]
+            stages[name] = {
+                'started': stage.started,
+                'cancelled': stage.cancelled,
+                'refused': stage.refused,
+                'wasted_share': stage.wasted_share(),
+            }
+        return {
+            'stages': stages,
+            'cold_breaks': self.breaks,
+            'doubled': self.doubled,
+        }
+
+
+def read_cost(folder: pathlib.Path, whole_ids: frozenset[str]) -> Cost:
+    """Return what a run cost; ``whole_ids`` name requests served in time."""
+    cost = Cost()
+    useful: set[tuple[str, str]] = set()
+    ended_by_key: collections.Counter[str] = collections.Counter()
+    for event in _read_events(folder):
+        name = str(event.get('event'))
+        if name == 'broke':
+            cost.breaks += 1
+        if 'request_id' not in event:
+            continue
+        stage = cost.stages_by_name[str(event.get('stage') or 'service')]
+        if name == 'ended' and event.get('key'):
+            ended_by_key[str(event['key'])] += 1
+        _count(stage, name, event, whole_ids, useful)
+    for stage in cost.stages_by_name.values():
+        # What is not known to have been useful was wasted.
+        stage.wasted += stage.started
+    cost.doubled = sum(1 for count in ended_by_key.values() if count > 1)
+    return cost
+
+
+def _count(
+    stage: StageCost,
+    name: str,
+    event: dict[str, object],
+    whole_ids: frozenset[str],
+    useful: set[tuple[str, str]],
+) -> None:
+    if name == 'started':
+        stage.started += 1
+    if name == 'cancelled':
+        stage.cancelled += 1
+    if name == 'refused':
+        stage.refused += 1
+    if name != 'ended':
+        return
+    stage.ended += 1
+    request_id = str(event['request_id'])
+    place = (request_id, str(event.get('stage')))
+    if request_id in whole_ids and place not in useful:
+        useful.add(place)
+        stage.wasted -= 1
+
+
+def _read_events(folder: pathlib.Path) -> Iterator[dict[str, object]]:
+    for path in sorted(folder.glob('*.jsonl')):
+        with path.open(encoding='utf-8') as lines:
+            for line in lines:
+                yield json.loads(line)
--- /dev/null
+++ b/standins/bench/deployment.py
@@ -0,0 +1,228 @@
+"""Starts a deployment for an experiment: a site and its entries.
+
+Each process is started from here and stopped by its own process number.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import sys
+import time
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final, final
+
+from tornado.httpclient import AsyncHTTPClient
+
+if TYPE_CHECKING:
+    from asyncio.subprocess import Process
+
+_ROOT: Final = pathlib.Path(__file__).resolve().parents[2]
+_PORT: Final = 9000
+_OPERATOR_PORT: Final = 9001
+_PEER_PORT: Final = 9002
+_FIRST_ENTRY: Final = 100
+_START_TIMEOUT_S: Final = 30.0
+_STOP_TIMEOUT_S: Final = 20.0
+_STEP_S: Final = 0.1
+_HTTP_OK: Final = 200
+
+MODULE_BY_SYSTEM: Final = {
+    'damaskpoint': 'damaskpoint.main.entry',
+    'baseline': 'damaskpoint.load.baseline',
+}
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class DeploymentOptions:
+    """What a deployment is made of."""
+
+    # Name of a profile: of its callers, its site and its sheet.
+    profile: str
+    # One of ``MODULE_BY_SYSTEM``.
+    system: str
+    entries: int
+    # Factor on all times of the upstreams.
+    slowness: float
+    # First three numbers of the loopback addresses.
+    base_host: str
+    folder: pathlib.Path
+
+
+@final
+@dataclass(slots=True)
+class Deployment:
+    """A running deployment."""
+
+    options: DeploymentOptions
+    platform_url: str = ''
+    upstreams: list[dict[str, object]] = field(default_factory=list)
+    entry_urls: tuple[str, ...] = ()
+    processes: list[Process] = field(default_factory=list)
+
+    @property
+    def history_folder(self) -> pathlib.Path:
+        """Return the folder of the stand-ins' histories."""
+        return self.options.folder / 'history'
+
+    def urls_in_zone(self, zone: str) -> list[str]:
+        """Return the base URLs of a zone's upstreams."""
+        urls: list[str] = []
+        for upstream in self.upstreams:
+            if upstream['zone'] == zone and upstream['pool'] != 'entry':
+                urls.append(f'http://{upstream["host"]}:{upstream["port"]}')
+        return urls
+
+
+async def start_deployment(options: DeploymentOptions) -> Deployment:
+    """Start everything and wait until the entries are ready."""
+    deployment = Deployment(options)
+    deployment.history_folder.mkdir(parents=True)
+    zones = await _start_site(deployment)
+    await run_sheet(
+        deployment, 'apply', '--wait-s', '0', f'samples/{options.profile}.csv'
+    )
+    urls: list[str] = []
+    for number in range(options.entries):
+        host = f'{options.base_host}.{_FIRST_ENTRY + number}'
+        settings = _write_settings(deployment, number, zones)
+        module = MODULE_BY_SYSTEM[options.system]
+        await _start(deployment, module, '--settings', str(settings))
+        urls.append(f'http://{host}:{_PORT}')
+    deployment.entry_urls = tuple(urls)
+    await _wait_ready(deployment)
+    return deployment
+
+
+async def stop_deployment(deployment: Deployment) -> None:
+    """Stop every process that was started, the entries first."""
+    for process in reversed(deployment.processes):
+        if process.returncode is None:
+            process.terminate()
+    for process in deployment.processes:
+        try:
+            await asyncio.wait_for(process.wait(), _STOP_TIMEOUT_S)
+        except TimeoutError:
+            process.kill()
+            await process.wait()
+
+
+async def run_sheet(deployment: Deployment, *arguments: str) -> None:
+    """Run the operators' tool and fail if it fails."""
+    url = deployment.platform_url
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        'damaskpoint.main.sheet',
+        *arguments,
+        '--table-url',
+        url,
+        '--objects-url',
+        url,
+        '--instances-url',
+        url,
+        cwd=_ROOT,
+        stdout=asyncio.subprocess.DEVNULL,
+    )
+    status = await process.wait()
+    if status:
+        sys.stderr.write(f'sheet {arguments} ended with {status}\n')
+
+
+async def _start_site(deployment: Deployment) -> list[str]:
+    """Start the site and return its zones by name."""
+    options = deployment.options
+    arguments = [
+        '--profile',
+        options.profile,
+        '--base-host',
+        options.base_host,
+        '--slowness',
+        str(options.slowness),
+        '--history-dir',
+        str(deployment.history_folder),
+    ]
+    zones = _read_zones(options.profile)
+    for number in range(options.entries):
+        host = f'{options.base_host}.{_FIRST_ENTRY + number}'
+        zone = zones[number % len(zones)]
+        arguments.append('--entry')
+        arguments.append(f'entry-{number},{zone},{host},{_PORT},{_PEER_PORT}')
+    process = await _start(deployment, 'standins.main', 'site', *arguments)
+    if process.stdout is None:
+        return zones
+    site = json.loads(await process.stdout.readline())
+    deployment.platform_url = site['platform_url']
+    deployment.upstreams = site['instances']
+    return zones
+
+
+def _read_zones(profile: str) -> list[str]:
+    """Return the zones that the profile's sheet names, in its order."""
+    zones: list[str] = []
+    section = ''
+    sheet = _ROOT / 'samples' / f'{profile}.csv'
+    for line in sheet.read_text(encoding='utf-8').splitlines():
+        if line.startswith('['):
+            section = line
+            continue
+        if section == '[zones]' and ',' in line:
+            zones.append(line.split(',')[0])
+    return [zone for zone in zones if zone != 'name']
+
+
+def _write_settings(
+    deployment: Deployment, number: int, zones: list[str]
+) -> pathlib.Path:
+    options = deployment.options
+    url = deployment.platform_url
+    settings = {
+        'instance': {
+            'name': f'entry-{number}',
+            'zone': zones[number % len(zones)],
+            'host': f'{options.base_host}.{_FIRST_ENTRY + number}',
+            'port': _PORT,
+            'operator_port': _OPERATOR_PORT,
+            'peer_port': _PEER_PORT,
+        },
+        'platform': {
+            'table_url': url,
+            'objects_url': url,
+            'instances_url': url,
+        },
+        'shutdown': {'notice_s': 0, 'limit_s': 10},
+    }
+    path = options.folder / f'entry-{number}.json5'
+    path.write_text(json.dumps(settings), encoding='utf-8')
+    return path
+
+
+async def _start(
+    deployment: Deployment, module: str, *arguments: str
+) -> Process:
+    log = (deployment.options.folder / 'processes.log').open('a')
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        '-m',
+        module,
+        *arguments,
+        cwd=_ROOT,
+        stdout=asyncio.subprocess.PIPE,
+        stderr=log,
+    )
+    deployment.processes.append(process)
+    return process
+
+
+async def _wait_ready(deployment: Deployment) -> None:
+    client = AsyncHTTPClient()
+    until = time.monotonic() + _START_TIMEOUT_S
+    for url in deployment.entry_urls:
+        ready = url.replace(str(_PORT), str(_OPERATOR_PORT)) + '/readyz'
+        while time.monotonic() < until:
+            response = await client.fetch(ready, raise_error=False)
+            if response.code == _HTTP_OK:
+                break
+            await asyncio.sleep(_STEP_S)
