Give the stand-ins usage counts, site controls and bounded report lag

A report was as old as the last poll; it is now as old as its lag. A stream counts out before its end mark is written, so that the next call of the same entry does not overlap it.

--- a/standins/commands.py
+++ b/standins/commands.py
@@ -46,6 +46,17 @@
     _add_address(parser)
     for name in ('--name', '--pool', '--zone'):
         parser.add_argument(name, required=True)
+    _add_limits(parser, 'cold')
+    parser.add_argument('--incarnation', type=int, default=1)
+    parser.add_argument(
+        '--load-lag-s',
+        type=float,
+        default=_LOAD_LAG_S,
+        help='lag of load reports',
+    )
+
+
+def _add_limits(parser: argparse.ArgumentParser, warmth: str) -> None:
     parser.add_argument(
         '--cold-limit', type=int, default=1, help='calls at once when cold'
     )
@@ -61,23 +72,11 @@
         default=0,
         help='calls to be warm; 0 for time alone',
     )
-    parser.add_argument('--starts', choices=('cold', 'warm'), default='cold')
-    parser.add_argument('--incarnation', type=int, default=1)
-    parser.add_argument(
-        '--load-lag-s',
-        type=float,
-        default=_LOAD_LAG_S,
-        help='lag of load reports',
-    )
+    parser.add_argument('--starts', choices=('cold', 'warm'), default=warmth)
 
 
 def _add_engine(parser: argparse.ArgumentParser) -> None:
     _add_upstream(parser)
-    parser.add_argument(
-        '--ignores-fencing',
-        action='store_true',
-        help='obey orders with old fencing numbers too',
-    )
     _add_engine_times(parser)
     parser.add_argument(
         '--role',
@@ -104,6 +103,11 @@
     parser.add_argument(
         '--token-ms', type=float, default=_TOKEN_MS, help='time of a token'
     )
+    parser.add_argument(
+        '--ignores-fencing',
+        action='store_true',
+        help='obey orders with old fencing numbers too',
+    )
     parser.add_argument(
         '--load-s', type=float, default=0.1, help='time to load a model'
     )
@@ -111,9 +115,7 @@
 
 def _add_service(parser: argparse.ArgumentParser) -> None:
     _add_upstream(parser)
-    parser.add_argument(
-        '--service-ms', type=float, default=_STAGE_MS, help='time of a call'
-    )
+    _add_service_time(parser)
     parser.add_argument('--no-load', action='store_true', help='report no load')
 
 
@@ -132,10 +134,15 @@
         default=[],
         help='NAME,ZONE,HOST,PORT,PEER_PORT of an entry for the list',
     )
-    parser.add_argument('--starts', choices=('cold', 'warm'), default='warm')
+    _add_limits(parser, 'warm')
+    _add_engine_times(parser)
+    _add_service_time(parser)
     parser.add_argument(
-        '--slowness', type=float, default=1, help='factor on all times'
+        '--history-dir', default='', help='folder for a file of each stand-in'
     )
+
+
+def _add_service_time(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
-        '--history-dir', default='', help='folder for a file of each stand-in'
+        '--service-ms', type=float, default=_STAGE_MS, help='time of a call'
     )
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -6,7 +6,7 @@
 import http
 import json
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, final
 
 import pydantic
@@ -16,18 +16,20 @@
 from standins import derive
 from standins.engine_cache import PromptCache
 from standins.engine_orders import EngineModels, OrderBody
+from standins.engine_streams import StreamBook, StreamMemory
 from standins.upstream_http import (
     Answer,
     ControlHandler,
     Crossing,
     UpstreamHandler,
+    UsageHandler,
     encode_load,
+    work,
 )
 
 if TYPE_CHECKING:
     from standins.upstream import Upstream
 
-_STREAM_MEMORY_S: Final = 10.0
 _CACHED_SHARE: Final = 0.5
 
 
@@ -50,17 +52,6 @@
     input: object = None
 
 
-@final
-@dataclass(slots=True)
-class StreamMemory:
-    """What an engine remembers of a stream that may be resumed."""
-
-    tokens: tuple[str, ...]
-    # Tokens that have been made so far.
-    made: int = 0
-    seen_at: float = field(default_factory=time.monotonic)
-
-
 class Engine:
     """One engine's parts."""
 
@@ -72,37 +63,7 @@
         self.models = models
         self.times = times
         self.cache = PromptCache()
-        # By request and stage.
-        self._streams: dict[tuple[str, str], StreamMemory] = {}
-        self.handlers_by_request: dict[str, StageHandler] = {}
-
-    def remember(
-        self, request_id: str, stage: str, memory: StreamMemory
-    ) -> None:
-        """Keep a stream, and forget those that are too old."""
-        oldest = time.monotonic() - _STREAM_MEMORY_S
-        for place, kept in list(self._streams.items()):
-            if kept.seen_at < oldest:
-                self._streams.pop(place)
-        self._streams[request_id, stage] = memory
-
-    def recall(self, request_id: str, stage: str) -> StreamMemory | None:
-        """Return a stream that is still remembered."""
-        memory = self._streams.get((request_id, stage))
-        if memory is None:
-            return None
-        if memory.seen_at < time.monotonic() - _STREAM_MEMORY_S:
-            return None
-        return memory
-
-    def forget(self, request_id: str) -> None:
-        """Stop and forget the streams of a request."""
-        for place in list(self._streams):
-            if place[0] == request_id:
-                self._streams.pop(place)
-        handler = self.handlers_by_request.pop(request_id, None)
-        if handler is not None:
-            handler.drop()
+        self.streams = StreamBook()
 
 
 class _EngineHandler(UpstreamHandler):
@@ -117,6 +78,7 @@
 
     async def post(self, kind: str) -> None:
         """Run the call; it ends early when its connection closes."""
+        self._units = 1
         about = {**self.about(), 'kind': kind}
         self.upstream.history.record('received', **about)
         try:
@@ -125,6 +87,7 @@
             self.refuse(http.HTTPStatus.BAD_REQUEST, str(error), ran=False)
             return
         about['input'] = body.input
+        about['model'] = body.model
         if kind not in self.engine.models.roles():
             self.upstream.refuse(about, 'role')
             self.refuse(http.HTTPStatus.CONFLICT, 'role', ran=False)
@@ -132,7 +95,7 @@
         resume_from = self._read_resume()
         memory = None
         if resume_from is not None:
-            memory = self.engine.recall(*self._place())
+            memory = self.engine.streams.recall(*self._place())
             if memory is None:
                 self.upstream.refuse(about, 'forgotten')
                 self.refuse(http.HTTPStatus.NOT_FOUND, 'forgotten', ran=False)
@@ -144,10 +107,10 @@
         if call is None:
             return
         if body.stream:
-            work = self._stream(kind, body, memory, resume_from or 0)
+            running = self._stream(about, body, memory, resume_from or 0)
         else:
-            work = self._run(kind, body)
-        await self._finish_work(call, about, asyncio.ensure_future(work))
+            running = self._run(kind, body)
+        await self._finish_work(call, about, asyncio.ensure_future(running))
 
     def on_connection_close(self) -> None:
         """End the work of a caller that has left."""
@@ -157,26 +120,34 @@
         self,
         call: int,
         about: dict[str, object],
-        work: asyncio.Task[Answer],
+        running: asyncio.Task[Answer],
     ) -> None:
-        self.work = work
+        self.work = running
+        self._call = call
         try:
-            answer = await work
+            answer = await running
         except (asyncio.CancelledError, iostream.StreamClosedError):
-            self.upstream.cancel(call, about)
+            self.upstream.cancel(call, about, self._units)
             return
-        self.upstream.end(call, {**about, 'output': answer.body}, 1)
+        self._end(about, answer)
         self.work = None
         if self._finished or self.is_dropped:
             return
         await self.deliver(answer)
 
+    def _end(self, about: dict[str, object], answer: Answer) -> None:
+        """Count the call out, before the last byte of its answer."""
+        self.upstream.end(
+            self._call, {**about, 'output': answer.body}, self._units
+        )
+
     async def _run(self, kind: str, body: CallBody) -> Answer:
         await self._spend(kind, body.input)
         request_id, stage = self._place()
         output = derive.derive_output(kind, request_id, body.input)
         if kind == 'generate':
             tokens = derive.derive_tokens(kind, request_id, body.input)
+            self._units = len(tokens)
             await self._sleep(len(tokens) * self.engine.times.token_s)
         attempt = str(self.about()['attempt'])
         return Answer(
@@ -188,17 +159,18 @@
                 'stage': stage,
                 'attempt': attempt,
                 'output': output,
-                'units': 1,
+                'units': self._units,
             },
         )
 
     async def _stream(
         self,
-        kind: str,
+        about: dict[str, object],
         body: CallBody,
         memory: StreamMemory | None,
         start: int,
     ) -> Answer:
+        kind = str(about['kind'])
         request_id, stage = self._place()
         shown_id = request_id
         if memory is None:
@@ -206,27 +178,37 @@
                 shown_id = f'{request_id}-other'
             tokens = derive.derive_tokens(kind, shown_id, body.input)
             memory = StreamMemory(tokens)
-            self.engine.remember(request_id, stage, memory)
+            if shown_id == request_id:
+                self.engine.streams.remember(request_id, stage, memory)
             await self._spend(kind, body.input)
-        self.engine.handlers_by_request[request_id] = self
-        attempt = str(self.about()['attempt'])
+        self.engine.streams.handlers_by_request[request_id] = self
+        attempt = str(about['attempt'])
         self.echo(shown_id, stage, attempt)
         self.set_header('Content-Type', protocol.MEDIA_EVENTS)
         await self._send_tokens(memory, start)
-        text = ''.join(memory.tokens)
-        ending = {
-            'request_id': shown_id,
-            'stage': stage,
-            'attempt': attempt,
-            'tokens': len(memory.tokens),
-            'sha256': derive.hash_text(text),
-        }
-        if not self.is_dropped:
-            self.write(f'event: end\ndata: {json.dumps(ending)}\n\n')
-            await self.flush()
-            self.finish()
-        self.engine.handlers_by_request.pop(request_id, None)
-        return Answer(request_id, stage, attempt, {'text': text})
+        answer = Answer(
+            request_id,
+            stage,
+            attempt,
+            {
+                'request_id': shown_id,
+                'stage': stage,
+                'attempt': attempt,
+                'tokens': len(memory.tokens),
+                'sha256': derive.hash_text(''.join(memory.tokens)),
+            },
+        )
+        self._end(about, answer)
+        await self._send_end(answer)
+        return answer
+
+    async def _send_end(self, answer: Answer) -> None:
+        if self.is_dropped:
+            return
+        self.write(f'event: end\ndata: {json.dumps(answer.body)}\n\n')
+        await self.flush()
+        self.finish()
+        self.engine.streams.handlers_by_request.pop(answer.request_id, None)
 
     async def _send_tokens(self, memory: StreamMemory, start: int) -> None:
         cut = self.upstream.faults.draw_cut()
@@ -236,6 +218,7 @@
             if offset > memory.made:
                 await self._sleep(self.engine.times.token_s)
                 memory.made = offset
+            self._units = offset - start
             memory.seen_at = time.monotonic()
             data = json.dumps({'text': memory.tokens[offset - 1]})
             self.write(f'event: token\nid: {offset}\ndata: {data}\n\n')
@@ -249,8 +232,7 @@
         await self._sleep(seconds)
 
     async def _sleep(self, seconds: float) -> None:
-        await asyncio.sleep(seconds * self.upstream.slowness())
-        await self.upstream.faults.thaw()
+        await work(self.upstream, seconds)
 
     def _place(self) -> tuple[str, str]:
         about = self.about()
@@ -264,7 +246,7 @@
 class _StreamHandler(_EngineHandler):
     async def delete(self, request_id: str) -> None:
         """Stop the streams of a request."""
-        self.engine.forget(request_id)
+        self.engine.streams.forget(request_id)
         self.set_status(http.HTTPStatus.NO_CONTENT)
 
 
@@ -323,6 +305,7 @@
             ('/v1/state', _StateHandler, bound),
             ('/v1/orders', _OrderHandler, bound),
             ('/v1/cache-events', _CacheEventsHandler, bound),
+            ('/control/usage', UsageHandler, shared),
             ('/control', ControlHandler, shared),
         ]
     )
--- a/standins/main.py
+++ b/standins/main.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import logging
 import pathlib
 import signal
 import time
@@ -12,9 +13,8 @@
 from tornado import httpserver
 
 from standins.commands import create_parser
-from standins.engine import Engine, EngineTimes, create_engine_app
+from standins.engine import Engine, create_engine_app
 from standins.engine_orders import (
-    STAGE_KINDS,
     EngineModels,
     LoadedModel,
     OrderOptions,
@@ -23,7 +23,7 @@
 from standins.history import create_history
 from standins.platform import InstanceLog, Platform, create_platform_app
 from standins.service import create_service_app
-from standins.site import run_site
+from standins.site import read_engine_times, run_site
 from standins.upstream import Upstream, UpstreamOptions
 
 if TYPE_CHECKING:
@@ -37,6 +37,8 @@
 def main() -> None:
     """Run the role that the command line names until a signal."""
     arguments = create_parser().parse_args()
+    # Refused requests are a stand-in's daily work; the history has them.
+    logging.getLogger('tornado.access').setLevel(logging.ERROR)
     asyncio.run(_run(arguments))
 
 
@@ -104,10 +106,7 @@
         models=[_parse_model(text) for text in arguments.model],
     )
     models = EngineModels(order_options, target, upstream.history)
-    seconds = {}
-    for kind in STAGE_KINDS:
-        seconds[kind] = getattr(arguments, f'{kind}_ms') / _MS_PER_S
-    times = EngineTimes(seconds, arguments.token_ms / _MS_PER_S)
+    times = read_engine_times(arguments)
     return create_engine_app(Engine(upstream, models, times))
 
 
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -42,6 +42,16 @@
         """Set the list."""
         self._lists.append((now, instances))
 
+    def change(self, name: str, now: float, **fields: object) -> None:
+        """Set fields of one instance in a new list."""
+        changed = []
+        for instance in self.newest():
+            if instance['name'] == name:
+                changed.append({**instance, **fields})
+                continue
+            changed.append(instance)
+        self.replace(changed, now)
+
     def newest(self) -> list[dict[str, object]]:
         """Return the list that was set last."""
         return self._lists[-1][1]
@@ -67,7 +77,7 @@
         self.faults = PlatformFaults(time.monotonic())
 
 
-class _PlatformHandler(JsonHandler):
+class PlatformHandler(JsonHandler):
     """A handler that suffers the faults of its service."""
 
     def initialize(self, platform: Platform) -> None:
@@ -100,7 +110,7 @@
             raise web.HTTPError(http.HTTPStatus.BAD_REQUEST) from error
 
 
-class _ReadHandler(_PlatformHandler):
+class _ReadHandler(PlatformHandler):
     async def post(self) -> None:
         """Answer rows by their keys."""
         faults = self.platform.faults
@@ -114,7 +124,7 @@
         self.answer({'rows': [table.read(*place) for place in body.keys]})
 
 
-class _ScanHandler(_PlatformHandler):
+class _ScanHandler(PlatformHandler):
     async def get(self, table: str) -> None:
         """Answer rows by the order of their keys."""
         faults = self.platform.faults
@@ -132,7 +142,7 @@
         self.answer({'rows': rows})
 
 
-class _TransactHandler(_PlatformHandler):
+class _TransactHandler(PlatformHandler):
     async def post(self) -> None:
         """Apply all writes or none; the answer may get lost."""
         faults = self.platform.faults
@@ -164,7 +174,7 @@
         self.answer({'versions': versions})
 
 
-class _ObjectHandler(_PlatformHandler):
+class _ObjectHandler(PlatformHandler):
     async def get(self, name: str) -> None:
         """Answer an object."""
         if not await self.suffer(self.platform.faults.object_store):
@@ -183,7 +193,7 @@
         self.set_status(http.HTTPStatus.NO_CONTENT)
 
 
-class _InstancesHandler(_PlatformHandler):
+class _InstancesHandler(PlatformHandler):
     async def get(self) -> None:
         """Answer the list of instances, as late as it is."""
         if not await self.suffer(self.platform.faults.instances):
@@ -192,7 +202,7 @@
         self.answer({'instances': shown})
 
 
-class _WeightsHandler(_PlatformHandler):
+class _WeightsHandler(PlatformHandler):
     async def get(self, model: str, version: str) -> None:
         """Answer a small body that stands for a model's weights."""
         if not self.platform.faults.weights.take(time.monotonic()):
@@ -202,7 +212,7 @@
         self.answer({'model': model, 'version': version})
 
 
-class _ControlFaultsHandler(_PlatformHandler):
+class _ControlFaultsHandler(PlatformHandler):
     async def post(self) -> None:
         """Put faults in force."""
         control = self.parse(PlatformControl)
@@ -213,7 +223,7 @@
         self.answer({})
 
 
-class _ControlInstancesHandler(_PlatformHandler):
+class _ControlInstancesHandler(PlatformHandler):
     async def get(self) -> None:
         """Answer the newest list, however late callers see it."""
         self.answer({'instances': self.platform.instances.newest()})
@@ -234,7 +244,7 @@
         self.answer({})
 
 
-class _HealthHandler(_PlatformHandler):
+class _HealthHandler(PlatformHandler):
     async def get(self) -> None:
         """Answer that the process serves."""
         self.answer({'role': 'platform'})
--- a/standins/service.py
+++ b/standins/service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import hashlib
 from typing import TYPE_CHECKING
 
@@ -13,7 +12,9 @@
     ControlHandler,
     Crossing,
     UpstreamHandler,
+    UsageHandler,
     encode_load,
+    work,
 )
 
 if TYPE_CHECKING:
@@ -53,8 +54,7 @@
         if call is None:
             return
         # A side effect goes on when the caller has left.
-        await asyncio.sleep(self.service_s * self.upstream.slowness())
-        await self.upstream.faults.thaw()
+        await work(self.upstream, self.service_s)
         self.upstream.end(call, about, 1)
         if self.is_dropped:
             return
@@ -91,6 +91,7 @@
     routes: list[routing.URLSpec] = []
     if reports_load:
         routes.append(routing.URLSpec('/v1/load', _LoadHandler, shared))
+    routes.append(routing.URLSpec('/control/usage', UsageHandler, shared))
     routes.append(routing.URLSpec('/control', ControlHandler, shared))
     bound = {**shared, 'service_s': service_s}
     routes.append(routing.URLSpec('/.*', _ServiceHandler, bound))
--- a/standins/site.py
+++ b/standins/site.py
@@ -1,156 +1,175 @@
 """A whole deployment in one process: the platform and all upstreams.
 
 Serves the demonstration and the load tool, which need many upstreams and
-few processes. Each upstream has its own loopback address.
+few processes. Each upstream has its own loopback address. Upstreams can be
+stopped and started again, one by one or by availability zone.
 """
 
 from __future__ import annotations
 
+import http
 import json
 import pathlib
 import sys
 import time
-from dataclasses import dataclass
-from typing import TYPE_CHECKING, Final, final
+from typing import TYPE_CHECKING, Final, Literal, final
 
-from tornado import httpserver
+import pydantic
+from tornado import httpserver, web
 
 from standins.engine import Engine, EngineTimes, create_engine_app
 from standins.engine_orders import EngineModels, OrderOptions, OrderTarget
 from standins.history import History, create_history
+from standins.http import JsonHandler
 from standins.platform import InstanceLog, Platform, create_platform_app
 from standins.service import create_service_app
+from standins.site_profiles import PROFILES_BY_NAME, PoolProfile
 from standins.upstream import Upstream, UpstreamOptions
 
 if TYPE_CHECKING:
     import argparse
 
-    from tornado import web
-
 _PLATFORM_PORT: Final = 7000
 _UPSTREAM_PORT: Final = 8000
 _FIRST_UPSTREAM: Final = 10
+_MS_PER_S: Final = 1000
 _ENTRY_FIELDS: Final = ('name', 'zone', 'host', 'port', 'peer_port')
-_SERVICE_S: Final = 0.04
-_TOKEN_S: Final = 0.003
-_STAGE_S_BY_KIND: Final = {
-    'encode': 0.025,
-    'retrieve': 0.03,
-    'rerank': 0.035,
-    'generate': 0.04,
-}
 
 
 @final
-@dataclass(frozen=True, slots=True)
-class _PoolProfile:
-    name: str
-    is_model: bool
-    size: int
-    reports_load: bool = True
+class SiteControl(pydantic.BaseModel):
+    """Acts on the upstream of a name or on all of a zone."""
 
+    model_config = pydantic.ConfigDict(extra='forbid')
 
-@final
-@dataclass(frozen=True, slots=True)
-class _Profile:
-    zones: tuple[str, ...]
-    pools: tuple[_PoolProfile, ...]
-
-
-_LAGOS = _Profile(
-    ('ikeja', 'apapa', 'lekki', 'ikorodu'),
-    (
-        _PoolProfile('model-pool', True, 10),
-        _PoolProfile('dosing-desk', False, 4, reports_load=False),
-        _PoolProfile('member-portal', False, 4),
-        _PoolProfile('invoice-svc', False, 4),
-        _PoolProfile('audit-log', False, 4),
-    ),
-)
-_PT_INTERIOR = _Profile(
-    ('pti-a', 'pti-b', 'pti-c'),
-    (
-        _PoolProfile('damask-llm', True, 10),
-        _PoolProfile('encomendas', False, 3, reports_load=False),
-        _PoolProfile('franquia-portal', False, 3),
-        _PoolProfile('faturas', False, 3),
-        _PoolProfile('notificacoes', False, 3),
-    ),
-)
-_PROFILES_BY_NAME: Final = {'lagos': _LAGOS, 'pt-interior': _PT_INTERIOR}
-
-
-class _Site:
-    """Starts the servers of one deployment."""
+    name: str = ''
+    zone: str = ''
+    action: Literal['stop', 'start-cold', 'start-warm', 'leave', 'stay']
+
+
+class SiteUpstream:
+    """An upstream of the site and the server in front of it."""
+
+    def __init__(self, upstream: Upstream, app: web.Application) -> None:
+        """Start to listen."""
+        self.upstream = upstream
+        self._app = app
+        self._server: httpserver.HTTPServer | None = None
+        self._listen()
+
+    async def stop(self) -> None:
+        """Close the socket and break every connection."""
+        if self._server is None:
+            return
+        server = self._server
+        self._server = None
+        server.stop()
+        await server.close_all_connections()
+
+    def start(self, is_cold: bool) -> None:
+        """Listen again, under a new incarnation."""
+        if self._server is not None:
+            return
+        self.upstream.restart(is_cold=is_cold)
+        self._listen()
+
+    def _listen(self) -> None:
+        options = self.upstream.options
+        self._server = httpserver.HTTPServer(self._app)
+        self._server.listen(options.port, options.host)
+
+
+class Site:
+    """The servers of one deployment."""
 
     def __init__(self, arguments: argparse.Namespace) -> None:
+        """Start nothing yet."""
         self._arguments = arguments
-        self._platform_host = f'{arguments.base_host}.1'
-        self._instances: list[dict[str, object]] = []
-        # Kept so that the servers live as long as the site.
-        self._servers: list[httpserver.HTTPServer] = []
+        host = f'{arguments.base_host}.1'
+        self._platform_url = f'http://{host}:{_PLATFORM_PORT}'
+        self._log = InstanceLog([], time.monotonic())
+        self._members_by_name: dict[str, SiteUpstream] = {}
 
     def start(self) -> dict[str, object]:
         """Start all and return where it is."""
-        profile = _PROFILES_BY_NAME[self._arguments.profile]
+        profile = PROFILES_BY_NAME[self._arguments.profile]
         number = _FIRST_UPSTREAM
         for pool in profile.pools:
             for position in range(pool.size):
                 zone = profile.zones[position % len(profile.zones)]
                 self._start_upstream(pool, zone, number)
                 number += 1
+        instances = [
+            _list_upstream(member.upstream)
+            for member in self._members_by_name.values()
+        ]
         for line in self._arguments.entry:
-            self._instances.append(_parse_entry(line))
-        log = InstanceLog(self._instances, time.monotonic())
-        platform = Platform(self._create_history('platform'), log)
+            instances.append(_parse_entry(line))
+        self._log.replace(instances, time.monotonic())
+        platform = Platform(self._create_history('platform'), self._log)
         app = create_platform_app(platform)
-        self._listen(app, self._platform_host, _PLATFORM_PORT)
-        return {
-            'platform_url': self._platform_url(),
-            'instances': self._instances,
-        }
+        app.add_handlers('.*', [('/control/site', SiteHandler, {'site': self})])
+        app.listen(_PLATFORM_PORT, f'{self._arguments.base_host}.1')
+        return {'platform_url': self._platform_url, 'instances': instances}
+
+    async def control(self, control: SiteControl) -> int:
+        """Act on the upstreams that are meant and return their number."""
+        acted = 0
+        for name, member in self._members_by_name.items():
+            zone = member.upstream.options.zone
+            if name != control.name and zone != control.zone:
+                continue
+            acted += 1
+            await self._act(member, control.action)
+        return acted
+
+    async def _act(self, member: SiteUpstream, action: str) -> None:
+        name = member.upstream.options.name
+        now = time.monotonic()
+        member.upstream.history.record('site', action=action)
+        if action in {'leave', 'stay'}:
+            presence = 'leaving' if action == 'leave' else 'live'
+            self._log.change(name, now, presence=presence)
+            return
+        if action == 'stop':
+            await member.stop()
+            return
+        member.start(is_cold=action == 'start-cold')
+        incarnation = member.upstream.incarnation
+        self._log.change(name, now, incarnation=incarnation, presence='live')
 
     def _start_upstream(
-        self, pool: _PoolProfile, zone: str, number: int
+        self, pool: PoolProfile, zone: str, number: int
     ) -> None:
         name = f'{pool.name}-{number - _FIRST_UPSTREAM + 1}'
-        host = f'{self._arguments.base_host}.{number}'
         options = UpstreamOptions(
             name=name,
             pool=pool.name,
             zone=zone,
-            host=host,
+            host=f'{self._arguments.base_host}.{number}',
             port=_UPSTREAM_PORT,
-            cold_limit=2,
+            cold_limit=self._arguments.cold_limit,
+            warm_limit=self._arguments.warm_limit,
+            warm_after_s=self._arguments.warm_after_s,
             is_cold_at_start=self._arguments.starts == 'cold',
         )
         upstream = Upstream(options, self._create_history(name))
-        if pool.is_model:
-            app = self._create_engine(upstream)
-        else:
-            seconds = _SERVICE_S * self._arguments.slowness
-            app = create_service_app(upstream, seconds, pool.reports_load)
-        self._listen(app, host, _UPSTREAM_PORT)
-        self._instances.append(
-            {
-                'name': name,
-                'pool': pool.name,
-                'zone': zone,
-                'host': host,
-                'port': _UPSTREAM_PORT,
-                'peer_port': 0,
-                'incarnation': 1,
-                'presence': 'live',
-            }
+        app = self._create_app(pool, upstream)
+        self._members_by_name[name] = SiteUpstream(upstream, app)
+
+    def _create_app(
+        self, pool: PoolProfile, upstream: Upstream
+    ) -> web.Application:
+        arguments = self._arguments
+        if not pool.is_model:
+            seconds = arguments.service_ms / _MS_PER_S
+            return create_service_app(upstream, seconds, pool.reports_load)
+        times = read_engine_times(arguments)
+        orders = OrderOptions(
+            checks_fencing=not arguments.ignores_fencing,
+            weights_url=self._platform_url,
+            load_s=arguments.load_s,
         )
-
-    def _create_engine(self, upstream: Upstream) -> web.Application:
-        slowness = self._arguments.slowness
-        seconds = {}
-        for kind, stage_s in _STAGE_S_BY_KIND.items():
-            seconds[kind] = stage_s * slowness
-        times = EngineTimes(seconds, _TOKEN_S * slowness)
-        orders = OrderOptions(weights_url=self._platform_url())
         models = EngineModels(orders, OrderTarget(), upstream.history)
         return create_engine_app(Engine(upstream, models, times))
 
@@ -159,22 +178,53 @@
         path = str(pathlib.Path(folder) / f'{name}.jsonl') if folder else ''
         return create_history(name, path)
 
-    def _listen(self, app: web.Application, host: str, port: int) -> None:
-        server = httpserver.HTTPServer(app)
-        server.listen(port, host)
-        self._servers.append(server)
 
-    def _platform_url(self) -> str:
-        return f'http://{self._platform_host}:{_PLATFORM_PORT}'
+class SiteHandler(JsonHandler):
+    """Takes control requests for upstreams of the site."""
+
+    def initialize(self, site: Site) -> None:
+        """Keep the site."""
+        self.site = site
+
+    async def post(self) -> None:
+        """Act, and answer on how many."""
+        try:
+            control = SiteControl.model_validate_json(self.request.body)
+        except pydantic.ValidationError as error:
+            self.refuse(http.HTTPStatus.BAD_REQUEST, str(error))
+            return
+        self.answer({'upstreams': await self.site.control(control)})
 
 
 def run_site(arguments: argparse.Namespace) -> None:
     """Start a deployment and print where it is, as one line of JSON."""
-    site = _Site(arguments)
+    site = Site(arguments)
     sys.stdout.write(f'{json.dumps(site.start())}\n')
     sys.stdout.flush()
 
 
+def read_engine_times(arguments: argparse.Namespace) -> EngineTimes:
+    """Return the times of an engine that the command line gives."""
+    seconds = {}
+    for kind in ('encode', 'retrieve', 'rerank', 'generate'):
+        seconds[kind] = getattr(arguments, f'{kind}_ms') / _MS_PER_S
+    return EngineTimes(seconds, arguments.token_ms / _MS_PER_S)
+
+
+def _list_upstream(upstream: Upstream) -> dict[str, object]:
+    options = upstream.options
+    return {
+        'name': options.name,
+        'pool': options.pool,
+        'zone': options.zone,
+        'host': options.host,
+        'port': options.port,
+        'peer_port': 0,
+        'incarnation': upstream.incarnation,
+        'presence': 'live',
+    }
+
+
 def _parse_entry(line: str) -> dict[str, object]:
     fields = dict(zip(_ENTRY_FIELDS, line.split(','), strict=True))
     return {
--- /dev/null
+++ b/standins/site_profiles.py
@@ -0,0 +1,49 @@
+"""The two deployments that a site can stand in for."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final, final
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class PoolProfile:
+    """A group of equal upstreams."""
+
+    name: str
+    is_model: bool
+    size: int
+    reports_load: bool = True
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Profile:
+    """The zones and pools of a deployment."""
+
+    zones: tuple[str, ...]
+    pools: tuple[PoolProfile, ...]
+
+
+_LAGOS = Profile(
+    ('ikeja', 'apapa', 'lekki', 'ikorodu'),
+    (
+        PoolProfile('model-pool', True, 10),
+        PoolProfile('dosing-desk', False, 4, reports_load=False),
+        PoolProfile('member-portal', False, 4),
+        PoolProfile('invoice-svc', False, 4),
+        PoolProfile('audit-log', False, 4),
+    ),
+)
+_PT_INTERIOR = Profile(
+    ('pti-a', 'pti-b', 'pti-c'),
+    (
+        PoolProfile('damask-llm', True, 10),
+        PoolProfile('encomendas', False, 3, reports_load=False),
+        PoolProfile('franquia-portal', False, 3),
+        PoolProfile('faturas', False, 3),
+        PoolProfile('notificacoes', False, 3),
+    ),
+)
+PROFILES_BY_NAME: Final = {'lagos': _LAGOS, 'pt-interior': _PT_INTERIOR}
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, final
 
+from standins.load import LoadLog, LoadSnapshot, Usage, Warmth
 from standins.upstream_faults import UpstreamControl, UpstreamFaults
 
 if TYPE_CHECKING:
@@ -37,48 +38,6 @@
     load_lag_s: float = 0.3
 
 
-@final
-@dataclass(frozen=True, slots=True)
-class LoadSnapshot:
-    """What a load report says."""
-
-    incarnation: int
-    is_cold: bool
-    in_flight: int
-    limit: int
-    units_done: int
-
-
-class Warmth:
-    """Whether an upstream is cold, and when it turns warm."""
-
-    def __init__(self, options: UpstreamOptions) -> None:
-        """Start as the options say."""
-        self._after_s = options.warm_after_s
-        self._after_calls = options.warm_after_calls
-        self._is_cold = options.is_cold_at_start
-        self._warms_at = time.monotonic() + self._after_s
-        self._calls = 0
-
-    def is_cold(self, now: float) -> bool:
-        """Tell whether it is cold, after the time that passed."""
-        if self._is_cold and now >= self._warms_at:
-            self._is_cold = False
-        return self._is_cold
-
-    def turn(self, is_cold: bool, now: float) -> None:
-        """Turn cold, from now on, or warm."""
-        self._is_cold = is_cold
-        self._warms_at = now + self._after_s
-        self._calls = 0
-
-    def count_call(self) -> None:
-        """Count a call that ran to its end."""
-        self._calls += 1
-        if self._calls == self._after_calls:
-            self._is_cold = False
-
-
 class Upstream:
     """Counts the work in flight and breaks when cold and overloaded."""
 
@@ -88,12 +47,15 @@
         self.history = history
         self.faults = UpstreamFaults()
         self.incarnation = options.incarnation
-        self._warmth = Warmth(options)
+        now = time.monotonic()
+        self._warmth = Warmth(
+            options.warm_after_s, options.warm_after_calls, now
+        )
+        self._warmth.turn(is_cold=options.is_cold_at_start, now=now)
         self._in_flight_by_call: dict[int, JsonHandler] = {}
         self._next_call = 0
-        self._units_done = 0
-        self._snapshot = self.measure()
-        self._measured_at = time.monotonic()
+        self.usage = Usage()
+        self._loads = LoadLog(options.load_lag_s)
         self._record_start()
 
     @property
@@ -115,8 +77,8 @@
 
     def slowness(self) -> float:
         """Return how many times as long a call takes now."""
-        share = self.in_flight / max(1, self.options.warm_limit)
-        slowness = self.faults.slow_factor * (1 + share / 2)
+        share = self.in_flight / self.options.warm_limit
+        slowness = self.faults.slow_factor * max(1, share)
         if self.is_cold:
             return slowness * _COLD_SLOWNESS
         return slowness
@@ -128,18 +90,13 @@
             self.is_cold,
             self.in_flight,
             self.limit,
-            self._units_done,
+            sum(self.usage.units_by_stage.values()),
         )
 
     def report(self) -> LoadSnapshot:
-        """Return the load as it was a lag ago or less."""
-        now = time.monotonic()
-        if now - self._measured_at >= self.options.load_lag_s:
-            reported = self._snapshot
-            self._snapshot = self.measure()
-            self._measured_at = now
-            return reported
-        return self._snapshot
+        """Return the load as it was a lag ago, or at the first sight."""
+        self._loads.note(self.measure(), time.monotonic())
+        return self._loads.show()
 
     def start(
         self, handler: JsonHandler, about: dict[str, object]
@@ -150,19 +107,35 @@
         self._in_flight_by_call[call] = handler
         self._record('started', call, about)
         if self.is_cold and self.in_flight > self.options.cold_limit:
-            self._break()
+            self.usage.cold_overshoots += 1
+            self.usage.breaks += 1
+            self.restart()
             return None
         return call
 
     def end(self, call: int, about: dict[str, object], units: int) -> None:
         """Count a call that ran to its end."""
         self._leave(call, 'ended', about)
-        self._units_done += units
+        self.usage.count(about, units)
         self._warmth.count_call()
 
-    def cancel(self, call: int, about: dict[str, object]) -> None:
+    def cancel(self, call: int, about: dict[str, object], units: int) -> None:
         """Count a call that ended early."""
         self._leave(call, 'cancelled', about)
+        self.usage.count(about, units)
+
+    def restart(self, is_cold: bool = True) -> None:
+        """Drop every call inside and start a new incarnation."""
+        handlers = list(self._in_flight_by_call.values())
+        self._in_flight_by_call.clear()
+        self.history.record(
+            'broke', incarnation=self.incarnation, dropped=len(handlers)
+        )
+        self.incarnation += 1
+        self._warmth.turn(is_cold=is_cold, now=time.monotonic())
+        self._record_start()
+        for handler in handlers:
+            handler.drop()
 
     def refuse(self, about: dict[str, object], reason: str) -> None:
         """Note a call that was not run."""
@@ -188,6 +161,7 @@
         self._record(event, call, about)
 
     def _record(self, event: str, call: int, about: dict[str, object]) -> None:
+        self._loads.note(self.measure(), time.monotonic())
         self.history.record(
             event,
             call=call,
@@ -209,16 +183,3 @@
             cold_limit=options.cold_limit,
             warm_limit=options.warm_limit,
         )
-
-    def _break(self) -> None:
-        """Drop every connection and start again, cold."""
-        handlers = list(self._in_flight_by_call.values())
-        self._in_flight_by_call.clear()
-        self.history.record(
-            'broke', incarnation=self.incarnation, dropped=len(handlers)
-        )
-        self.incarnation += 1
-        self._warmth.turn(is_cold=True, now=time.monotonic())
-        self._record_start()
-        for handler in handlers:
-            handler.drop()
--- a/standins/upstream_http.py
+++ b/standins/upstream_http.py
@@ -15,10 +15,13 @@
 from standins.upstream_faults import UpstreamControl
 
 if TYPE_CHECKING:
-    from standins.upstream import LoadSnapshot, Upstream
+    from standins.load import LoadSnapshot
+    from standins.upstream import Upstream
 
 _CROSS_WAIT_S = 2.0
-_NO_LIMIT = 0
+# A warm upstream shares its speed among up to so many times its limit.
+_SHARING = 4
+_QUANTUM_S = 0.02
 
 
 @final
@@ -104,7 +107,8 @@
             self.echo_own()
             self.refuse(http.HTTPStatus(status), 'failed', ran=False)
             return True
-        is_full = not upstream.is_cold and upstream.in_flight >= upstream.limit
+        bound = upstream.limit * _SHARING
+        is_full = not upstream.is_cold and upstream.in_flight >= bound
         if is_full or upstream.faults.draw('refuse'):
             upstream.refuse(about, 'overloaded')
             self.echo_own()
@@ -150,6 +154,14 @@
             return answer
 
 
+class UsageHandler(UpstreamHandler):
+    """Shows what the upstream really ran."""
+
+    async def get(self) -> None:
+        """Answer the counts since the process started."""
+        self.answer(self.upstream.usage.encode())
+
+
 class ControlHandler(UpstreamHandler):
     """Takes control requests."""
 
@@ -172,6 +184,16 @@
         self.answer({'at': time.monotonic()})
 
 
+async def work(upstream: Upstream, seconds: float) -> None:
+    """Take the time of so much work, in slices at the speed of each."""
+    left_s = seconds
+    while left_s > 0:
+        slice_s = min(left_s, _QUANTUM_S)
+        left_s -= slice_s
+        await asyncio.sleep(slice_s * upstream.slowness())
+        await upstream.faults.thaw()
+
+
 def encode_load(load: LoadSnapshot) -> dict[str, object]:
     """Return a load report as the protocol writes it."""
     return {
