--- a/damaskpoint/settings.py
+++ b/damaskpoint/settings.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import pathlib
+import sys
 from typing import Literal, final
 
 import json5
@@ -180,7 +181,7 @@
     """Read and validate a settings file; every fault is listed."""
     try:
         raw = json5.loads(path.read_text(encoding='utf-8'))
-    except (OSError, UnicodeDecodeError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         return Failure(Code.SETTINGS_INVALID, f'{path.name}: {error}')
     try:
         return Options.model_validate(raw)
@@ -188,6 +189,25 @@
         return Failure(Code.SETTINGS_INVALID, _list_faults(error))
 
 
+def load_platform_options(path: pathlib.Path) -> PlatformOptions | Failure:
+    """Read a settings file and return where the platform is."""
+    options = load_options(path)
+    return options if isinstance(options, Failure) else options.platform
+
+
+def check_settings(path: pathlib.Path) -> int:
+    """Tell on the standard streams whether a settings file is valid.
+
+    Returns the exit code of a binary that ran with ``--check-settings``.
+    """
+    options = load_options(path)
+    if isinstance(options, Failure):
+        sys.stderr.write(f'{options.kind.title}\n{options.detail}\n')
+        return 1
+    sys.stdout.write(f'{path.name} is valid.\n')
+    return 0
+
+
 def _list_faults(error: pydantic.ValidationError) -> str:
     lines = []
     for fault in error.errors():
--- /dev/null
+++ b/damaskpoint/sheet_tool/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' commands on the accepted configuration."""
--- /dev/null
+++ b/damaskpoint/sheet_tool/status.py
@@ -0,0 +1,130 @@
+"""The command that shows what is accepted and what is in force."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from damaskpoint.errors import Failure
+from damaskpoint.reconcile.progress import (
+    PROGRESS_TABLE,
+    PoolProgress,
+    read_progress,
+)
+from damaskpoint.sheet_tool.report import (
+    ExitCode,
+    Report,
+    report_failure,
+    tabulate,
+)
+from damaskpoint.sheet_tool.waiting import EntryAnswer, Progress, ask_entries
+
+if TYPE_CHECKING:
+    from damaskpoint.sheet_tool.acceptance import Accepted
+    from damaskpoint.sheet_tool.tool import Tool
+
+_MAX_POOLS: Final = 1_000
+
+
+async def show_status(tool: Tool, platform_s: float) -> Report:
+    """Report the accepted version, each live entry's, and the orders.
+
+    Ends with ``NOT_IN_FORCE`` while an entry lacks the accepted version.
+    """
+    accepted = await tool.acceptor.read(tool.start_patience(platform_s))
+    if isinstance(accepted, Failure):
+        return report_failure(accepted)
+    entries = await ask_entries(tool, accepted.version)
+    report = Report(ExitCode.DONE)
+    if not entries.is_everywhere:
+        report.exit_code = ExitCode.NOT_IN_FORCE
+    _report_accepted(report, accepted)
+    _report_entries(report, entries)
+    pools = await _read_pools(tool)
+    if isinstance(pools, Failure):
+        report.lines.append(f'Orders: unknown ({pools.detail})')
+        return report
+    _report_pools(report, pools)
+    return report
+
+
+def _report_accepted(report: Report, accepted: Accepted) -> None:
+    report.content['version'] = accepted.version
+    if accepted.configuration is None:
+        report.lines.append('No configuration was applied yet.')
+        return
+    zones: dict[str, str] = {}
+    for name, zone in accepted.configuration.zones_by_name.items():
+        zones[name] = 'out' if zone.is_out else 'in'
+    report.content['digest'] = accepted.configuration.digest
+    report.content['zones'] = zones
+    listed = ', '.join(' '.join(pair) for pair in zones.items())
+    report.lines.append(
+        f'Accepted: version {accepted.version}, '
+        f'digest {accepted.configuration.digest}'
+    )
+    report.lines.append(f'Zones: {listed}')
+
+
+def _report_entries(report: Report, entries: Progress) -> None:
+    if entries.failure:
+        report.lines.append(f'Entries: unknown ({entries.failure.detail})')
+        return
+    rows = [('entry', 'zone', 'version', 'in force')]
+    listed: list[object] = []
+    for answer in entries.answers:
+        is_in_force = answer.has_version(entries.version)
+        rows.append(
+            (
+                answer.entry.name,
+                answer.entry.zone,
+                _describe(answer),
+                'yes' if is_in_force else 'no',
+            )
+        )
+        listed.append(
+            {
+                'name': answer.entry.name,
+                'zone': answer.entry.zone,
+                'version': _describe(answer),
+                'in_force': is_in_force,
+            }
+        )
+    report.content['entries'] = listed
+    report.lines.extend(tabulate(rows))
+
+
+def _describe(answer: EntryAnswer) -> str:
+    if isinstance(answer.answer, Failure):
+        return 'no answer'
+    return str(answer.answer.version)
+
+
+async def _read_pools(tool: Tool) -> list[PoolProgress] | Failure:
+    rows = await tool.table.scan(PROGRESS_TABLE, '', '', _MAX_POOLS)
+    if isinstance(rows, Failure):
+        return rows
+    pools = []
+    for row in rows:
+        progress = read_progress(row)
+        if progress:
+            pools.append(progress)
+    return pools
+
+
+def _report_pools(report: Report, pools: list[PoolProgress]) -> None:
+    rows = [('pool', 'version', 'done', 'upstreams', 'last failure')]
+    listed: list[object] = []
+    for progress in pools:
+        rows.append(
+            (
+                progress.pool,
+                str(progress.version),
+                str(progress.done),
+                str(progress.upstreams),
+                progress.last_failure or '-',
+            )
+        )
+        listed.append(progress.model_dump(mode='json'))
+    report.content['pools'] = listed
+    if pools:
+        report.lines.extend(tabulate(rows))
