--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -25,6 +25,8 @@
 
 # Platform.
 PLATFORM_TIMEOUT_S: Final = 2.0
+# Calls to the platform at once.
+PLATFORM_CLIENTS: Final = 64
 CONFIGURATION_POLL_S: Final = 1.0
 INSTANCE_LIST_POLL_S: Final = 1.0
 CONFIRMATION_BOUND_S: Final = 4.0
@@ -97,3 +99,7 @@
 # Shutdown.
 SHUTDOWN_NOTICE_S: Final = 2.0
 SHUTDOWN_LIMIT_S: Final = 60.0
+# Time between two looks at what is in flight (seconds).
+SHUTDOWN_STEP_S: Final = 0.05
+# Time between two rounds of housekeeping (seconds).
+HOUSEKEEPING_S: Final = 1.0
--- a/damaskpoint/entry/caller_app.py
+++ b/damaskpoint/entry/caller_app.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from typing import TYPE_CHECKING, Final, final
 
 from tornado import httpserver, web
@@ -17,7 +18,7 @@
 
 # Bodies are counted as they arrive, so tornado's own bound, whose answer has
 # no body, is out of reach (bytes).
-_NO_BOUND: Final = 1 << 50
+_NO_BOUND: Final = sys.maxsize
 
 
 @final
--- /dev/null
+++ b/damaskpoint/entry/runtime.py
@@ -0,0 +1,121 @@
+"""The life of an entry process: start, serve, shut down."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from typing import TYPE_CHECKING, Final, final
+
+from tornado import httpserver
+
+from damaskpoint import defaults
+from damaskpoint.entry.caller_app import create_caller_server
+from damaskpoint.entry.periodic import repeat
+from damaskpoint.entry.shutdown import DrainView, Phase
+from damaskpoint.entry.wiring import create_entry_parts, create_shared_parts
+from damaskpoint.observe.operator_app import Readiness, create_operator_app
+
+if TYPE_CHECKING:
+    from damaskpoint.entry.parts import EntryParts
+    from damaskpoint.entry.wiring import SharedParts
+    from damaskpoint.errors import Failure
+    from damaskpoint.settings import Options
+
+_LOG: Final = logging.getLogger(__name__)
+
+
+@final
+class EntryReadiness(Readiness):
+    """Ready while the configuration is confirmed and no shutdown runs."""
+
+    def __init__(self, parts: EntryParts) -> None:
+        """Keep what readiness depends on."""
+        self._parts = parts
+
+    def check_ready(self, now: float) -> Failure | None:
+        """Return why the entry is not ready, or None when it is."""
+        leaving = self._parts.shutdown.check_ready()
+        if leaving is not None:
+            return leaving
+        return self._parts.follower.check_ready(now)
+
+
+@final
+class EntryRuntime:
+    """A whole entry process."""
+
+    def __init__(self, shared: SharedParts, parts: EntryParts) -> None:
+        """Keep the parts; nothing listens yet."""
+        self._shared = shared
+        self._parts = parts
+        self._caller_server = create_caller_server(parts)
+        self._operator_server = httpserver.HTTPServer(
+            create_operator_app(
+                EntryReadiness(parts), shared.registry, time.monotonic
+            )
+        )
+        self._tasks: list[asyncio.Task[None]] = []
+        self._signalled = asyncio.Event()
+
+    def begin_shutdown(self) -> None:
+        """Begin to shut down; a second call changes nothing."""
+        self._parts.shutdown.begin(time.monotonic())
+        self._signalled.set()
+
+    async def run(self) -> None:
+        """Serve until a shutdown has ended."""
+        self._start()
+        await self._signalled.wait()
+        _LOG.info('shutdown: not ready, still serving')
+        await self._wait_while(Phase.NOTICE)
+        _LOG.info('shutdown: no new connections')
+        self._caller_server.stop()
+        await self._wait_while(Phase.DRAINING)
+        await self._stop()
+
+    def _start(self) -> None:
+        instance = self._shared.options.instance
+        platform = self._shared.options.platform
+        poll = self._shared.instances.poll
+        self._operator_server.listen(instance.operator_port, instance.host)
+        self._caller_server.listen(instance.port, instance.host)
+        for work in (
+            self._shared.follower.run(time.monotonic),
+            repeat(platform.instance_list_poll_s, poll),
+            repeat(defaults.HOUSEKEEPING_S, self._close_idle),
+        ):
+            self._tasks.append(asyncio.ensure_future(work))
+        _LOG.info('listening on %s:%s', instance.host, instance.port)
+
+    async def _close_idle(self) -> None:
+        self._shared.client.close_idle(time.monotonic())
+
+    async def _wait_while(self, phase: Phase) -> None:
+        shutdown = self._parts.shutdown
+        while shutdown.phase is phase:
+            await asyncio.sleep(defaults.SHUTDOWN_STEP_S)
+            view = DrainView(
+                self._parts.in_flight.count, self._shared.background.count
+            )
+            shutdown.advance(view, time.monotonic())
+
+    async def _stop(self) -> None:
+        """Close what is left; the drain has ended or its limit is reached."""
+        _LOG.info(
+            'stopped: %s requests and %s tasks cut',
+            self._parts.in_flight.count,
+            self._shared.background.count,
+        )
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._operator_server.stop()
+        await self._caller_server.close_all_connections()
+        await self._operator_server.close_all_connections()
+
+
+def create_runtime(options: Options) -> EntryRuntime:
+    """Return an entry process; to be called inside its loop."""
+    shared = create_shared_parts(options)
+    return EntryRuntime(shared, create_entry_parts(shared))
--- /dev/null
+++ b/damaskpoint/entry/wiring.py
@@ -0,0 +1,180 @@
+"""Creates the parts of an entry, one function a part."""
+
+from __future__ import annotations
+
+import functools
+import random
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, final
+
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from damaskpoint import defaults
+from damaskpoint.admission.controller import create_admission
+from damaskpoint.config.follower import create_follower
+from damaskpoint.entry.in_flight import InFlightRequests
+from damaskpoint.entry.instance_poller import InstancePoller
+from damaskpoint.entry.parts import EntryParts
+from damaskpoint.entry.shutdown import ShutdownState
+from damaskpoint.journal.guard import Guard
+from damaskpoint.journal.table_journal import create_table_journal
+from damaskpoint.observe.state import StateRegistry
+from damaskpoint.pipeline.attempt import CallParts
+from damaskpoint.pipeline.background import BackgroundTasks
+from damaskpoint.pipeline.call import AttemptIds
+from damaskpoint.pipeline.pipeline_service import PipelineService
+from damaskpoint.pipeline.retry_budget import RetryBudget
+from damaskpoint.pipeline.service_caller import ServiceCaller
+from damaskpoint.pipeline.stage_runner import StageRunner
+from damaskpoint.pipeline.stage_times import StageTimes
+from damaskpoint.pipeline.upstream_client import UpstreamClient
+from damaskpoint.platform.http_instances import create_http_instance_list
+from damaskpoint.platform.http_objects import create_http_object_store
+from damaskpoint.platform.http_table import create_http_table
+from damaskpoint.routing.directory import UpstreamDirectory
+from damaskpoint.routing.router import create_router
+
+if TYPE_CHECKING:
+    from damaskpoint.config.follower import ConfigurationFollower
+    from damaskpoint.config.model import Configuration
+    from damaskpoint.platform.base import InstanceList, ObjectStore, Table
+    from damaskpoint.settings import Options, PlatformOptions
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class PlatformParts:
+    """The platform, as this process reaches it."""
+
+    table: Table
+    object_store: ObjectStore
+    instance_list: InstanceList
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class SharedParts:
+    """What several parts of an entry are made with."""
+
+    options: Options
+    platform: PlatformParts
+    registry: StateRegistry
+    background: BackgroundTasks
+    attempt_ids: AttemptIds
+    follower: ConfigurationFollower
+    instances: InstancePoller
+    client: UpstreamClient
+
+
+def create_shared_parts(options: Options) -> SharedParts:
+    """Return the parts that the others need; to be called in the loop."""
+    platform = create_platform_parts(options.platform)
+    registry = StateRegistry()
+    background = BackgroundTasks()
+    registry.register('background', background)
+    follower = create_follower(
+        platform.table, platform.object_store, options.platform
+    )
+    registry.register('configuration', follower)
+    instances = InstancePoller(platform.instance_list)
+    registry.register('instances', instances)
+    client = UpstreamClient(
+        options.routing.connect_timeout_s, options.border.max_answer_bytes
+    )
+    registry.register('upstream_client', client)
+    return SharedParts(
+        options,
+        platform,
+        registry,
+        background,
+        AttemptIds(),
+        follower,
+        instances,
+        client,
+    )
+
+
+def create_platform_parts(options: PlatformOptions) -> PlatformParts:
+    """Return the platform's services over one HTTP client."""
+    client = SimpleAsyncHTTPClient(
+        force_instance=True, max_clients=defaults.PLATFORM_CLIENTS
+    )
+    return PlatformParts(
+        create_http_table(options, client),
+        create_http_object_store(options, client),
+        create_http_instance_list(options, client),
+    )
+
+
+def create_call_parts(shared: SharedParts) -> CallParts:
+    """Return what calls to upstreams need, routing included."""
+    directory = UpstreamDirectory()
+    shared.follower.add_listener(
+        functools.partial(_apply_configuration, directory)
+    )
+    shared.instances.add_listener(directory.hear_list)
+    return CallParts(
+        create_router(directory, random.Random()),
+        shared.client,
+        shared.background,
+        shared.attempt_ids,
+        shared.options.border.max_answer_bytes,
+    )
+
+
+def create_guard(shared: SharedParts) -> Guard:
+    """Return the guard of non-idempotent requests, with its journal."""
+    journal = create_table_journal(
+        shared.options.instance.name,
+        shared.platform.table,
+        shared.platform.object_store,
+        shared.options.journal,
+        shared.background,
+        shared.attempt_ids,
+    )
+    shared.registry.register('journal', journal)
+    return Guard(journal, shared.background)
+
+
+def create_pipelines(
+    shared: SharedParts, calls: CallParts, budget: RetryBudget, guard: Guard
+) -> PipelineService:
+    """Return the service that runs pipelines."""
+    times = StageTimes()
+    shared.registry.register('stage_times', times)
+    runner = StageRunner(calls, budget, times)
+    return PipelineService(runner, times, guard)
+
+
+def create_entry_parts(shared: SharedParts) -> EntryParts:
+    """Return all parts that serve callers."""
+    options = shared.options
+    admission = create_admission(options.admission, time.monotonic)
+    shared.follower.add_listener(admission.apply_configuration)
+    shared.registry.register('admission', admission)
+    in_flight = InFlightRequests()
+    shared.registry.register('requests', in_flight)
+    shutdown = ShutdownState(options.shutdown)
+    shared.registry.register('shutdown', shutdown)
+    budget = RetryBudget(
+        options.admission.retry_share, options.admission.retry_burst
+    )
+    shared.registry.register('retry_budget', budget)
+    calls = create_call_parts(shared)
+    guard = create_guard(shared)
+    return EntryParts(
+        shared.follower,
+        admission,
+        create_pipelines(shared, calls, budget, guard),
+        ServiceCaller(calls, budget, guard),
+        in_flight,
+        shutdown,
+        options.border,
+    )
+
+
+def _apply_configuration(
+    directory: UpstreamDirectory, configuration: Configuration
+) -> None:
+    directory.apply_configuration(configuration, time.monotonic())
--- a/damaskpoint/pipeline/attempt.py
+++ b/damaskpoint/pipeline/attempt.py
@@ -61,8 +61,8 @@
             self._receiver = TokenReceiver(job.sink, parts.max_answer_bytes)
         self._is_resume = False
         self._resumes = 0
-        # What the next call is sent as.
-        self._identity = self._make_identity()
+        # What the present call is sent as.
+        self._identity = CallIdentity('', '', '')
         self._sent_at = float(0)
 
     async def run(
--- a/damaskpoint/pipeline/background.py
+++ b/damaskpoint/pipeline/background.py
@@ -30,12 +30,9 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
-    async def wait(self, limit_s: float) -> int:
-        """Wait until no task is left; return how many the limit cut off."""
-        loop = asyncio.get_running_loop()
-        end = loop.time() + limit_s
-        while self._tasks and loop.time() < end:
-            await asyncio.wait(self._tasks, timeout=end - loop.time())
+    @property
+    def count(self) -> int:
+        """Return the number of tasks."""
         return len(self._tasks)
 
     def dump_state(self, now: float) -> dict[str, object]:
--- a/damaskpoint/pipeline/upstream_client.py
+++ b/damaskpoint/pipeline/upstream_client.py
@@ -19,6 +19,7 @@
 from tornado import http1connection, httputil, iostream
 
 from damaskpoint import defaults
+from damaskpoint.observe.state import StateSource
 from damaskpoint.pipeline import metrics
 from damaskpoint.pipeline.call import CallFault, UpstreamAnswer, UpstreamHead
 from damaskpoint.routing.base import CallEnd
@@ -38,7 +39,7 @@
 
 
 @final
-class UpstreamClient:
+class UpstreamClient(StateSource):
     """Opens, keeps and closes connections to upstreams."""
 
     def __init__(self, connect_timeout_s: float, max_answer_bytes: int) -> None:
@@ -87,9 +88,10 @@
             if not waiting:
                 self._idle_by_address.pop(address)
 
-    def count_idle(self) -> int:
+    def dump_state(self, now: float) -> dict[str, object]:
         """Return the number of connections that are kept."""
-        return sum(map(len, self._idle_by_address.values()))
+        kept = sum(map(len, self._idle_by_address.values()))
+        return {'upstreams': len(self._idle_by_address), 'kept': kept}
 
     async def _connect(
         self, address: Address, call: UpstreamCall
