--- a/damaskpoint/load/baseline.py
+++ b/damaskpoint/load/baseline.py
@@ -28,6 +28,7 @@
 from damaskpoint.config.follower import ConfigurationFollower
 from damaskpoint.errors import Failure
 from damaskpoint.load.events import EventParser
+from damaskpoint.load.fetching import fetch
 from damaskpoint.platform.base import Presence
 from damaskpoint.platform.http_instances import create_http_instance_list
 from damaskpoint.platform.http_objects import create_http_object_store
@@ -109,7 +110,9 @@
             if upstream is None:
                 return None
             call.url = f'http://{upstream.host}:{upstream.port}/{path}'
-            response = await self.client.fetch(call, raise_error=False)
+            response = await fetch(self.client, call)
+            if response is None:
+                continue
             if response.code < http.HTTPStatus.INTERNAL_SERVER_ERROR:
                 return response
         return None
--- a/damaskpoint/load/caller.py
+++ b/damaskpoint/load/caller.py
@@ -19,6 +19,7 @@
 
 from damaskpoint import protocol
 from damaskpoint.load.events import EventParser
+from damaskpoint.load.fetching import fetch
 from damaskpoint.load.model import Planned, Sample, Shape, StageUse, Verdict
 
 if TYPE_CHECKING:
@@ -27,8 +28,6 @@
 # A caller waits this long past its deadline before it gives up (seconds).
 _PATIENCE_S = 2.0
 _MS_PER_S = 1000
-# tornado's own status for a connection that gave no answer.
-_CONNECTION_LOST = 599
 
 
 @final
@@ -50,11 +49,8 @@
     request = _build(planned, target, request_id)
     if planned.source.shape is Shape.STREAM:
         request.streaming_callback = watch.feed
-    try:
-        response = await target.client.fetch(request, raise_error=False)
-    except OSError:
-        return _sample(planned, Verdict.LOST, 'connection', due, watch)
-    if response.code == _CONNECTION_LOST:
+    response = await fetch(target.client, request)
+    if response is None:
         return _sample(planned, Verdict.LOST, 'connection', due, watch)
     if response.code != http.HTTPStatus.OK:
         body = response.body or watch.raw
--- a/damaskpoint/load/script.py
+++ b/damaskpoint/load/script.py
@@ -15,9 +15,11 @@
 
 import json5
 import pydantic
+from tornado.httpclient import HTTPRequest
 
 from damaskpoint import protocol
 from damaskpoint.errors import Code, Failure
+from damaskpoint.load.fetching import fetch
 
 if TYPE_CHECKING:
     from tornado.httpclient import AsyncHTTPClient
@@ -60,16 +62,16 @@
     """Send each step when it is due; ``started`` is monotonic."""
     for step in steps:
         await asyncio.sleep(max(0, started + step.at_s - time.monotonic()))
-        response = await client.fetch(
+        request = HTTPRequest(
             step.url,
             method=step.method,
             body=json.dumps(step.body or {}),
             headers={'Content-Type': protocol.MEDIA_JSON},
-            raise_error=False,
         )
+        response = await fetch(client, request)
         _LOG.info(
             'script step at %.1f s: %s answered %s',
             step.at_s,
             step.url,
-            response.code,
+            response.code if response else 'nothing',
         )
--- a/standins/bench/__main__.py
+++ b/standins/bench/__main__.py
@@ -18,9 +18,8 @@
 from standins.bench.experiment import Result, run_experiment
 from standins.bench.scenarios import SCENARIOS_BY_NAME, Scenario
 
-# What the engines of a site serve at slowness 1 (requests a second).
-_CAPACITY_PER_S: Final = 450.0
-_SLOWNESS: Final = 5.0
+# What the engines of a site serve of a profile's mix (requests a second).
+_CAPACITY_PER_S: Final = 98.0
 _ENTRIES: Final = 6
 _RUNS: Final = 3
 _HOST_RANGE: Final = 250
@@ -55,7 +54,6 @@
     )
     parser.add_argument('--entries', type=int, default=_ENTRIES)
     parser.add_argument('--runs', type=int, default=_RUNS)
-    parser.add_argument('--slowness', type=float, default=_SLOWNESS)
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--out', type=pathlib.Path, default=pathlib.Path('out'))
     return parser
@@ -74,7 +72,6 @@
                     profile=arguments.profile,
                     system=system,
                     entries=arguments.entries,
-                    slowness=arguments.slowness,
                     base_host=_pick_base_host(),
                     folder=pathlib.Path(folder),
                 )
@@ -82,7 +79,7 @@
                     await run_experiment(
                         scenario,
                         options,
-                        _CAPACITY_PER_S / arguments.slowness,
+                        _CAPACITY_PER_S,
                         arguments.seed + number,
                     )
                 )
@@ -109,7 +106,7 @@
         curves.append(Curve(system, own[0].seconds))
         sys.stdout.write(f'{_describe(scenario, system, own)}\n')
         sys.stdout.flush()
-    marks_s = [control.at_s for control in scenario.zone_controls]
+    marks_s = [action.at_s for action in scenario.zone_actions]
     plot_attainment(curves, marks_s, out / f'{scenario.name}.png')
 
 
--- a/standins/bench/deployment.py
+++ b/standins/bench/deployment.py
@@ -13,7 +13,10 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final, final
 
-from tornado.httpclient import AsyncHTTPClient
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from damaskpoint.errors import Code, Failure, FailureError
+from damaskpoint.load.fetching import fetch
 
 if TYPE_CHECKING:
     from asyncio.subprocess import Process
@@ -28,6 +31,17 @@
 _STEP_S: Final = 0.1
 _HTTP_OK: Final = 200
 
+# With these times, ten engines of eight slots serve about 68 pipelines of
+# four stages and twelve tokens a second.
+_SITE_TIMES: Final = (
+    '--encode-ms=160',
+    '--retrieve-ms=160',
+    '--rerank-ms=240',
+    '--generate-ms=320',
+    '--token-ms=24',
+    '--service-ms=100',
+)
+
 MODULE_BY_SYSTEM: Final = {
     'damaskpoint': 'damaskpoint.main.entry',
     'baseline': 'damaskpoint.load.baseline',
@@ -44,8 +58,6 @@
     # One of ``MODULE_BY_SYSTEM``.
     system: str
     entries: int
-    # Factor on all times of the upstreams.
-    slowness: float
     # First three numbers of the loopback addresses.
     base_host: str
     folder: pathlib.Path
@@ -139,8 +151,7 @@
         options.profile,
         '--base-host',
         options.base_host,
-        '--slowness',
-        str(options.slowness),
+        *_SITE_TIMES,
         '--history-dir',
         str(deployment.history_folder),
     ]
@@ -153,7 +164,10 @@
     process = await _start(deployment, 'standins.main', 'site', *arguments)
     if process.stdout is None:
         return zones
-    site = json.loads(await process.stdout.readline())
+    line = await process.stdout.readline()
+    if not line:
+        raise FailureError(Failure(Code.INTERNAL, 'the site did not start'))
+    site = json.loads(line)
     deployment.platform_url = site['platform_url']
     deployment.upstreams = site['instances']
     return zones
@@ -222,7 +236,7 @@
     for url in deployment.entry_urls:
         ready = url.replace(str(_PORT), str(_OPERATOR_PORT)) + '/readyz'
         while time.monotonic() < until:
-            response = await client.fetch(ready, raise_error=False)
-            if response.code == _HTTP_OK:
+            response = await fetch(client, HTTPRequest(ready))
+            if response and response.code == _HTTP_OK:
                 break
             await asyncio.sleep(_STEP_S)
--- a/standins/bench/experiment.py
+++ b/standins/bench/experiment.py
@@ -108,6 +108,15 @@
                     body=control.control,
                 )
             )
+    for action in scenario.zone_actions:
+        zone = _zone_name(deployment, action.zone)
+        steps.append(
+            Step(
+                at_s=action.at_s,
+                url=f'{deployment.platform_url}/control/site',
+                body={'zone': zone, 'action': action.action},
+            )
+        )
     for fault in scenario.platform_controls:
         target = f'{deployment.platform_url}/control/faults'
         steps.append(Step(at_s=fault.at_s, url=target, body=fault.faults))
--- a/standins/bench/scenarios.py
+++ b/standins/bench/scenarios.py
@@ -15,6 +15,17 @@
     arguments: tuple[str, ...]
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class ZoneAction:
+    """All upstreams of one zone stop, or start again."""
+
+    at_s: float
+    # Position of the zone in the profile's sheet.
+    zone: int
+    action: str
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class ZoneControl:
@@ -46,6 +57,7 @@
     duration_s: float
     burst_factor: float = 1
     sheet_steps: tuple[SheetStep, ...] = ()
+    zone_actions: tuple[ZoneAction, ...] = ()
     zone_controls: tuple[ZoneControl, ...] = ()
     platform_controls: tuple[PlatformControl, ...] = ()
     # Position of the zone that ``sheet_steps`` take out; -1 for none.
@@ -55,7 +67,6 @@
 _LEAVES_S: Final = 8.0
 _GONE_S: Final = 12.0
 _RETURNS_S: Final = 20.0
-_AWAY_S: Final = _RETURNS_S - _GONE_S
 
 _STEADY_S: Final = 20.0
 _ZONE_S: Final = 35.0
@@ -77,18 +88,18 @@
                 SheetStep(_LEAVES_S, ('zone', 'out')),
                 SheetStep(_RETURNS_S, ('zone', 'in')),
             ),
-            zone_controls=(
-                ZoneControl(_GONE_S, 1, {'freeze_s': _AWAY_S}),
-                ZoneControl(_RETURNS_S, 1, {'warmth': 'cold'}),
+            zone_actions=(
+                ZoneAction(_GONE_S, 1, 'stop'),
+                ZoneAction(_RETURNS_S, 1, 'start-cold'),
             ),
         ),
         Scenario(
             'zone-unannounced',
             load=0.6,
             duration_s=_ZONE_S,
-            zone_controls=(
-                ZoneControl(_GONE_S, 1, {'freeze_s': _AWAY_S}),
-                ZoneControl(_RETURNS_S, 1, {'warmth': 'cold'}),
+            zone_actions=(
+                ZoneAction(_GONE_S, 1, 'stop'),
+                ZoneAction(_RETURNS_S, 1, 'start-cold'),
             ),
         ),
         Scenario(
