--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""What the features share: processes, relay, callers, history checker."""
--- /dev/null
+++ b/features/support/cluster.py
@@ -0,0 +1,237 @@
+"""A small deployment of real processes: platform, upstreams, entries."""
+
+from __future__ import annotations
+
+import json
+import signal
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final
+
+from features.support.caller import Caller
+from features.support.checker import read_histories
+from features.support.launcher import Launcher, fetch
+from features.support.sheets import ACCOUNT, SheetOptions, write_sheet
+from standins.history import History
+
+if TYPE_CHECKING:
+    import pathlib
+
+    from features.support.checker import Event
+
+__all__ = ('ACCOUNT', 'Cluster', 'Member')
+
+ENTRY_MODULE: Final = 'damaskpoint.main.entry'
+_PLATFORM_PORT: Final = 7000
+_UPSTREAM_PORT: Final = 8000
+_CALLER_PORT: Final = 8080
+_OPERATOR_PORT: Final = 8081
+_PEER_PORT: Final = 8082
+
+
+@dataclass(slots=True)
+class Member:
+    """One process of the deployment, as the instance list has it."""
+
+    name: str
+    pool: str
+    zone: str
+    host: str
+    port: int
+    peer_port: int = 0
+    incarnation: int = 1
+    presence: str = 'live'
+    # Words of the command line, to start it again.
+    words: tuple[str, ...] = ()
+    module: str = 'standins.main'
+
+    @property
+    def url(self) -> str:
+        """Return the base URL of the callers' side."""
+        return f'http://{self.host}:{self.port}'
+
+    @property
+    def operator_url(self) -> str:
+        """Return the base URL of the operators' side of an entry."""
+        return f'http://{self.host}:{_OPERATOR_PORT}'
+
+    def listing(self) -> dict[str, object]:
+        """Return the line of the instance list."""
+        names = ('name', 'pool', 'zone', 'host', 'port', 'peer_port')
+        line: dict[str, object] = {name: getattr(self, name) for name in names}
+        line['incarnation'] = self.incarnation
+        line['presence'] = self.presence
+        return line
+
+
+@dataclass(slots=True)
+class Cluster:
+    """Starts, changes and ends the members."""
+
+    launcher: Launcher = field(default_factory=Launcher)
+    members_by_name: dict[str, Member] = field(default_factory=dict)
+    # Settings that all entries get, by section.
+    sections: dict[str, dict[str, object]] = field(default_factory=dict)
+    entry_module: str = ENTRY_MODULE
+    entry_words: tuple[str, ...] = ()
+    platform_url: str = ''
+    operator: History = field(init=False)
+    caller: Caller = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Open the histories of operator and callers."""
+        folder = self.launcher.folder
+        self.operator = History('operator', folder / 'operator.jsonl')
+        self.caller = Caller(History('caller', folder / 'caller.jsonl'))
+
+    async def start_platform(self) -> None:
+        """Start the platform."""
+        host = self.launcher.next_host()
+        self.platform_url = f'http://{host}:{_PLATFORM_PORT}'
+        words = _address(self.launcher.folder, 'platform', host, _PLATFORM_PORT)
+        self.launcher.start('platform', 'standins.main', 'platform', *words)
+        url = f'{self.platform_url}/control/health'
+        await self.launcher.wait_ready('platform', url)
+
+    async def add_upstream(
+        self, role: str, name: str, pool: str, zone: str, *words: str
+    ) -> Member:
+        """Start an engine or a service."""
+        host = self.launcher.next_host()
+        member = Member(name, pool, zone, host, _UPSTREAM_PORT)
+        member.words = (
+            role,
+            f'--name={name}',
+            f'--pool={pool}',
+            f'--zone={zone}',
+            *_address(self.launcher.folder, name, host, _UPSTREAM_PORT),
+            *words,
+        )
+        self.members_by_name[name] = member
+        await self._start_upstream(member)
+        return member
+
+    async def restart_upstream(self, name: str) -> None:
+        """Start a dead upstream again, under a new incarnation."""
+        member = self.members_by_name[name]
+        member.incarnation += 1
+        await self._start_upstream(member)
+        await self.publish()
+
+    async def add_entry(
+        self, name: str, zone: str, platform_url: str = ''
+    ) -> Member:
+        """Put an entry in the list and start it; it need not be ready."""
+        host = self.launcher.next_host()
+        member = Member(name, 'entry', zone, host, _CALLER_PORT, _PEER_PORT)
+        member.module = self.entry_module
+        path = self.launcher.folder / f'{name}.json5'
+        url = platform_url or self.platform_url
+        path.write_text(json.dumps(_make_settings(member, url, self.sections)))
+        member.words = ('--settings', str(path), *self.entry_words)
+        self.members_by_name[name] = member
+        await self.publish()
+        self.start_entry(name)
+        return member
+
+    def start_entry(self, name: str) -> None:
+        """Start the process of an entry."""
+        member = self.members_by_name[name]
+        self.launcher.start(name, member.module, *member.words)
+        self.operator.record('started_entry', entry=name)
+
+    async def wait_entry(self, name: str) -> None:
+        """Wait until an entry is ready."""
+        url = f'{self.members_by_name[name].operator_url}/readyz'
+        await self.launcher.wait_ready(name, url)
+        self.operator.record('entry_ready', entry=name)
+
+    async def kill_entry(self, name: str) -> None:
+        """Kill an entry without a warning."""
+        self.operator.record('killed', entry=name)
+        self.launcher.kill(name)
+
+    async def terminate_entry(self, name: str) -> None:
+        """Terminate an entry and wait until it has ended by itself."""
+        self.operator.record('terminated', entry=name)
+        self.launcher.send(name, signal.SIGTERM)
+        status = await self.launcher.wait_exit(name)
+        self.operator.record('exited', entry=name, status=status)
+
+    async def publish(self, **more: object) -> None:
+        """Set the platform's list to the members."""
+        members = self.members_by_name.values()
+        listed = [member.listing() for member in members]
+        body = json.dumps({'instances': listed, **more})
+        await fetch(f'{self.platform_url}/control/instances', body)
+
+    async def control(self, name: str, **control: object) -> None:
+        """Put faults of an upstream, or of the platform, in force."""
+        url = f'{self.platform_url}/control/faults'
+        if name != 'platform':
+            url = f'{self.members_by_name[name].url}/control'
+        status, said = await fetch(url, json.dumps(control))
+        assert status == 200, said
+
+    async def apply(self, options: SheetOptions, *words: str) -> int:
+        """Apply a sheet; return the exit status of the operator's tool."""
+        path = self.launcher.folder / f'sheet-{options.number}.csv'
+        path.write_text(write_sheet(options))
+        return await self.run_sheet_tool('apply', str(path), *words)
+
+    async def run_sheet_tool(self, *words: str) -> int:
+        """Run the operator's tool; note when its change was accepted."""
+        status, said = await self.launcher.run(
+            'damaskpoint.main.sheet',
+            *words,
+            f'--table-url={self.platform_url}',
+        )
+        self.operator.record('tool', words=words, status=status, said=said)
+        return status
+
+    def events(self) -> list[Event]:
+        """Return the merged history so far."""
+        return read_histories(self.launcher.folder)
+
+    def close(self) -> None:
+        """End all processes."""
+        self.caller.close()
+        self.launcher.stop_all()
+
+    async def _start_upstream(self, member: Member) -> None:
+        self.launcher.start(
+            member.name,
+            member.module,
+            *member.words,
+            f'--incarnation={member.incarnation}',
+        )
+        await self.launcher.wait_ready(member.name, f'{member.url}/control')
+
+
+def _make_settings(
+    member: Member, platform_url: str, sections: dict[str, dict[str, object]]
+) -> dict[str, object]:
+    settings: dict[str, dict[str, object]] = {
+        'instance': {
+            'name': member.name,
+            'zone': member.zone,
+            'host': member.host,
+            'port': member.port,
+            'operator_port': _OPERATOR_PORT,
+            'peer_port': member.peer_port,
+        },
+        'platform': {
+            'table_url': platform_url,
+            'objects_url': platform_url,
+            'instances_url': platform_url,
+        },
+    }
+    for name, section in sections.items():
+        settings[name] = {**settings.get(name, {}), **section}
+    return dict(settings)
+
+
+def _address(
+    folder: pathlib.Path, name: str, host: str, port: int
+) -> tuple[str, ...]:
+    history = folder / f'{name}.jsonl'
+    return f'--host={host}', f'--port={port}', f'--history={history}'
