Route by expected wait with warmth, leases on cold upstreams and breakers

Unproven is cold: a proof of warmth counts from the earliest moment that it can speak of and lapses after a bound, so no message has to arrive for a cold upstream to be left alone. Only a lease's holder sends to a cold one, and only within a bound on what others may still have inside.

--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -36,6 +36,59 @@
 CONNECT_TIMEOUT_S: Final = 0.5
 LEASE_S: Final = 4.0
 LEASE_MARGIN_S: Final = 0.5
+# Longest lag of a load report behind the upstream's state.
+LOAD_REPORT_LAG_S: Final = 1.0
+# Routing, breakers: consecutive ends of one type that open one.
+BREAKER_UNREACHABLE: Final = 2
+BREAKER_BROKEN: Final = 2
+BREAKER_FAILED: Final = 5
+BREAKER_OVERLOADED: Final = 5
+BREAKER_TIMED_OUT: Final = 5
+BREAKER_MISMATCHED: Final = 2
+BREAKER_OPEN_S: Final = 1.0
+BREAKER_MAX_OPEN_S: Final = 10.0
+BREAKER_GROWTH: Final = 2.0
+# Routing, choice.
+SERVICE_TIME_WEIGHT: Final = 0.1
+# Service time of an upstream before one was measured in its pool (seconds).
+SERVICE_TIME_S: Final = 0.1
+# What a call to another availability zone costs (seconds, both ways).
+ZONE_COST_S: Final = 0.003
+# Load, over the pool's mean, up to which a prefix keeps its upstream.
+AFFINITY_LOAD_BOUND: Final = 1.25
+# Service time, over the pool's median, past which an upstream is an outlier,
+# and the share of a pool that may be outliers.
+OUTLIER_FACTOR: Final = 3.0
+OUTLIER_SHARE: Final = 0.2
+# Factor on the expected wait of an outlier.
+OUTLIER_PENALTY: Final = 1_000.0
+# Upstreams whose service times make up the median.
+MEDIAN_SAMPLE: Final = 64
+# Time for which a median and its outliers stand (seconds), and the part of
+# the distance to the median that an outlier forgets in it.
+MEDIAN_KEEP_S: Final = 1.0
+OUTLIER_DECAY: Final = 0.1
+# How many times as long as usual a call to a cold upstream may take.
+COLD_SLOWNESS: Final = 3.0
+# Calls that may wait for one pool in one entry.
+ROUTE_QUEUE_LIMIT: Final = 256
+# Time to come back when nothing better is known (seconds).
+ROUTE_RETRY_AFTER_S: Final = 1.0
+# Cold start: rows of one transaction, time before a failed claim is tried
+# again, time for which a wish for a cold upstream holds, and time after
+# which a cold upstream that is held gets a call although warm ones are free
+# (seconds).
+LEASE_BATCH: Final = 100
+CLAIM_RETRY_S: Final = 0.5
+CLAIM_WISH_S: Final = 10.0
+COLD_IDLE_S: Final = 0.25
+# Delay of a claim for each live entry that ranks before (seconds).
+CLAIM_RANK_DELAY_S: Final = 1.0
+# Longest time for which an upstream may work on a call (seconds).
+LONGEST_CALL_S: Final = 600.0
+# A loop that stood still longer than this has old messages in its sockets.
+PAUSE_BOUND_S: Final = 1.0
+ROUTING_TICK_S: Final = 0.1
 
 # Admission.
 QUEUE_LIMIT: Final = 256
--- /dev/null
+++ b/damaskpoint/routing/core.py
@@ -0,0 +1,221 @@
+"""All that one entry decides about upstreams: events in, tickets out.
+
+The asynchronous parts (``router``, ``poller``, ``permit_client``) and the
+gossip call this on the one loop, each time with the present time.
+"""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING, final
+
+from damaskpoint import defaults
+from damaskpoint.errors import Code, Failure
+from damaskpoint.routing import metrics
+from damaskpoint.routing.base import CallEnd, CallReport, RouteQuery, Ticket
+from damaskpoint.routing.nodes import Node, Placement, PoolSlate
+from damaskpoint.routing.outliers import review_outliers
+from damaskpoint.routing.waiting import Waiter, judge_wait
+
+if TYPE_CHECKING:
+    from damaskpoint.routing.choice import Choice, ChoicePolicy
+    from damaskpoint.routing.directory import UpstreamDirectory
+    from damaskpoint.routing.evidence import Evidence
+    from damaskpoint.routing.fleet import Fleet
+    from damaskpoint.routing.permits import PermitBook
+
+_MEASURED_ENDS = frozenset((CallEnd.SUCCEEDED, CallEnd.TIMED_OUT))
+# Choices that turn out to be outdated before a call waits instead.
+_TRIES = 8
+# Cold upstreams of a pool that one tick wishes for.
+_WISHES = 200
+_SWEEP_S = 1.0
+
+
+@final
+class RoutingCore:
+    """Gives tickets, takes them back, and keeps time."""
+
+    def __init__(
+        self,
+        directory: UpstreamDirectory,
+        fleet: Fleet,
+        evidence: Evidence,
+        permits: PermitBook,
+        policy: ChoicePolicy,
+    ) -> None:
+        """Start with nothing in flight."""
+        self.evidence = evidence
+        self.fleet = fleet
+        self.permits = permits
+        self._directory = directory
+        self._policy = policy
+        self._tickets_by_number: dict[int, Ticket] = {}
+        self._last_number = 0
+        self._swept_at = float('-inf')
+
+    # Commands.
+
+    def try_acquire(self, query: RouteQuery, now: float) -> Ticket | None:
+        """Return a ticket, to be used in this turn of the loop, or None."""
+        self._sync(now)
+        slate = self.fleet.slates_by_pool.get(query.pool)
+        if slate is None:
+            return None
+        slate.last_demand_at = now
+        for _ in range(_TRIES):
+            choice = self._policy.choose(query, slate, now)
+            if choice is None:
+                break
+            # What the node was placed by may have run out since.
+            self.fleet.refresh(choice.node, now)
+            if self.fleet.is_placed_open(choice.node):
+                return self._give(choice, slate, now)
+        if slate.cold:
+            metrics.COLD_LIMITED.inc({'pool': query.pool})
+        return None
+
+    def release(self, ticket: Ticket, report: CallReport, now: float) -> None:
+        """Take a ticket back; a second time changes nothing."""
+        if self._tickets_by_number.pop(ticket.number, None) is None:
+            return
+        node = self.fleet.nodes_by_name.get(ticket.upstream.name)
+        slate = self.fleet.slates_by_pool[ticket.upstream.pool]
+        slate.own_in_flight -= 1
+        if node is None:
+            return
+        node.load.own -= 1
+        self._judge_end(node, slate, ticket, report, now)
+        self.evidence.note_end(node, ticket, report, now)
+        self.fleet.refresh(node, now)
+
+    def enqueue(self, waiter: Waiter) -> None:
+        """Let a call wait for its pool."""
+        self.fleet.queues_by_pool[waiter.query.pool].add(waiter)
+        metrics.WAITED.inc({'pool': waiter.query.pool})
+
+    def dequeue(self, waiter: Waiter) -> None:
+        """Let a call wait no longer, and wake the next."""
+        pool = waiter.query.pool
+        self.fleet.queues_by_pool[pool].leave(waiter)
+        self.wake(pool)
+
+    def put_back(self, waiter: Waiter) -> None:
+        """Let a call that was woken in vain wait on.
+
+        It keeps its turn, unless there are places that just do not fit it.
+        """
+        slate = self.fleet.slates_by_pool[waiter.query.pool]
+        queue = self.fleet.queues_by_pool[waiter.query.pool]
+        is_misfit = bool(slate.ready) or bool(slate.permitted)
+        queue.put_back(waiter, is_first=not is_misfit)
+
+    def wake(self, pool: str) -> None:
+        """Wake the next call that waits, if an upstream can take one."""
+        slate = self.fleet.slates_by_pool[pool]
+        queue = self.fleet.queues_by_pool[pool]
+        if slate.ready or slate.permitted:
+            queue.wake_next()
+        elif not slate.open_count:
+            # There is nothing to wait for: all are told at once.
+            queue.wake_all()
+
+    def tick(self, now: float) -> None:
+        """Do what is due; called some ten times a second."""
+        self.evidence.note_alive(now)
+        self._sync(now)
+        self.fleet.run_timers(now)
+        for slate in self.fleet.slates_by_pool.values():
+            if now - slate.last_demand_at < defaults.CLAIM_WISH_S:
+                self._wish(slate, now)
+            self.wake(slate.pool.name)
+        if now - self._swept_at >= _SWEEP_S:
+            self._swept_at = now
+            self._sweep(now)
+
+    # Queries.
+
+    def count_waiting(self, pool: str) -> int:
+        """Return the number of calls that wait for a pool."""
+        queue = self.fleet.queues_by_pool.get(pool)
+        return 0 if queue is None else len(queue)
+
+    def judge(
+        self, query: RouteQuery, ahead: int, now: float
+    ) -> Failure | None:
+        """Return a failure if a call had better not wait.
+
+        ``ahead`` is the number of calls that wait before it.
+        """
+        slate = self.fleet.slates_by_pool.get(query.pool)
+        if slate is None:
+            metrics.REFUSED.inc({'pool': 'unknown', 'reason': 'no_pool'})
+            return Failure(
+                Code.NO_UPSTREAM,
+                'The pool has no upstreams.',
+                retry_after_s=defaults.ROUTE_RETRY_AFTER_S,
+            )
+        return judge_wait(query, slate, ahead, now)
+
+    def shares_by_name(self) -> dict[str, int]:
+        """Return the own calls in flight, of upstreams that have any."""
+        shares: dict[str, int] = {}
+        for ticket in self._tickets_by_number.values():
+            name = ticket.upstream.name
+            shares[name] = shares.get(name, 0) + 1
+        return shares
+
+    # Steps.
+
+    def _sync(self, now: float) -> None:
+        """Take over what changed in the directory."""
+        self.fleet.sync_directory(now)
+        for node in self.fleet.take_restarted():
+            self.evidence.note_restarted(node, now)
+
+    def _give(self, choice: Choice, slate: PoolSlate, now: float) -> Ticket:
+        node = choice.node
+        is_cold = node.placement is Placement.PERMITTED
+        if is_cold:
+            node.last_cold_at = now
+        self._last_number += 1
+        ticket = Ticket(self._last_number, node.upstream, is_cold, now)
+        self._tickets_by_number[ticket.number] = ticket
+        node.load.own += 1
+        slate.own_in_flight += 1
+        node.breaker.note_sent(now)
+        self.fleet.refresh(node, now)
+        metrics.CHOSEN.inc(
+            {'pool': slate.pool.name, 'reason': choice.reason.value}
+        )
+        if choice.is_affinity_broken:
+            metrics.AFFINITY.inc({'result': 'broken'})
+        return ticket
+
+    def _judge_end(
+        self,
+        node: Node,
+        slate: PoolSlate,
+        ticket: Ticket,
+        report: CallReport,
+        now: float,
+    ) -> None:
+        if node.breaker.note_end(report.end, now):
+            state = node.breaker.state.value
+            metrics.BREAKERS.inc({'pool': slate.pool.name, 'state': state})
+        if report.end not in _MEASURED_ENDS or ticket.is_cold:
+            return
+        node.load.note_service(report.duration_s)
+        slate.note_service(report.duration_s)
+        review_outliers(slate, node, now)
+
+    def _wish(self, slate: PoolSlate, now: float) -> None:
+        for name in itertools.islice(slate.cold, _WISHES):
+            self.permits.want(name, now)
+        for permitted in itertools.islice(slate.permitted, _WISHES):
+            self.permits.want(permitted, now)
+
+    def _sweep(self, now: float) -> None:
+        self.permits.sweep(now)
+        self.fleet.decay_outliers(now)
+        self.fleet.drop_silent(now)
--- a/damaskpoint/routing/directory.py
+++ b/damaskpoint/routing/directory.py
@@ -63,8 +63,9 @@
         """Start with no upstreams and no configuration."""
         self._records_by_name: dict[str, _Record] = {}
         self._names_by_pool: dict[str, set[str]] = {}
-        self._leave_marks_by_name: dict[str, LeaveMark] = {}
-        self._zone_marks_by_name: dict[str, ZoneMark] = {}
+        # The marks are read for gossip and changed only here.
+        self.leave_marks_by_name: dict[str, LeaveMark] = {}
+        self.zone_marks_by_name: dict[str, ZoneMark] = {}
         self._pools_by_name: dict[str, Pool] = {}
         self._version = 0
         self._names_changed: set[str] = set()
@@ -89,10 +90,10 @@
 
     def hear_zone(self, zone: str, mark: ZoneMark, now: float) -> None:
         """Take a zone's state; a mark of an older version is ignored."""
-        held = self._zone_marks_by_name.get(zone)
+        held = self.zone_marks_by_name.get(zone)
         if held is not None and held.version > mark.version:
             return
-        self._zone_marks_by_name[zone] = mark
+        self.zone_marks_by_name[zone] = mark
         if held is not None and held.is_out == mark.is_out:
             return
         for name, record in self._records_by_name.items():
@@ -101,10 +102,10 @@
 
     def hear_leaving(self, name: str, incarnation: int, now: float) -> None:
         """Mark an upstream as leaving, up to this incarnation."""
-        held = self._leave_marks_by_name.get(name)
+        held = self.leave_marks_by_name.get(name)
         if held is not None and held.incarnation >= incarnation:
             return
-        self._leave_marks_by_name[name] = LeaveMark(incarnation, now)
+        self.leave_marks_by_name[name] = LeaveMark(incarnation, now)
         self._names_changed.add(name)
 
     def hear_list(
@@ -121,6 +122,12 @@
             self._merge_line(instance)
         self._note_vanished(listed, now)
 
+    def take_changed(self) -> frozenset[str]:
+        """Return the names that changed since the last call."""
+        changed = frozenset(self._names_changed)
+        self._names_changed.clear()
+        return changed
+
     # Queries.
 
     @property
@@ -131,16 +138,6 @@
             for name, record in self._records_by_name.items()
         }
 
-    @property
-    def leave_marks_by_name(self) -> dict[str, LeaveMark]:
-        """Return the leave marks, for gossip."""
-        return dict(self._leave_marks_by_name)
-
-    @property
-    def zone_marks_by_name(self) -> dict[str, ZoneMark]:
-        """Return the zones' states, for gossip."""
-        return dict(self._zone_marks_by_name)
-
     def find(self, name: str) -> Upstream | None:
         """Return an upstream, or None if it is not known."""
         record = self._records_by_name.get(name)
@@ -157,14 +154,14 @@
     def is_leaving(self, name: str) -> bool:
         """Return whether an upstream is marked as leaving."""
         record = self._records_by_name.get(name)
-        mark = self._leave_marks_by_name.get(name)
+        mark = self.leave_marks_by_name.get(name)
         if record is None or mark is None:
             return False
         return mark.incarnation >= record.upstream.incarnation
 
     def is_zone_out(self, zone: str) -> bool:
         """Return whether a zone gets no new work."""
-        mark = self._zone_marks_by_name.get(zone)
+        mark = self.zone_marks_by_name.get(zone)
         return mark is not None and mark.is_out
 
     def is_open(self, name: str, now: float) -> bool:
@@ -180,6 +177,13 @@
             return True
         return now - record.vanished_at < VANISHED_BOUND_S
 
+    def find_closing(self, name: str) -> float | None:
+        """Return when a vanished upstream stops to get work, or None."""
+        record = self._records_by_name.get(name)
+        if record is None or record.vanished_at is None:
+            return None
+        return record.vanished_at + VANISHED_BOUND_S
+
     # Steps of the commands.
 
     def _merge_line(self, instance: ListedInstance) -> None:
@@ -217,10 +221,12 @@
                 continue
             if record.vanished_at is None:
                 record.vanished_at = now
+                self._names_changed.add(name)
                 continue
             if now - record.vanished_at > KEEP_S:
                 forgotten.append(name)
         for gone in forgotten:
             pool = self._records_by_name.pop(gone).upstream.pool
             self._names_by_pool[pool].discard(gone)
-            self._leave_marks_by_name.pop(gone, None)
+            self.leave_marks_by_name.pop(gone, None)
+            self._names_changed.add(gone)
--- /dev/null
+++ b/damaskpoint/routing/fleet.py
@@ -0,0 +1,225 @@
+"""All upstreams of one entry, each placed by what it can take now."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING, final
+
+from damaskpoint import defaults
+from damaskpoint.routing import metrics
+from damaskpoint.routing.nodes import Node, Placement, PoolSlate
+from damaskpoint.routing.outliers import decay_outlier
+from damaskpoint.routing.waiting import WaitQueue
+from damaskpoint.routing.warmth import UnprovenReason
+
+if TYPE_CHECKING:
+    from damaskpoint.routing.directory import UpstreamDirectory
+    from damaskpoint.routing.permits import PermitBook
+    from damaskpoint.routing.ranks import EntryRanks
+    from damaskpoint.routing.warmth import WarmthBook
+
+_OPEN_PLACEMENTS = frozenset((Placement.READY, Placement.PERMITTED))
+_FOREVER = float('inf')
+
+
+@final
+class Fleet:
+    """The upstreams by name, and by pool with those that wait for them."""
+
+    def __init__(
+        self,
+        directory: UpstreamDirectory,
+        warmth: WarmthBook,
+        permits: PermitBook,
+        ranks: EntryRanks,
+        *,
+        is_guarded: bool,
+    ) -> None:
+        """Start with no upstreams.
+
+        Without the guard a cold upstream counts as a warm one: that is for
+        a measurement's baseline and for tests alone.
+        """
+        self.nodes_by_name: dict[str, Node] = {}
+        self.slates_by_pool: dict[str, PoolSlate] = {}
+        self.queues_by_pool: dict[str, WaitQueue] = {}
+        self._directory = directory
+        self._warmth = warmth
+        self._permits = permits
+        self._ranks = ranks
+        self._is_guarded = is_guarded
+        self._timers: list[tuple[float, str]] = []
+        self._restarted: list[Node] = []
+
+    # Commands.
+
+    def sync_directory(self, now: float) -> None:
+        """Take over what changed in the directory."""
+        for name in self._directory.take_changed():
+            node = self._meet(name, now)
+            if node is not None:
+                self.refresh(node, now)
+
+    def take_restarted(self) -> list[Node]:
+        """Return the upstreams that the list shows as restarted."""
+        restarted = self._restarted
+        self._restarted = []
+        return restarted
+
+    def refresh(self, node: Node, now: float) -> None:
+        """Place an upstream where it belongs now, and wake a waiter."""
+        slate = self.slates_by_pool[node.upstream.pool]
+        others = node.load.estimate_others(now)
+        slate.count(node, node.load.own + others)
+        placement = self._find_placement(node, slate, others, now)
+        slate.place(node, placement)
+        self._set_timer(node, placement, now)
+        if placement in _OPEN_PLACEMENTS:
+            self.queues_by_pool[node.upstream.pool].wake_next()
+
+    def run_timers(self, now: float) -> None:
+        """Look again at each upstream whose time has come."""
+        while self._timers and self._timers[0][0] <= now:
+            timer_at, name = heapq.heappop(self._timers)
+            node = self.nodes_by_name.get(name)
+            if node is None or node.timer_at != timer_at:
+                continue
+            node.timer_at = _FOREVER
+            if self._warmth.expire(name, now):
+                reason = UnprovenReason.STALE.value
+                metrics.UNPROVEN.inc({'reason': reason})
+            self.refresh(node, now)
+
+    def decay_outliers(self, now: float) -> None:
+        """Let slow upstreams be tried again in time."""
+        for slate in self.slates_by_pool.values():
+            if not slate.outliers:
+                continue
+            for node in slate.nodes_by_name.values():
+                if node.load.is_outlier:
+                    decay_outlier(slate, node, now)
+
+    def drop_silent(self, now: float) -> None:
+        """Forget the shares of peers that have gone silent."""
+        before = now - defaults.PEER_TIMEOUT_S
+        for node in self.nodes_by_name.values():
+            if not node.load.shares_by_peer:
+                continue
+            node.load.drop_silent(before)
+            self.refresh(node, now)
+
+    # Queries.
+
+    def is_placed_open(self, node: Node) -> bool:
+        """Return whether the upstream can take a call."""
+        return node.placement in _OPEN_PLACEMENTS
+
+    # Steps.
+
+    def _meet(self, name: str, now: float) -> Node | None:
+        """Return the node of a listed upstream, as it is listed now."""
+        upstream = self._directory.find(name)
+        node = self.nodes_by_name.get(name)
+        if upstream is None:
+            self._forget(name)
+            return None
+        if node is not None and node.upstream.pool == upstream.pool:
+            slate = self.slates_by_pool[upstream.pool]
+            if node.upstream.zone != upstream.zone:
+                slate.place(node, Placement.CLOSED)
+            if upstream.incarnation > node.upstream.incarnation:
+                self._restarted.append(node)
+            node.upstream = upstream
+            self._adopt_pool(slate)
+            return node
+        pool = self._directory.find_pool(upstream.pool)
+        self._forget(name)
+        if pool is None:
+            return None
+        slate = self.slates_by_pool.setdefault(pool.name, PoolSlate(pool))
+        self.queues_by_pool.setdefault(pool.name, WaitQueue())
+        node = Node(upstream)
+        self.nodes_by_name[name] = node
+        slate.add(node)
+        return node
+
+    def _adopt_pool(self, slate: PoolSlate) -> None:
+        pool = self._directory.find_pool(slate.pool.name)
+        if pool is not None:
+            slate.pool = pool
+
+    def _forget(self, name: str) -> None:
+        node = self.nodes_by_name.pop(name, None)
+        if node is None:
+            return
+        self._warmth.forget(name)
+        slate = self.slates_by_pool[node.upstream.pool]
+        slate.remove(name)
+        if node.load.is_outlier:
+            slate.outliers -= 1
+
+    def _find_placement(
+        self, node: Node, slate: PoolSlate, others: int, now: float
+    ) -> Placement:
+        name = node.upstream.name
+        if not self._directory.is_open(name, now):
+            return Placement.CLOSED
+        if not node.breaker.allows(now):
+            return Placement.BREAKER_OPEN
+        if self._bears_warm_load(name, slate, now):
+            return self._place_warm(node, slate, others)
+        return self._place_cold(node, slate, now)
+
+    def _bears_warm_load(self, name: str, slate: PoolSlate, now: float) -> bool:
+        pool = slate.pool
+        if not self._is_guarded or pool.cold_limit >= pool.warm_limit:
+            return True
+        return self._warmth.is_warm(name, now)
+
+    def _place_warm(
+        self, node: Node, slate: PoolSlate, others: int
+    ) -> Placement:
+        """Leave each entry a fair part, whatever the others seem to use.
+
+        Others' calls are known late: without a part of its own, an entry
+        would wait while the others fill each place that they free.
+        """
+        limit = slate.pool.warm_limit
+        own = node.load.own
+        fair = max(1, limit // self._ranks.count)
+        if own + others < limit or own < fair:
+            return Placement.READY
+        return Placement.FULL
+
+    def _place_cold(
+        self, node: Node, slate: PoolSlate, now: float
+    ) -> Placement:
+        name = node.upstream.name
+        limit = slate.pool.cold_limit
+        own = node.load.own
+        reason = self._warmth.find_reason(name)
+        is_held = self._permits.is_held(name, now)
+        node.is_hopeful = is_held or reason is not UnprovenReason.SAID_COLD
+        if own + node.load.peers_total >= limit:
+            return Placement.COLD
+        if self._permits.find_room(name, own, limit, now):
+            return Placement.PERMITTED
+        return Placement.COLD
+
+    def _set_timer(self, node: Node, placement: Placement, now: float) -> None:
+        name = node.upstream.name
+        timer_at = node.timer_at
+        # A half-open breaker waits for the end of its probe, not for a time.
+        if placement is Placement.BREAKER_OPEN:
+            if node.breaker.opens_until > now:
+                timer_at = min(timer_at, node.breaker.opens_until)
+        if placement in {Placement.READY, Placement.FULL}:
+            expiry = self._warmth.find_expiry(name)
+            if expiry > 0:
+                timer_at = min(timer_at, expiry)
+        closing = self._directory.find_closing(name)
+        if closing is not None and placement is not Placement.CLOSED:
+            timer_at = min(timer_at, closing)
+        if timer_at < node.timer_at:
+            node.timer_at = timer_at
+            heapq.heappush(self._timers, (timer_at, name))
--- /dev/null
+++ b/damaskpoint/routing/nodes.py
@@ -0,0 +1,186 @@
+"""Each upstream's state, and each pool's upstreams by what they can take.
+
+Every event moves the one upstream that it is about, so that a choice never
+looks through a pool.
+"""
+
+from __future__ import annotations
+
+import bisect
+import enum
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final, final
+
+import xxhash
+
+from damaskpoint import defaults
+from damaskpoint.routing.breaker import Breaker
+from damaskpoint.routing.loads import UpstreamLoad
+from damaskpoint.routing.sampled import SampledSet
+
+if TYPE_CHECKING:
+    from damaskpoint.config.model import Pool
+    from damaskpoint.routing.base import RouteQuery, Upstream
+
+# Upstreams among which a prefix's own is looked for.
+AFFINITY_WINDOW: Final = 16
+
+
+@final
+class Placement(enum.Enum):
+    """What an upstream can take now."""
+
+    # Leaving, in a zone that is out, vanished or not in a known pool.
+    CLOSED = 'closed'
+    BREAKER_OPEN = 'breaker_open'
+    FULL = 'full'
+    # Cold, without a free permit of this entry.
+    COLD = 'cold'
+    # Cold, with a free permit of this entry.
+    PERMITTED = 'permitted'
+    READY = 'ready'
+
+
+@final
+@dataclass(slots=True)
+class Node:
+    """One upstream as the choice sees it; times are monotonic seconds."""
+
+    upstream: Upstream
+    load: UpstreamLoad = field(default_factory=UpstreamLoad)
+    breaker: Breaker = field(default_factory=Breaker)
+    placement: Placement = Placement.CLOSED
+    # Calls in flight by the last count, as summed up in the pool.
+    counted: int = 0
+    last_cold_at: float = float('-inf')
+    # Whether a cold upstream may soon take a call of this entry: it holds
+    # the lease, or the upstream is unproven without having said cold.
+    is_hopeful: bool = False
+    # When the node has to be looked at again; infinite if not.
+    timer_at: float = float('inf')
+
+    def has_model(self, query: RouteQuery) -> bool:
+        """Return whether it has the model loaded, as far as is known."""
+        report = self.load.report
+        if not query.model or report is None or report.models is None:
+            return True
+        return query.model in report.models
+
+    def estimate_wait(self, limit: int, now: float) -> float:
+        """Return the expected wait of one more call, in seconds."""
+        service_s = self.load.service_s or defaults.SERVICE_TIME_S
+        inside = self.load.own + self.load.estimate_others(now)
+        return service_s * (inside + 1) / max(1, limit)
+
+
+class PoolSlate:
+    """The upstreams of one pool, by placement."""
+
+    def __init__(self, pool: Pool) -> None:
+        """Start with no upstreams."""
+        self.pool = pool
+        self.nodes_by_name: dict[str, Node] = {}
+        self.ready_by_zone: dict[str, SampledSet] = {}
+        self.names_by_placement: dict[Placement, SampledSet] = {
+            placement: SampledSet() for placement in Placement
+        }
+        # Calls in flight in all upstreams, as estimated.
+        self.total_in_flight = 0
+        # Calls in flight of this entry alone.
+        self.own_in_flight = 0
+        self.last_demand_at = float('-inf')
+        # Smoothed service time and its median over upstreams (seconds).
+        self.service_s: float = 0
+        self.median_s: float = 0
+        self.median_at = float('-inf')
+        self.outliers = 0
+        self._ring: list[tuple[int, str]] = []
+
+    @property
+    def ready(self) -> SampledSet:
+        """Return the upstreams that are warm and have room."""
+        return self.names_by_placement[Placement.READY]
+
+    @property
+    def permitted(self) -> SampledSet:
+        """Return the cold upstreams with a free permit."""
+        return self.names_by_placement[Placement.PERMITTED]
+
+    @property
+    def cold(self) -> SampledSet:
+        """Return the cold upstreams without a free permit."""
+        return self.names_by_placement[Placement.COLD]
+
+    @property
+    def open_count(self) -> int:
+        """Return the number of upstreams that may get new work."""
+        closed = self.names_by_placement[Placement.CLOSED]
+        return len(self.nodes_by_name) - len(closed)
+
+    def add(self, node: Node) -> None:
+        """Add an upstream, closed until it is placed."""
+        name = node.upstream.name
+        self.nodes_by_name[name] = node
+        self.names_by_placement[Placement.CLOSED].add(name)
+
+    def remove(self, name: str) -> None:
+        """Remove an upstream."""
+        node = self.nodes_by_name[name]
+        self.place(node, Placement.CLOSED)
+        self.names_by_placement[Placement.CLOSED].discard(name)
+        self.count(node, 0)
+        self.nodes_by_name.pop(name)
+
+    def place(self, node: Node, placement: Placement) -> None:
+        """Move an upstream to where it belongs now."""
+        before = node.placement
+        if before is placement:
+            return
+        name = node.upstream.name
+        self.names_by_placement[before].discard(name)
+        self.names_by_placement[placement].add(name)
+        node.placement = placement
+        zone = node.upstream.zone
+        if before is Placement.READY:
+            self.ready_by_zone[zone].discard(name)
+        if placement is Placement.READY:
+            self.ready_by_zone.setdefault(zone, SampledSet()).add(name)
+        if before is Placement.CLOSED:
+            bisect.insort(self._ring, _locate(name))
+        if placement is Placement.CLOSED:
+            self._ring.pop(bisect.bisect_left(self._ring, _locate(name)))
+
+    def note_service(self, duration_s: float) -> None:
+        """Smooth a measured service time in."""
+        if not self.service_s:
+            self.service_s = duration_s
+            return
+        change = duration_s - self.service_s
+        self.service_s += change * defaults.SERVICE_TIME_WEIGHT
+
+    def count(self, node: Node, in_flight: int) -> None:
+        """Set an upstream's part of the pool's calls in flight."""
+        self.total_in_flight += in_flight - node.counted
+        node.counted = in_flight
+
+    def rank_by_prefix(self, prefix: bytes) -> list[str]:
+        """Return the first upstreams of a prefix, its own one first.
+
+        Rendezvous hashing within a window of a hash ring: all upstreams of
+        a small pool, a fixed number of a large one.
+        """
+        if not self._ring:
+            return []
+        seed = xxhash.xxh64_intdigest(prefix)
+        start = bisect.bisect_left(self._ring, (seed, ''))
+        width = min(AFFINITY_WINDOW, len(self._ring))
+        scored = []
+        for step in range(width):
+            name = self._ring[(start + step) % len(self._ring)][1]
+            scored.append((xxhash.xxh64_intdigest(name.encode(), seed), name))
+        scored.sort(reverse=True)
+        return [name for _, name in scored]
+
+
+def _locate(name: str) -> tuple[int, str]:
+    return (xxhash.xxh64_intdigest(name.encode()), name)
--- /dev/null
+++ b/damaskpoint/routing/outliers.py
@@ -0,0 +1,65 @@
+"""Upstreams that are slow against their pool's median."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+from damaskpoint import defaults
+from damaskpoint.routing import metrics
+
+if TYPE_CHECKING:
+    from damaskpoint.routing.nodes import Node, PoolSlate
+
+
+def review_outliers(slate: PoolSlate, node: Node, now: float) -> None:
+    """Judge one upstream against the median, which is kept for a while.
+
+    Never more than a share of the pool are outliers, so that a pool that
+    is slow as a whole is used as a whole. An outlier gets little work, so
+    its measured time drifts back to the median and it is tried again.
+    """
+    if now - slate.median_at >= defaults.MEDIAN_KEEP_S:
+        slate.median_at = now
+        slate.median_s = _find_median(slate)
+    if not slate.median_s or not node.load.service_s:
+        return
+    bound_s = slate.median_s * defaults.OUTLIER_FACTOR
+    if node.load.service_s <= bound_s:
+        _release(slate, node)
+        return
+    if node.load.is_outlier:
+        return
+    most = int(len(slate.nodes_by_name) * defaults.OUTLIER_SHARE)
+    if slate.outliers >= most:
+        return
+    node.load.is_outlier = True
+    slate.outliers += 1
+    metrics.OUTLIERS.inc({'pool': slate.pool.name})
+
+
+def decay_outlier(slate: PoolSlate, node: Node, now: float) -> None:
+    """Let an outlier forget a part of its slowness."""
+    distance_s = node.load.service_s - slate.median_s
+    node.load.service_s -= distance_s * defaults.OUTLIER_DECAY
+    review_outliers(slate, node, now)
+
+
+def _release(slate: PoolSlate, node: Node) -> None:
+    if not node.load.is_outlier:
+        return
+    node.load.is_outlier = False
+    slate.outliers -= 1
+
+
+def _find_median(slate: PoolSlate) -> float:
+    """Return the median service time of a bounded sample of the pool."""
+    times = []
+    nodes = slate.nodes_by_name.values()
+    for node in itertools.islice(nodes, defaults.MEDIAN_SAMPLE):
+        if node.load.service_s:
+            times.append(node.load.service_s)
+    if not times:
+        return 0
+    times.sort()
+    return times[len(times) // 2]
--- /dev/null
+++ b/damaskpoint/routing/poller.py
@@ -0,0 +1,148 @@
+"""Reads upstreams' load reports, each upstream's by a few entries only.
+
+Every entry polls the upstreams of which it is one of the owners, and those
+whose lease it wants or holds; reports of all others come from peers.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, final
+
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.ioloop import PeriodicCallback
+
+from damaskpoint.errors import Code, Failure
+from damaskpoint.routing import metrics
+from damaskpoint.routing.report import HeardReport, LoadReport, parse_report
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from damaskpoint.routing.base import Upstream
+    from damaskpoint.routing.core import RoutingCore
+    from damaskpoint.routing.ranks import EntryRanks
+    from damaskpoint.settings import RoutingOptions
+
+_MS_PER_S = 1_000
+# Share of a poll's interval by which its moment is drawn at random.
+_JITTER = 0.2
+
+
+@final
+class LoadPoller:
+    """Polls on a timer; a poll still under way is not doubled."""
+
+    def __init__(
+        self,
+        core: RoutingCore,
+        ranks: EntryRanks,
+        options: RoutingOptions,
+        client: AsyncHTTPClient,
+        clock: Callable[[], float],
+    ) -> None:
+        """Start without any report."""
+        self._core = core
+        self._ranks = ranks
+        self._options = options
+        self._client = client
+        self._clock = clock
+        self._polls_by_name: dict[str, asyncio.Task[None]] = {}
+        self._asked_by_name: dict[str, tuple[float, LoadReport]] = {}
+        self._timer = PeriodicCallback(
+            self.poll_all, options.load_poll_s * _MS_PER_S, _JITTER
+        )
+
+    # Commands.
+
+    def start(self) -> None:
+        """Poll from now on; needs the running loop."""
+        self.poll_all()
+        self._timer.start()
+
+    def stop(self) -> None:
+        """Poll no more."""
+        self._timer.stop()
+        for task in self._polls_by_name.values():
+            task.cancel()
+
+    def poll_all(self) -> None:
+        """Start a poll of each upstream that this entry looks after."""
+        for upstream in find_polled(self._core, self._ranks):
+            if upstream.name in self._polls_by_name:
+                continue
+            task = asyncio.ensure_future(self._poll(upstream))
+            self._polls_by_name[upstream.name] = task
+
+    # Queries.
+
+    def reports_to_share(self, now: float) -> tuple[HeardReport, ...]:
+        """Return the own reports that still prove something, with ages."""
+        heard = []
+        for name, (asked_at, report) in self._asked_by_name.items():
+            age_s = now - asked_at
+            if age_s <= self._options.load_report_bound_s:
+                heard.append(HeardReport(name, report, age_s))
+        return tuple(heard)
+
+    # Steps.
+
+    async def _poll(self, upstream: Upstream) -> None:
+        asked_at = self._clock()
+        answer = await self._fetch(upstream)
+        self._polls_by_name.pop(upstream.name, None)
+        now = self._clock()
+        if isinstance(answer, LoadReport):
+            self._asked_by_name[upstream.name] = (asked_at, answer)
+            self._core.evidence.note_report(
+                upstream.name, answer, asked_at, now
+            )
+            _count('done')
+            return
+        self._asked_by_name.pop(upstream.name, None)
+        _count('failed')
+        if isinstance(answer, Failure):
+            return
+        self._core.evidence.note_unreachable(upstream.name, now)
+
+    async def _fetch(self, upstream: Upstream) -> LoadReport | Failure | None:
+        """Return the report; None if the connection was refused."""
+        request = HTTPRequest(
+            f'http://{upstream.host}:{upstream.port}/v1/load',
+            connect_timeout=self._options.connect_timeout_s,
+            request_timeout=self._options.load_report_bound_s,
+        )
+        try:
+            response = await self._client.fetch(request)
+        except ConnectionRefusedError:
+            return None
+        except (HTTPClientError, OSError) as error:
+            return Failure(Code.UPSTREAM_UNREACHABLE, str(error))
+        return parse_report(response.body)
+
+
+def find_polled(core: RoutingCore, ranks: EntryRanks) -> tuple[Upstream, ...]:
+    """Return the upstreams whose load this entry asks for itself."""
+    polled = []
+    for name, node in core.fleet.nodes_by_name.items():
+        slate = core.fleet.slates_by_pool[node.upstream.pool]
+        if not slate.pool.reports_load:
+            continue
+        if ranks.is_owner(name) or name in core.permits.leases_by_name:
+            polled.append(node.upstream)
+    return tuple(polled)
+
+
+def _count(result: str) -> None:
+    metrics.POLLS.inc({'result': result})
+
+
+def create_poller(
+    core: RoutingCore,
+    ranks: EntryRanks,
+    options: RoutingOptions,
+    client: AsyncHTTPClient,
+    clock: Callable[[], float],
+) -> LoadPoller:
+    """Return a poller; ``client`` must allow as many calls at once."""
+    return LoadPoller(core, ranks, options, client, clock)
--- /dev/null
+++ b/damaskpoint/routing/ranks.py
@@ -0,0 +1,62 @@
+"""Which entry looks after which upstream, by rendezvous hashing.
+
+All entries with the same view of the live entries agree without a message;
+while views differ, two may look after one upstream, which does no harm.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final, final
+
+import xxhash
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# Entries that poll an upstream's load, and that may claim its lease.
+OWNERS: Final = 2
+
+
+@final
+class EntryRanks:
+    """The own rank among the live entries, for each upstream."""
+
+    def __init__(self, own: str) -> None:
+        """Start as the only entry that is known."""
+        self._own = own
+        self._entries: tuple[str, ...] = (own,)
+        self._ranks_by_upstream: dict[str, int] = {}
+
+    def hear_entries(self, names: Iterable[str]) -> None:
+        """Take the names of the live entries."""
+        entries = tuple(sorted({self._own, *names}))
+        if entries == self._entries:
+            return
+        self._entries = entries
+        self._ranks_by_upstream.clear()
+
+    @property
+    def count(self) -> int:
+        """Return the number of live entries."""
+        return len(self._entries)
+
+    def find_rank(self, upstream: str) -> int:
+        """Return the own rank for an upstream, 0 for the first."""
+        known = self._ranks_by_upstream.get(upstream)
+        if known is not None:
+            return known
+        own_score = _score(self._own, upstream)
+        rank = 0
+        for entry in self._entries:
+            if _score(entry, upstream) > own_score:
+                rank += 1
+        self._ranks_by_upstream[upstream] = rank
+        return rank
+
+    def is_owner(self, upstream: str) -> bool:
+        """Return whether this entry is one of the upstream's owners."""
+        return self.find_rank(upstream) < OWNERS
+
+
+def _score(entry: str, upstream: str) -> int:
+    return xxhash.xxh64_intdigest(f'{entry}\n{upstream}'.encode())
--- a/damaskpoint/routing/router.py
+++ b/damaskpoint/routing/router.py
@@ -1,66 +1,118 @@
-"""The router: gives tickets for upstreams and counts them."""
+"""The router on the loop: gives tickets, lets calls wait, keeps time."""
 
 from __future__ import annotations
 
-import time
+import asyncio
+import contextlib
 from typing import TYPE_CHECKING, final
 
+from tornado.ioloop import PeriodicCallback
+
+from damaskpoint import defaults
 from damaskpoint.errors import Code, Failure
+from damaskpoint.routing import metrics
 from damaskpoint.routing.base import CallReport, RouteQuery, Router, Ticket
+from damaskpoint.routing.waiting import Waiter
 
 if TYPE_CHECKING:
-    import random
+    from collections.abc import Callable
 
-    from damaskpoint.routing.directory import UpstreamDirectory
+    from damaskpoint.routing.core import RoutingCore
 
-_RETRY_AFTER_S = 1.0
+_MS_PER_S = 1_000
 
 
 @final
-class TwoChoiceRouter(Router):
-    """Gives each call to the less loaded of two random upstreams."""
-
-    def __init__(
-        self, directory: UpstreamDirectory, rng: random.Random
-    ) -> None:
-        """Start with nothing in flight."""
-        self._directory = directory
-        self._rng = rng
-        self._in_flight_by_name: dict[str, int] = {}
-        self._last_number = 0
+class CoreRouter(Router):
+    """Waits where ``RoutingCore`` decides."""
+
+    def __init__(self, core: RoutingCore, clock: Callable[[], float]) -> None:
+        """Keep the core and the monotonic clock (seconds)."""
+        self._core = core
+        self._clock = clock
+        self._ticks = PeriodicCallback(
+            self._tick, defaults.ROUTING_TICK_S * _MS_PER_S
+        )
+
+    def start(self) -> None:
+        """Keep time from now on; needs the running loop."""
+        self._ticks.start()
+
+    def stop(self) -> None:
+        """Stop to keep time."""
+        self._ticks.stop()
 
     async def acquire(self, query: RouteQuery) -> Ticket | Failure:
-        """Return a ticket, or a failure when no upstream can take it."""
-        now = time.monotonic()
-        pool = self._directory.find_pool(query.pool)
-        if pool is None:
-            return Failure(Code.NO_UPSTREAM, retry_after_s=_RETRY_AFTER_S)
-        names = []
-        for name in sorted(self._directory.names_of_pool(query.pool)):
-            if name in query.excluded:
-                continue
-            if not self._directory.is_open(name, now):
-                continue
-            if self._in_flight_by_name.get(name, 0) < pool.warm_limit:
-                names.append(name)
-        if not names:
-            return Failure(Code.NO_UPSTREAM, retry_after_s=_RETRY_AFTER_S)
-        pair = self._rng.sample(names, min(2, len(names)))
-        chosen = min(pair, key=lambda one: self._in_flight_by_name.get(one, 0))
-        upstream = self._directory.upstreams_by_name[chosen]
-        self._in_flight_by_name[chosen] = (
-            self._in_flight_by_name.get(chosen, 0) + 1
+        """Return a ticket, waiting for one while that can help."""
+        now = self._clock()
+        if now >= query.deadline:
+            return Failure(Code.DEADLINE_PASSED)
+        # Those that wait go first.
+        if not self._core.count_waiting(query.pool):
+            ticket = self._core.try_acquire(query, now)
+            if ticket is not None:
+                return ticket
+        refused = self._core.judge(
+            query, self._core.count_waiting(query.pool), now
         )
-        self._last_number += 1
-        return Ticket(self._last_number, upstream, is_cold=False, taken_at=now)
+        if refused is not None:
+            _count_refused(query, refused)
+            return refused
+        return await self._wait(query)
 
     def release(self, ticket: Ticket, report: CallReport) -> None:
-        """Count the call out."""
-        self._in_flight_by_name[ticket.upstream.name] -= 1
+        """Give a ticket back, exactly once, with what was seen."""
+        self._core.release(ticket, report, self._clock())
+
+    async def _wait(self, query: RouteQuery) -> Ticket | Failure:
+        """Wait in the pool's queue until a place, or the deadline."""
+        loop = asyncio.get_running_loop()
+        bell = asyncio.Event()
+        waiter = Waiter(query, bell.set)
+        self._core.enqueue(waiter)
+        alarm = loop.call_later(query.deadline - self._clock(), bell.set)
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._core.dequeue, waiter)
+            stack.callback(alarm.cancel)
+            while True:
+                await bell.wait()
+                bell.clear()
+                answer = self._retry(waiter)
+                if answer is not None:
+                    return answer
+
+    def _retry(self, waiter: Waiter) -> Ticket | Failure | None:
+        """Return what the woken call gets, or None to wait on."""
+        now = self._clock()
+        query = waiter.query
+        if now >= query.deadline:
+            return _time_out(query)
+        if not waiter.is_woken:
+            return None
+        ticket = self._core.try_acquire(query, now)
+        if ticket is not None:
+            return ticket
+        refused = self._core.judge(query, 0, now)
+        if refused is not None:
+            _count_refused(query, refused)
+            return refused
+        self._core.put_back(waiter)
+        return None
+
+    def _tick(self) -> None:
+        self._core.tick(self._clock())
+
+
+def _time_out(query: RouteQuery) -> Failure:
+    failure = Failure(Code.DEADLINE_PASSED, 'No upstream became free in time.')
+    _count_refused(query, failure)
+    return failure
+
+
+def _count_refused(query: RouteQuery, failure: Failure) -> None:
+    metrics.REFUSED.inc({'pool': query.pool, 'reason': failure.code.value})
 
 
-def create_router(
-    directory: UpstreamDirectory, rng: random.Random
-) -> TwoChoiceRouter:
-    """Return a router over a directory."""
-    return TwoChoiceRouter(directory, rng)
+def create_router(core: RoutingCore, clock: Callable[[], float]) -> CoreRouter:
+    """Return a router over the deciding core."""
+    return CoreRouter(core, clock)
--- a/damaskpoint/settings.py
+++ b/damaskpoint/settings.py
@@ -92,6 +92,8 @@
         defaults.LOAD_REPORT_BOUND_S, gt=0
     )
     """Age past which a load report proves nothing (seconds)."""
+    load_report_lag_s: float = pydantic.Field(defaults.LOAD_REPORT_LAG_S, ge=0)
+    """Longest lag of a load report behind the upstream's state (seconds)."""
     connect_timeout_s: float = pydantic.Field(defaults.CONNECT_TIMEOUT_S, gt=0)
     """Time to connect to an upstream (seconds)."""
     lease_s: float = pydantic.Field(defaults.LEASE_S, gt=0)
