--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -60,3 +60,12 @@
 # Shutdown.
 SHUTDOWN_NOTICE_S: Final = 2.0
 SHUTDOWN_LIMIT_S: Final = 60.0
+
+# Orders to engines.
+RECONCILE_LEASE_S: Final = 6.0
+RECONCILE_LEASE_MARGIN_S: Final = 0.6
+# Margin of a lease, as a share of its length, that clocks may drift apart.
+LEAST_LEASE_MARGIN_SHARE: Final = 0.03
+ENGINE_STATE_POLL_S: Final = 1.0
+ORDER_TIMEOUT_S: Final = 30.0
+MAX_ORDERS: Final = 3
--- a/damaskpoint/observe/state.py
+++ b/damaskpoint/observe/state.py
@@ -24,6 +24,10 @@
         """Add a part under a name of its own."""
         self._sources_by_name[name] = source
 
+    def remove(self, name: str) -> None:
+        """Remove a part that has ended."""
+        self._sources_by_name.pop(name, None)
+
     def dump(self, now: float) -> dict[str, object]:
         """Return the state of every part."""
         dumped: dict[str, object] = {}
--- /dev/null
+++ b/damaskpoint/reconcile/process.py
@@ -0,0 +1,163 @@
+"""The reconciler's process: one pool reconciler for each pool of targets."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, final
+
+from damaskpoint import defaults
+from damaskpoint.errors import Code, Failure
+from damaskpoint.observe.operator_app import Readiness
+from damaskpoint.platform.base import InstanceList, ListedInstance, Presence
+from damaskpoint.reconcile.candidates import is_candidate
+from damaskpoint.reconcile.lease import LeaseOptions
+from damaskpoint.reconcile.lease_keeper import create_lease_keeper
+from damaskpoint.reconcile.planner import (
+    OrderPlanner,
+    PacingOptions,
+    create_target,
+)
+from damaskpoint.reconcile.pool import PoolGoal, PoolReconciler
+from damaskpoint.reconcile.progress import locate_lease
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from damaskpoint.config.follower import ConfigurationFollower
+    from damaskpoint.config.model import Configuration
+    from damaskpoint.observe.state import StateRegistry
+    from damaskpoint.platform.base import Table
+    from damaskpoint.reconcile.engine_client import EngineClient
+    from damaskpoint.settings import Options
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class ReconcilerParts:
+    """What the process works with; ``clock`` gives monotonic seconds."""
+
+    options: Options
+    table: Table
+    instances: InstanceList
+    follower: ConfigurationFollower
+    client: EngineClient
+    registry: StateRegistry
+    clock: Callable[[], float]
+
+
+@final
+class ReconcilerProcess(Readiness):
+    """Keeps a reconciler for each pool that has targets."""
+
+    def __init__(self, parts: ReconcilerParts) -> None:
+        """Start without pools."""
+        self._parts = parts
+        # A restart of the process is another owner of leases.
+        start = uuid.uuid4().hex
+        self._owner = f'{parts.options.instance.name}/{start}'
+        self._pools_by_name: dict[str, PoolReconciler] = {}
+        self._tasks_by_name: dict[str, asyncio.Task[None]] = {}
+        self._listed: tuple[ListedInstance, ...] = ()
+        self._is_ending = False
+
+    def check_ready(self, now: float) -> Failure | None:
+        """Return why no order can be given, or None."""
+        if self._is_ending:
+            return Failure(Code.SHUTTING_DOWN)
+        return self._parts.follower.check_ready(now)
+
+    async def run(self) -> None:
+        """Follow the instance list and hand out goals, until ``end``."""
+        while not self._is_ending:
+            listed = await self._parts.instances.fetch()
+            if not isinstance(listed, Failure):
+                self._listed = listed
+            await self._update()
+            await asyncio.sleep(
+                self._parts.options.platform.instance_list_poll_s
+            )
+
+    async def end(self) -> None:
+        """Finish what is under way and give all leases back."""
+        self._is_ending = True
+        limit_s = self._parts.options.shutdown.limit_s / 2
+        ends = [pool.end(limit_s) for pool in self._pools_by_name.values()]
+        await asyncio.gather(*ends)
+        for task in self._tasks_by_name.values():
+            task.cancel()
+
+    async def _update(self) -> None:
+        configuration = self._parts.follower.current
+        if configuration is None or self._is_ending:
+            return
+        for name in configuration.targets_by_pool:
+            goal = self._create_goal(configuration, name)
+            if goal:
+                self._find_pool(name).hear_goal(goal)
+        for name in set(self._pools_by_name) - set(
+            configuration.targets_by_pool
+        ):
+            await self._drop_pool(name)
+
+    def _create_goal(
+        self, configuration: Configuration, name: str
+    ) -> PoolGoal | None:
+        target = create_target(configuration.targets_by_pool[name])
+        if target is None:
+            return None
+        zones_out = set()
+        for zone in configuration.zones_by_name.values():
+            if zone.is_out:
+                zones_out.add(zone.name)
+        engines_by_name = {}
+        entries = []
+        for listed in self._listed:
+            if listed.presence is not Presence.LIVE:
+                continue
+            if listed.pool == defaults.ENTRY_POOL:
+                entries.append(listed.name)
+            if listed.pool == name:
+                engines_by_name[listed.name] = listed
+        own_name = self._parts.options.instance.name
+        return PoolGoal(
+            pool=name,
+            version=configuration.version,
+            target=target,
+            checks_fencing=configuration.pools_by_name[name].checks_fencing,
+            engines_by_name=engines_by_name,
+            zones_out=frozenset(zones_out),
+            is_candidate=is_candidate(name, own_name, entries),
+        )
+
+    def _find_pool(self, name: str) -> PoolReconciler:
+        pool = self._pools_by_name.get(name)
+        if pool:
+            return pool
+        parts = self._parts
+        options = parts.options.reconciler
+        lease_options = LeaseOptions(
+            locate_lease(name),
+            self._owner,
+            options.lease_s,
+            options.lease_margin_s,
+        )
+        pool = PoolReconciler(
+            create_lease_keeper(lease_options, parts.table, parts.clock),
+            parts.client,
+            OrderPlanner(PacingOptions(options.max_orders)),
+            options,
+            parts.clock,
+        )
+        self._pools_by_name[name] = pool
+        self._tasks_by_name[name] = asyncio.create_task(pool.run())
+        parts.registry.register(f'pool {name}', pool)
+        return pool
+
+    async def _drop_pool(self, name: str) -> None:
+        """Stop a pool that has no target any more."""
+        pool = self._pools_by_name.pop(name)
+        self._parts.registry.remove(f'pool {name}')
+        await pool.end(self._parts.options.reconciler.order_timeout_s)
+        self._tasks_by_name.pop(name).cancel()
--- a/damaskpoint/reconcile/progress.py
+++ b/damaskpoint/reconcile/progress.py
@@ -1,4 +1,8 @@
-"""The table's rows that tell how far the orders of a pool have come."""
+"""How far the orders of a pool have come, as its lease's row tells it.
+
+The holder's renewals carry it, so that it costs no write of its own and no
+former holder can overwrite it.
+"""
 
 from __future__ import annotations
 
@@ -11,7 +15,8 @@
 if TYPE_CHECKING:
     from damaskpoint.platform.base import Row
 
-PROGRESS_TABLE: Final = 'reconcile-progress'
+LEASE_TABLE: Final = 'leases'
+POOL_PREFIX: Final = 'reconcile/'
 
 
 @final
@@ -23,20 +28,22 @@
     pool: str
     # Version of the configuration that the orders follow.
     version: int
+    # Highest version that any holder has given orders for.
+    highest_version: int
     upstreams: int
     done: int
     last_failure: str = ''
     holder: str = ''
 
 
-def locate_progress(pool: str) -> RowKey:
-    """Return the key of a pool's row."""
-    return RowKey(PROGRESS_TABLE, pool)
+def locate_lease(pool: str) -> RowKey:
+    """Return the key of the row of a pool's lease."""
+    return RowKey(LEASE_TABLE, f'{POOL_PREFIX}{pool}')
 
 
 def read_progress(row: Row) -> PoolProgress | None:
-    """Return the validated row, None if it is malformed."""
+    """Return what the row of a lease tells, None if it tells nothing yet."""
     try:
-        return PoolProgress.model_validate(row.data)
+        return PoolProgress.model_validate(row.data.get('note'))
     except pydantic.ValidationError:
         return None
--- a/damaskpoint/settings.py
+++ b/damaskpoint/settings.py
@@ -8,7 +8,7 @@
 
 import pathlib
 import sys
-from typing import Literal, final
+from typing import Literal, Self, final
 
 import json5
 import pydantic
@@ -123,6 +123,36 @@
     """Answers up to this size stay in the table (bytes)."""
 
 
+@final
+class ReconcilerOptions(_Section):
+    """How orders to engines are given."""
+
+    operator_port: int = pydantic.Field(0, ge=0, le=defaults.MAX_PORT)
+    """TCP port of the reconciler for operators; 0 takes any free one."""
+    lease_s: float = pydantic.Field(defaults.RECONCILE_LEASE_S, gt=0)
+    """Length of the lease on a pool's orders; equal everywhere (seconds)."""
+    lease_margin_s: float = pydantic.Field(
+        defaults.RECONCILE_LEASE_MARGIN_S, gt=0
+    )
+    """Part of the lease, at its end, that its holder leaves unused."""
+    state_poll_s: float = pydantic.Field(defaults.ENGINE_STATE_POLL_S, gt=0)
+    """Time between two reads of an engine's state (seconds)."""
+    order_timeout_s: float = pydantic.Field(defaults.ORDER_TIMEOUT_S, gt=0)
+    """Longest time that an order may take; equal everywhere (seconds)."""
+    max_orders: int = pydantic.Field(defaults.MAX_ORDERS, gt=0)
+    """Engines of a pool that load at once, as the weight store bears."""
+
+    @pydantic.model_validator(mode='after')
+    def check_margin(self) -> Self:
+        """Refuse a margin that clocks running apart would use up."""
+        least_s = self.lease_s * defaults.LEAST_LEASE_MARGIN_SHARE
+        if not least_s <= self.lease_margin_s < self.lease_s:
+            raise ValueError(
+                f'lease_margin_s must be {least_s:g} to {self.lease_s:g}'
+            )
+        return self
+
+
 @final
 class BorderOptions(_Section):
     """Bounds at the callers' border."""
@@ -169,6 +199,8 @@
     """How requests are let in."""
     journal: JournalOptions = JournalOptions()
     """How non-idempotent requests are recorded."""
+    reconciler: ReconcilerOptions = ReconcilerOptions()
+    """How orders to engines are given."""
     border: BorderOptions = BorderOptions()
     """Bounds at the callers' border."""
     shutdown: ShutdownOptions = ShutdownOptions()
--- a/damaskpoint/sheet_tool/status.py
+++ b/damaskpoint/sheet_tool/status.py
@@ -6,7 +6,8 @@
 
 from damaskpoint.errors import Failure
 from damaskpoint.reconcile.progress import (
-    PROGRESS_TABLE,
+    LEASE_TABLE,
+    POOL_PREFIX,
     PoolProgress,
     read_progress,
 )
@@ -100,7 +101,7 @@
 
 
 async def _read_pools(tool: Tool) -> list[PoolProgress] | Failure:
-    rows = await tool.table.scan(PROGRESS_TABLE, '', '', _MAX_POOLS)
+    rows = await tool.table.scan(LEASE_TABLE, POOL_PREFIX, '', _MAX_POOLS)
     if isinstance(rows, Failure):
         return rows
     pools = []
