--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -152,12 +152,10 @@
 # Shutdown.
 SHUTDOWN_NOTICE_S: Final = 2.0
 SHUTDOWN_LIMIT_S: Final = 60.0
-<<<<<<< HEAD
 # Time between two looks at what is in flight (seconds).
 SHUTDOWN_STEP_S: Final = 0.05
 # Time between two rounds of housekeeping (seconds).
 HOUSEKEEPING_S: Final = 1.0
-=======
 
 # Orders to engines.
 RECONCILE_LEASE_S: Final = 6.0
@@ -167,4 +165,3 @@
 ENGINE_STATE_POLL_S: Final = 1.0
 ORDER_TIMEOUT_S: Final = 30.0
 MAX_ORDERS: Final = 3
->>>>>>> lane-config
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -1,7 +1,7 @@
 """Runs a small deployment on loopback and sends one request through it.
 
-Starts the stand-ins of the Lagos deployment in one process and two entries,
-applies the sample sheet, and asks a pipeline of four stages with curl.
+Starts the stand-ins of the Lagos deployment in one process and two instances
+with an entry and a reconciler each, applies the sample sheet, and asks a pipeline of four stages with curl.
 Everything ends with the command, or with ``--keep`` at an interrupt.
 """
 
@@ -31,6 +31,7 @@
 _OPERATOR_PORT: Final = 8081
 _PEER_PORT: Final = 8082
 # Name, availability zone and last number of the IP address.
+_MODULES: Final = ('damaskpoint.main.entry', 'damaskpoint.main.reconciler')
 _ENTRIES: Final = (('entry-1', 'ikeja', 201), ('entry-2', 'apapa', 202))
 
 
@@ -49,11 +50,13 @@
         self._wait_for(f'{self._platform_url()}/control/health')
         for name, zone, number in _ENTRIES:
             path = self._write_settings(name, zone, number)
-            self._start_python('damaskpoint.main.entry', '--settings', path)
+            for module in _MODULES:
+                self._start_python(module, '--settings', path)
         self._apply_sheet()
         for _name, _zone, number in _ENTRIES:
             host = f'{self._base_host}.{number}'
             self._wait_for(f'http://{host}:{_OPERATOR_PORT}/readyz')
+        self._wait_for_models()
 
     def request_words(self) -> list[str]:
         """Return the command line that sends the request."""
@@ -149,6 +152,18 @@
             time.sleep(_PAUSE_S)
         raise TimeoutError(f'{url} does not answer\n{self._read_logs()}')
 
+    def _wait_for_models(self) -> None:
+        """Ask until the reconcilers have had the models loaded."""
+        give_up_at = time.monotonic() + _READY_S
+        while time.monotonic() < give_up_at:
+            asked = subprocess.run(
+                self.request_words(), check=False, capture_output=True
+            )
+            if asked.returncode == 0:
+                return
+            time.sleep(_PAUSE_S)
+        raise TimeoutError(f'no model is loaded\n{self._read_logs()}')
+
     def _read_logs(self) -> str:
         logs = sorted(self._folder.glob('*.log'))
         return '\n'.join(path.read_text(errors='replace') for path in logs)
