--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -145,8 +145,8 @@
 JOURNAL_GRACE_S: Final = 5.0
 # Sweep of rows past their time: rows read a round, time between rounds and
 # length of the sweeper's lease (seconds).
-SWEEP_ROWS: Final = 100
-SWEEP_INTERVAL_S: Final = 5.0
+SWEEP_ROWS: Final = 500
+SWEEP_INTERVAL_S: Final = 2.0
 SWEEP_LEASE_S: Final = 60.0
 
 # Shutdown.
--- a/damaskpoint/entry/runtime.py
+++ b/damaskpoint/entry/runtime.py
@@ -17,6 +17,7 @@
     create_entry_parts,
     create_entry_routing,
     create_shared_parts,
+    create_sweeper,
 )
 from damaskpoint.observe.operator_app import Readiness, create_operator_app
 
@@ -63,6 +64,7 @@
                 EntryReadiness(parts), shared.registry, time.monotonic
             )
         )
+        self._sweeper = create_sweeper(shared)
         self._tasks: list[asyncio.Task[None]] = []
         self._signalled = asyncio.Event()
 
@@ -94,6 +96,7 @@
             self._shared.follower.run(time.monotonic),
             repeat(platform.instance_list_poll_s, poll),
             repeat(defaults.HOUSEKEEPING_S, self._close_idle),
+            repeat(defaults.SWEEP_INTERVAL_S, self._sweeper.sweep),
         ):
             self._tasks.append(asyncio.ensure_future(work))
         _LOG.info('listening on %s:%s', instance.host, instance.port)
@@ -118,6 +121,7 @@
             self._shared.background.count,
         )
         self._routing.stop()
+        self._shared.background.cut()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/damaskpoint/entry/wiring.py
+++ b/damaskpoint/entry/wiring.py
@@ -19,6 +19,7 @@
 from damaskpoint.entry.parts import EntryParts
 from damaskpoint.entry.shutdown import ShutdownState
 from damaskpoint.journal.guard import Guard
+from damaskpoint.journal.sweeper import Sweeper
 from damaskpoint.journal.table_journal import create_table_journal
 from damaskpoint.observe.state import StateRegistry
 from damaskpoint.pipeline.attempt import CallParts
@@ -152,6 +153,15 @@
     return Guard(journal, shared.background)
 
 
+def create_sweeper(shared: SharedParts) -> Sweeper:
+    """Return what deletes the journal's rows past their time."""
+    return Sweeper(
+        shared.options.instance.name,
+        shared.platform.table,
+        shared.options.journal.keep_s,
+    )
+
+
 def create_pipelines(
     shared: SharedParts, calls: CallParts, budget: RetryBudget, guard: Guard
 ) -> PipelineService:
--- /dev/null
+++ b/damaskpoint/journal/sweeper.py
@@ -0,0 +1,83 @@
+"""Deletes rows past their time, one entry at a time."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, Final, final
+
+from damaskpoint import defaults
+from damaskpoint.errors import Failure
+from damaskpoint.journal import metrics
+from damaskpoint.journal.rows import TABLE, decode_row, is_expired
+from damaskpoint.platform.base import Committed, RowKey, Write
+
+if TYPE_CHECKING:
+    from damaskpoint.platform.base import Row, Table
+
+_LEASE_ROW: Final = RowKey('leases', 'journal-sweep')
+
+
+@final
+class Sweeper:
+    """Reads the journal bit by bit and deletes what is too old.
+
+    A lease keeps the other entries from the same work. It is no lock: each
+    deletion names the version that was read, so two sweepers do no harm.
+    """
+
+    def __init__(self, entry: str, table: Table, keep_s: float) -> None:
+        """Start at the first row."""
+        self._entry = entry
+        self._table = table
+        self._keep_s = keep_s
+        self._after = ''
+
+    async def sweep(self) -> None:
+        """Go one step on through the journal, if this entry may."""
+        now_wall = time.time()
+        if not await self._hold_lease(now_wall):
+            return
+        rows = await self._table.scan(
+            TABLE, '', self._after, defaults.SWEEP_ROWS
+        )
+        if isinstance(rows, Failure):
+            return
+        self._after = rows[-1].row_key.key if rows else ''
+        expired = [row for row in rows if self._is_over(row, now_wall)]
+        if expired:
+            await self._delete(expired)
+
+    async def _hold_lease(self, now_wall: float) -> bool:
+        found = await self._table.read((_LEASE_ROW,))
+        if isinstance(found, Failure):
+            return False
+        row = found[0]
+        data = {} if row is None else row.data
+        until = data.get('until')
+        left_s = until - now_wall if isinstance(until, (int, float)) else 0
+        if data.get('owner') != self._entry and left_s > 0:
+            return False
+        if left_s > defaults.SWEEP_LEASE_S / 2:
+            return True
+        claim: dict[str, object] = {
+            'owner': self._entry,
+            'until': now_wall + defaults.SWEEP_LEASE_S,
+        }
+        version = 0 if row is None else row.version
+        outcome = await self._table.transact(
+            (Write(_LEASE_ROW, version, claim),)
+        )
+        return isinstance(outcome, Committed)
+
+    def _is_over(self, row: Row, now_wall: float) -> bool:
+        data = decode_row(row)
+        if isinstance(data, Failure):
+            return False
+        return is_expired(data, self._keep_s, now_wall)
+
+    async def _delete(self, expired: list[Row]) -> None:
+        outcome = await self._table.transact(
+            [Write(row.row_key, row.version, None) for row in expired]
+        )
+        if isinstance(outcome, Committed):
+            metrics.SWEPT.add({}, len(expired))
--- a/damaskpoint/pipeline/background.py
+++ b/damaskpoint/pipeline/background.py
@@ -35,6 +35,11 @@
         """Return the number of tasks."""
         return len(self._tasks)
 
+    def cut(self) -> None:
+        """End every task at once, as the end of the process would."""
+        for task in self._tasks:
+            task.cancel()
+
     def dump_state(self, now: float) -> dict[str, object]:
         """Return the number of tasks."""
         return {'tasks': len(self._tasks)}
