--- a/damaskpoint/routing/claims.py
+++ b/damaskpoint/routing/claims.py
@@ -212,7 +212,9 @@
         )
         if write.kind is WriteKind.CLAIM:
             settled_at = self._events.find_settled(lease.name, now)
-            lease.inside.restart(max(now, settled_at))
+            # What was sent last needs a moment to arrive.
+            arrived_at = max(now, settled_at) + self._terms.margin_s
+            lease.inside.restart(arrived_at)
             self._events.on_won(write)
 
 
--- a/damaskpoint/routing/evidence.py
+++ b/damaskpoint/routing/evidence.py
@@ -168,6 +168,7 @@
         elif not self._warmth.is_proved_after(name, now - age_s):
             reason = UnprovenReason.TOLD_BY_PEER
             self._doubt(node, report.incarnation, reason, now)
+            self._warmth.note_said_cold(name)
         self._fleet.refresh(node, now)
 
     def hear_unproven(self, name: str, incarnation: int, now: float) -> None:
--- a/damaskpoint/routing/fleet.py
+++ b/damaskpoint/routing/fleet.py
@@ -202,6 +202,10 @@
         node.is_hopeful = is_held or reason is not UnprovenReason.SAID_COLD
         if own + node.load.peers_total >= limit:
             return Placement.COLD
+        is_silent = not slate.pool.reports_load
+        if not is_silent and not self._warmth.is_cold_confirmed(name, now):
+            # It may have been warm in between, with others' calls inside.
+            return Placement.COLD
         if self._permits.find_room(name, own, limit, now):
             return Placement.PERMITTED
         return Placement.COLD
--- a/damaskpoint/routing/permits.py
+++ b/damaskpoint/routing/permits.py
@@ -66,8 +66,10 @@
         if lease is None:
             return
         held = lease.inside.settled_at
-        if math.isinf(held) or settled_at > held:
-            lease.inside.restart(settled_at)
+        # What was sent last needs a moment to arrive.
+        arrived_at = settled_at + self._terms.margin_s
+        if math.isinf(held) or arrived_at > held:
+            lease.inside.restart(arrived_at)
 
     def note_unseen_end(self, name: str, now: float) -> None:
         """Count a call that may go on in the upstream."""
--- a/damaskpoint/routing/warmth.py
+++ b/damaskpoint/routing/warmth.py
@@ -11,6 +11,10 @@
 short gaps, knows from the first time on, plus the bound, that nobody else
 holds a proof: the upstream is *settled*. A longer gap, a proof or a higher
 incarnation breaks the chain, since it may have been warm in between.
+
+One that has said cold, or has restarted, must say warm over a span of time
+before that is a proof. The span is longer than the distance of two reports,
+so whoever polls the upstream under a lease has seen it warm by then.
 """
 
 from __future__ import annotations
@@ -50,6 +54,9 @@
     # Latest time of the first, and earliest time of the last, of a chain of
     # answers that said cold; None if broken.
     cold_since: float | None = None
+    # Whether warmth must be seen over a span, and from when it is.
+    needs_span: bool = False
+    warm_from: float | None = None
     cold_seen_at: float = _NEVER
 
 
@@ -57,9 +64,18 @@
 class WarmthBook:
     """Proofs and doubts of all upstreams, as one entry knows them."""
 
-    def __init__(self, bound_s: float) -> None:
-        """Keep the age past which a proof proves nothing (seconds)."""
+    def __init__(
+        self, bound_s: float, span_s: float = 0, gap_s: float = 0
+    ) -> None:
+        """Keep the bounds (seconds).
+
+        ``bound_s`` is the age past which a proof proves nothing, ``span_s``
+        the time over which a cold upstream must be seen warm, and ``gap_s``
+        the longest time between two signs of cold of one chain.
+        """
         self.bound_s = bound_s
+        self._span_s = span_s
+        self._gap_s = gap_s
         self._warmth_by_name: dict[str, _Warmth] = {}
 
     # Commands; each returns whether the upstream changed state by it.
@@ -73,6 +89,8 @@
             return False
         if proved_at <= warmth.doubted_at:
             return False
+        if not self._is_seen_long(warmth, proved_at, now):
+            return False
         warmth.proved_at = max(warmth.proved_at, proved_at)
         if now - warmth.proved_at > self.bound_s:
             return False
@@ -99,19 +117,27 @@
         if seen < known.incarnation:
             return False
         is_change = known.was_warm or seen > known.incarnation
+        if seen > known.incarnation:
+            known.needs_span = True
         known.incarnation = seen
         if is_change:
             known.cold_since = None
         known.doubted_at = now
         known.was_warm = False
         known.reason = reason
+        known.warm_from = None
         return is_change
 
+    def note_said_cold(self, name: str) -> None:
+        """Ask for warmth over a span from now on, before it is a proof."""
+        self._warmth_by_name[name].needs_span = True
+
     def note_cold(self, name: str, asked_at: float, now: float) -> None:
         """Take the upstream's own word, asked for by this entry."""
         warmth = self._warmth_by_name[name]
+        warmth.needs_span = True
         # It was cold at some moment between the asking and now.
-        if now - warmth.cold_seen_at > self.bound_s:
+        if now - warmth.cold_seen_at > self._gap_s:
             warmth.cold_since = None
         if warmth.cold_since is None:
             warmth.cold_since = now
@@ -175,6 +201,28 @@
             return _UNKNOWN
         return warmth.cold_since + self.bound_s
 
+    def is_cold_confirmed(self, name: str, now: float) -> bool:
+        """Return whether the upstream itself said cold a short time ago."""
+        warmth = self._warmth_by_name.get(name)
+        if warmth is None or warmth.cold_since is None:
+            return False
+        return now - warmth.cold_seen_at <= self._gap_s
+
+    def _is_seen_long(
+        self, warmth: _Warmth, proved_at: float, now: float
+    ) -> bool:
+        """Return whether warmth was seen for long enough to trust it."""
+        if not warmth.needs_span:
+            return True
+        if warmth.warm_from is None:
+            # It may have turned warm as late as now.
+            warmth.warm_from = now
+        if proved_at - warmth.warm_from < self._span_s:
+            return False
+        warmth.needs_span = False
+        warmth.warm_from = None
+        return True
+
     def _meet(self, name: str, incarnation: int) -> _Warmth:
         """Return the record; a new or higher incarnation is unproven."""
         known = self._warmth_by_name.get(name)
@@ -189,4 +237,6 @@
             known.reason = UnprovenReason.RESTARTED
             known.was_warm = False
             known.cold_since = None
+            known.needs_span = True
+            known.warm_from = None
         return known
--- a/damaskpoint/routing/wiring.py
+++ b/damaskpoint/routing/wiring.py
@@ -33,6 +33,8 @@
 
 # Load polls at once; more wait for each other.
 _MAX_POLLS = 256
+# Time between two polls with jitter and delay, in intervals.
+_POLL_SPACING = 1.5
 
 
 @final
@@ -70,6 +72,14 @@
         self.router.stop()
 
 
+def create_warmth(options: RoutingOptions) -> WarmthBook:
+    """Return the proofs' book; its bounds follow from the polling."""
+    lag_s = options.load_report_lag_s
+    # Two reports of one poller are at most this far apart.
+    span_s = options.load_poll_s * _POLL_SPACING + lag_s
+    return WarmthBook(options.load_report_bound_s, span_s, span_s + lag_s)
+
+
 def create_core(
     identity: Identity,
     options: RoutingOptions,
@@ -110,7 +120,7 @@
     """
     directory = UpstreamDirectory()
     ranks = EntryRanks(identity.name)
-    warmth = WarmthBook(options.load_report_bound_s)
+    warmth = create_warmth(options)
     core = create_core(
         identity,
         options,
--- /dev/null
+++ b/features/routing_sim/__init__.py
@@ -0,0 +1,1 @@
+"""A small deterministic simulation of the cold-start protocol."""
--- /dev/null
+++ b/features/routing_sim/world.py
@@ -0,0 +1,251 @@
+"""Virtual time, a table with faults and one upstream that turns cold."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from damaskpoint.errors import Code, Failure, Ran
+from damaskpoint.platform.base import Committed, Conflicted
+from damaskpoint.routing.leases import LeaseRow, LeaseWrite, WriteKind
+from damaskpoint.routing.report import LoadReport
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Sequence
+
+    _Event = tuple[float, int, int, Callable[[], None]]
+
+COLD_LIMIT = 2
+WARM_LIMIT = 6
+BOUND_S = 3.0
+LAG_S = 1.0
+NET_S = 0.05
+TIMEOUT_S = 1.0
+UNAVAILABLE = Failure(Code.PLATFORM_UNAVAILABLE, ran=Ran.UNKNOWN)
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault of a schedule."""
+
+    kind: str
+    start: float
+    length: float
+    entry: int
+
+
+class World:
+    """Events in the order of virtual time; a frozen entry's wait."""
+
+    def __init__(self, seed: int, faults: Sequence[Fault]) -> None:
+        """Start at time 0 with nothing to do."""
+        self.rng = random.Random(seed)
+        self.faults = tuple(faults)
+        self.now: float = 0
+        self._events: list[_Event] = []
+        self._last = 0
+
+    def after(
+        self, delay: float, action: Callable[[], None], entry: int = -1
+    ) -> None:
+        """Run an action later; an entry's own waits while it is frozen."""
+        self._last += 1
+        at = self.now + delay
+        heapq.heappush(self._events, (at, self._last, entry, action))
+
+    def run(self, end: float) -> None:
+        """Run all events up to a time."""
+        while self._events and self._events[0][0] <= end:
+            at, _, entry, action = heapq.heappop(self._events)
+            self.now = at
+            thaw_at = self.find_end('freeze', entry)
+            if entry >= 0 and thaw_at > self.now:
+                self.after(thaw_at - self.now, action, entry)
+                continue
+            action()
+
+    def find_end(self, kind: str, entry: int = -1) -> float:
+        """Return when a fault that is on now ends; 0 if none is on."""
+        ends: float = 0
+        for fault in self.faults:
+            if fault.kind != kind or fault.entry not in {entry, -1}:
+                continue
+            if fault.start <= self.now < fault.start + fault.length:
+                ends = max(ends, fault.start + fault.length)
+        return ends
+
+    def net(self) -> float:
+        """Return the delay of one message."""
+        return self.rng.uniform(0.001, NET_S)
+
+
+@dataclass(slots=True)
+class SimTable:
+    """Lease rows under conditional writes, slow, down or with lost answers."""
+
+    world: World
+    rows_by_name: dict[str, LeaseRow] = field(default_factory=dict)
+
+    def read(
+        self,
+        names: Sequence[str],
+        entry: int,
+        done: Callable[[dict[str, LeaseRow | None] | None], None],
+    ) -> None:
+        """Answer the rows, or None."""
+        world = self.world
+        if self._is_down(entry):
+            world.after(TIMEOUT_S, lambda: done(None), entry)
+            return
+
+        def execute() -> None:
+            rows = {name: self.rows_by_name.get(name) for name in names}
+            world.after(world.net(), lambda: done(rows), entry)
+
+        world.after(world.net(), execute)
+
+    def transact(
+        self,
+        writes: Sequence[LeaseWrite],
+        owner: str,
+        entry: int,
+        done: Callable[[Committed | Conflicted | Failure], None],
+    ) -> None:
+        """Apply the writes; the answer or the writes may be lost or late."""
+        world = self.world
+        if self._is_down(entry):
+            world.after(TIMEOUT_S, lambda: done(UNAVAILABLE), entry)
+            return
+        is_lost = bool(world.find_end('lost_answer'))
+        is_late = is_lost and world.rng.choice((True, False))
+
+        def execute() -> None:
+            outcome = self._apply(writes, owner)
+            if not is_lost:
+                world.after(world.net(), lambda: done(outcome), entry)
+
+        world.after(2 * TIMEOUT_S if is_late else world.net(), execute)
+        if is_lost:
+            world.after(TIMEOUT_S, lambda: done(UNAVAILABLE), entry)
+
+    def _is_down(self, entry: int) -> bool:
+        world = self.world
+        is_cut = world.find_end('cut_table', entry) > 0
+        return is_cut or world.find_end('outage') > 0
+
+    def _apply(
+        self, writes: Sequence[LeaseWrite], owner: str
+    ) -> Committed | Conflicted:
+        conflicts = []
+        for position, write in enumerate(writes):
+            held = self.rows_by_name.get(write.name)
+            version = 0 if held is None else held.version
+            if version != write.expected_version:
+                conflicts.append(position)
+        if conflicts:
+            return Conflicted(tuple(conflicts))
+        versions = []
+        for write in writes:
+            version = write.expected_version + 1
+            is_release = write.kind is WriteKind.RELEASE
+            self.rows_by_name[write.name] = LeaseRow(
+                version,
+                '' if is_release else owner,
+                write.claim_id,
+                write.fencing,
+                write.lease_s,
+            )
+            versions.append(version)
+        return Committed(tuple(versions))
+
+
+class SimUpstream:
+    """The witness: counts what is inside and notes what is too much."""
+
+    def __init__(self, world: World, warm_after_s: float) -> None:
+        """Start cold, with nothing ever warm."""
+        self.world = world
+        self.warm_after_s = warm_after_s
+        self.incarnation = 1
+        self.is_cold = True
+        self.turned_at = float('-inf')
+        self.inside: set[int] = set()
+        self.violations: list[str] = []
+        self.cold_calls = 0
+        self.window_calls = 0
+        self._last_call = 0
+        self._phase = 0
+        self._history = [(world.now, LoadReport(1, False, 0, COLD_LIMIT))]
+        self._warm_later()
+
+    def turn_cold(self, *, is_restart: bool) -> None:
+        """Turn cold unannounced, or break off all calls and restart."""
+        if not self.is_cold:
+            self.turned_at = self.world.now
+        self.is_cold = True
+        if is_restart:
+            self.incarnation += 1
+            self.inside.clear()
+        self._note()
+        self._warm_later()
+
+    def arrive(self, entry: int, *, is_cold_ticket: bool) -> int:
+        """Take a call in; judge it if the upstream is cold."""
+        self._last_call += 1
+        self.inside.add(self._last_call)
+        self._note()
+        if not self.is_cold:
+            return self._last_call
+        now = self.world.now
+        what = f'{now:.2f}s entry {entry}, {len(self.inside)} inside'
+        if is_cold_ticket:
+            self.cold_calls += 1
+            if len(self.inside) > COLD_LIMIT:
+                self.violations.append(f'{what}, limit {COLD_LIMIT}')
+        elif now > self.turned_at + BOUND_S + NET_S:
+            self.violations.append(f'{what}, sent as warm')
+        else:
+            self.window_calls += 1
+        return self._last_call
+
+    def leave(self, call: int) -> bool:
+        """Let a call end; False if it was broken off before."""
+        if call not in self.inside:
+            return False
+        self.inside.discard(call)
+        self._note()
+        return True
+
+    def report(self) -> LoadReport:
+        """Return the load as it was up to a lag ago."""
+        at = self.world.now - self.world.rng.uniform(0, LAG_S)
+        shown = self._history[0][1]
+        for noted_at, report in self._history:
+            if noted_at > at:
+                break
+            shown = report
+        while len(self._history) > 1:
+            if self._history[1][0] > self.world.now - LAG_S:
+                break
+            self._history.pop(0)
+        return shown
+
+    def _note(self) -> None:
+        limit = COLD_LIMIT if self.is_cold else WARM_LIMIT
+        report = LoadReport(
+            self.incarnation, not self.is_cold, len(self.inside), limit
+        )
+        self._history.append((self.world.now, report))
+
+    def _warm_later(self) -> None:
+        self._phase += 1
+        phase = self._phase
+
+        def warm() -> None:
+            if phase == self._phase:
+                self.is_cold = False
+                self._note()
+
+        self.world.after(self.warm_after_s, warm)
