--- a/damaskpoint/config/document.py
+++ b/damaskpoint/config/document.py
@@ -21,13 +21,15 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from _typeshed import DataclassInstance
+
 MAX_OBJECT_BYTES: Final = 16_777_216
 _ADAPTER: Final = pydantic.TypeAdapter(Configuration)
 
 
 def encode(configuration: Configuration) -> bytes:
     """Return the canonical text of all but the version and the digest."""
-    content = dataclasses.asdict(configuration)
+    content = _list_fields(configuration)
     content.pop('version')
     content.pop('digest')
     return json.dumps(
@@ -84,7 +86,17 @@
     )
 
 
+def _list_fields(value: DataclassInstance) -> dict[str, object]:
+    """Return the fields of a data class, without a copy of their values."""
+    fields: dict[str, object] = {}
+    for field in dataclasses.fields(value):
+        fields[field.name] = getattr(value, field.name)
+    return fields
+
+
 def _encode_value(value: object) -> object:
+    if dataclasses.is_dataclass(value) and not isinstance(value, type):
+        return _list_fields(value)
     if isinstance(value, frozenset):
         return sorted(value)
     if isinstance(value, enum.Enum):
--- a/damaskpoint/config/fetch.py
+++ b/damaskpoint/config/fetch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, final
 
 from damaskpoint.config import document, metrics
@@ -14,6 +15,15 @@
     from damaskpoint.platform.base import ObjectStore
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class Fetched:
+    """A configuration, and the bytes that it was read from."""
+
+    configuration: Configuration
+    body: bytes
+
+
 @final
 class ConfigurationFetcher:
     """Asks the object store, then the peers."""
@@ -27,7 +37,7 @@
         """Ask these peers whenever the object store has no answer."""
         self._peers = peers
 
-    async def fetch(self, claim: VersionClaim) -> Configuration | Failure:
+    async def fetch(self, claim: VersionClaim) -> Fetched | Failure:
         """Return the configuration that a claim names.
 
         ``CONFIGURATION_CORRUPT`` if only other bytes were found; otherwise
@@ -42,14 +52,21 @@
 
 def _decode(
     source: str, claim: VersionClaim, body: bytes | Failure
-) -> Configuration | Failure:
-    fetched: Configuration | Failure
-    if isinstance(body, Failure):
-        fetched = body
-    else:
-        fetched = document.decode(body, claim.version, claim.digest)
+) -> Fetched | Failure:
+    fetched = _decode_body(claim, body)
     end = 'fetched'
     if isinstance(fetched, Failure):
         end = fetched.code.value
     metrics.FETCHES.inc({'source': source, 'end': end})
     return fetched
+
+
+def _decode_body(
+    claim: VersionClaim, body: bytes | Failure
+) -> Fetched | Failure:
+    if isinstance(body, Failure):
+        return body
+    decoded = document.decode(body, claim.version, claim.digest)
+    if isinstance(decoded, Failure):
+        return decoded
+    return Fetched(decoded, body)
--- a/damaskpoint/config/follower.py
+++ b/damaskpoint/config/follower.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, Final, final
 
 from damaskpoint import defaults
-from damaskpoint.config import document, metrics
+from damaskpoint.config import metrics
 from damaskpoint.config.accepted_row import ACCEPTED_ROW, read_accepted_row
 from damaskpoint.config.confirmation import (
     ConfirmationBounds,
@@ -20,7 +20,7 @@
     VersionClaim,
     VersionTracker,
 )
-from damaskpoint.config.fetch import ConfigurationFetcher
+from damaskpoint.config.fetch import ConfigurationFetcher, Fetched
 from damaskpoint.errors import Code, Failure
 from damaskpoint.observe.state import StateSource
 
@@ -228,10 +228,11 @@
             self._confirmations.confirm(accepted.version, now)
         return None
 
-    def _install(self, configuration: Configuration) -> None:
+    def _install(self, fetched: Fetched) -> None:
+        configuration = fetched.configuration
         if not self._versions.install(configuration):
             return
-        self._body = document.encode(configuration)
+        self._body = fetched.body
         metrics.VERSION.set({}, configuration.version)
         _LOG.info('configuration version %s in force', configuration.version)
         for listener in self._listeners:
--- a/damaskpoint/config/sheet.py
+++ b/damaskpoint/config/sheet.py
@@ -17,6 +17,7 @@
     ModelTarget,
     Pool,
     PoolKind,
+    StageKind,
     Zone,
 )
 from damaskpoint.config.sheet_cells import CellReader
@@ -32,6 +33,8 @@
 MAX_COUNT: Final = 1_000_000
 MAX_PRIORITY: Final = 9
 MAX_UPSTREAM_LIMIT: Final = 10_000
+# Roles of engines: all kinds of stages, or one.
+ROLES: Final = (sheet_pipelines.ANY_ROLE, *(kind.value for kind in StageKind))
 
 
 @final
@@ -265,7 +268,7 @@
                 model=self.cells.read_name(row, 'model'),
                 version=self.cells.read_name(row, 'version'),
                 adapters=self.cells.read_names(row, 'adapters'),
-                role=self.cells.read_name(row, 'role'),
+                role=self.cells.read_choice(row, 'role', ROLES),
             )
             pool = pools.get(target.pool)
             if pool is None or pool.kind is not PoolKind.MODEL:
@@ -276,5 +279,12 @@
             if others and others[0].role != target.role:
                 fault = f'the pool already has the role {others[0].role!r}'
                 self.cells.add_fault(row, 'role', fault)
-            targets_by_pool[target.pool] = (*others, target)
+            # In the order of names: the order of rows means nothing.
+            targets_by_pool[target.pool] = tuple(
+                sorted((*others, target), key=_name_model)
+            )
         return targets_by_pool
+
+
+def _name_model(target: ModelTarget) -> str:
+    return target.model
--- a/damaskpoint/config/sheet_pipelines.py
+++ b/damaskpoint/config/sheet_pipelines.py
@@ -16,6 +16,8 @@
 
 MIN_STAGES: Final = 3
 MAX_STAGES: Final = 6
+# Role of engines that run every kind of stage.
+ANY_ROLE: Final = 'any'
 
 
 @final
@@ -118,6 +120,9 @@
         for target in self._targets.get(stage.pool, ()):
             if target.model != stage.model:
                 continue
+            if target.role not in {ANY_ROLE, stage.kind.value}:
+                fault = f'the engines of {stage.pool!r} only {target.role}'
+                self._cells.add_fault(row, 'kind', fault)
             if stage.adapter and stage.adapter not in target.adapters:
                 fault = f'no target of {stage.pool!r} has {stage.adapter!r}'
                 self._cells.add_fault(row, 'adapter', fault)
