--- /dev/null
+++ b/damaskpoint/membership/peers.py
@@ -0,0 +1,207 @@
+"""The table of peers: who is there, since when, and who is silent.
+
+A fact of a name replaces another only when it is newer by the name's own
+start and heartbeat, so that no two clocks are compared and the order of
+arrival does not matter.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final, final
+
+import xxhash
+
+from damaskpoint import defaults
+from damaskpoint.membership import facts
+from damaskpoint.membership.rotation import Rotation
+
+_SIGN_BIT: Final = 2_147_483_648
+_WRAP: Final = 4_294_967_296
+
+
+def compute_beat_id(name: str, start: int) -> int:
+    """Return the 32-bit signed hash that stands for a start of a name."""
+    digest = xxhash.xxh32_intdigest(f'{name}/{start}'.encode())
+    return digest - _WRAP if digest >= _SIGN_BIT else digest
+
+
+def compute_timeout_s(timeout_s: float, peer_count: int) -> float:
+    """Return the silence after which a peer is not live (seconds).
+
+    News of a peer takes longer to come round among many.
+    """
+    return timeout_s + peer_count * defaults.PEER_TIMEOUT_PER_PEER_S
+
+
+@final
+@dataclass(slots=True)
+class _Record:
+    """The newest fact of a name, and when it was heard."""
+
+    fact: facts.PeerFact
+    heard_at: float
+
+
+@final
+class PeerTable:
+    """All peers ever heard of and not yet forgotten."""
+
+    def __init__(self, own_name: str, timeout_s: float) -> None:
+        """Start alone; ``timeout_s`` is the silence that ends liveness."""
+        self._own_name = own_name
+        self._timeout_s = timeout_s
+        self._records_by_name: dict[str, _Record] = {}
+        self._names_by_beat_id: dict[int, str] = {}
+        self.rotation: Rotation[str] = Rotation()
+        self.beat_rotation: Rotation[str] = Rotation()
+
+    def merge(self, fact: facts.PeerFact, now: float, tells: int) -> bool:
+        """Take over a newer fact; return whether its peer changed.
+
+        A change is a new name, start or phase; it is told ``tells`` times.
+        """
+        if fact.name == self._own_name:
+            return False
+        record = self._records_by_name.get(fact.name)
+        if record is None:
+            return self._add(fact, now, tells)
+        previous = record.fact
+        if fact.order <= previous.order:
+            return False
+        record.fact = fact
+        record.heard_at = now
+        is_changed = fact.start != previous.start
+        if is_changed:
+            old_id = compute_beat_id(previous.name, previous.start)
+            self._names_by_beat_id.pop(old_id, None)
+            new_id = compute_beat_id(fact.name, fact.start)
+            self._names_by_beat_id[new_id] = fact.name
+        if is_changed or fact.phase is not previous.phase:
+            self.rotation.add(fact.name, tells)
+            return True
+        return False
+
+    def merge_beat(self, beat: facts.BeatFact, now: float) -> None:
+        """Take over a newer heartbeat of a start that is known."""
+        name = self._names_by_beat_id.get(beat.beat_id)
+        if name is None:
+            return
+        record = self._records_by_name[name]
+        if beat.heartbeat <= record.fact.heartbeat:
+            return
+        if record.fact.phase is facts.Phase.GONE:
+            return
+        record.fact = _with_heartbeat(record.fact, beat.heartbeat)
+        record.heard_at = now
+
+    def record_beat_told(self, beat_id: int, copies: int) -> None:
+        """Count a heartbeat as sent to this many peers."""
+        name = self._names_by_beat_id.get(beat_id)
+        if name is not None:
+            self.beat_rotation.record_told(name, copies)
+
+    def forget_unlisted(
+        self, listed_names: frozenset[str], read_at: float
+    ) -> None:
+        """Drop peers that a list, read while they were silent, lacks.
+
+        Peers that fell silent stay known without it, so that an entry cut
+        off from all does not take itself for the only one.
+        """
+        for name, record in tuple(self._records_by_name.items()):
+            if name in listed_names:
+                continue
+            if read_at - record.heard_at > defaults.PEER_FORGET_S:
+                self._drop(name)
+
+    def live(self, now: float) -> tuple[facts.PeerFact, ...]:
+        """Return the peers heard of lately that have not ended."""
+        found = []
+        for record in self._records_by_name.values():
+            if self._is_live(record, now):
+                found.append(record.fact)
+        return tuple(found)
+
+    def find_live(self, name: str, now: float) -> facts.PeerFact | None:
+        """Return a live peer, or None."""
+        record = self._records_by_name.get(name)
+        if record is None or not self._is_live(record, now):
+            return None
+        return record.fact
+
+    def reach(self, now: float) -> facts.Reach:
+        """Return how many of the peers last known are heard of."""
+        reachable = 0
+        known = 0
+        for record in self._records_by_name.values():
+            if record.fact.phase is facts.Phase.GONE:
+                continue
+            known += 1
+            if self._is_live(record, now):
+                reachable += 1
+        return facts.Reach(reachable, known)
+
+    def find(self, name: str) -> facts.PeerFact | None:
+        """Return the newest fact of a name, or None."""
+        record = self._records_by_name.get(name)
+        return None if record is None else record.fact
+
+    def names(self) -> tuple[str, ...]:
+        """Return all names that are known."""
+        return tuple(self._records_by_name)
+
+    def last_heard(self, name: str) -> float:
+        """Return when a known name was last heard of."""
+        return self._records_by_name[name].heard_at
+
+    def hosts(self) -> frozenset[str]:
+        """Return the IP numbers of all peers that are known."""
+        return frozenset(
+            record.fact.host for record in self._records_by_name.values()
+        )
+
+    def __len__(self) -> int:
+        """Return how many names are known."""
+        return len(self._records_by_name)
+
+    def _is_live(self, record: _Record, now: float) -> bool:
+        if record.fact.phase is facts.Phase.GONE:
+            return False
+        return now - record.heard_at <= compute_timeout_s(
+            self._timeout_s, len(self._records_by_name)
+        )
+
+    def _add(self, fact: facts.PeerFact, now: float, tells: int) -> bool:
+        if len(self._records_by_name) >= defaults.MAX_PEERS:
+            oldest_name = min(self._records_by_name, key=self.last_heard)
+            if self.find_live(oldest_name, now) is not None:
+                return False
+            self._drop(oldest_name)
+        self._records_by_name[fact.name] = _Record(fact, now)
+        self._names_by_beat_id[compute_beat_id(fact.name, fact.start)] = (
+            fact.name
+        )
+        self.rotation.add(fact.name, tells)
+        self.beat_rotation.keep(fact.name)
+        return True
+
+    def _drop(self, name: str) -> None:
+        fact = self._records_by_name.pop(name).fact
+        beat_id = compute_beat_id(name, fact.start)
+        if self._names_by_beat_id.get(beat_id) == name:
+            self._names_by_beat_id.pop(beat_id)
+        self.rotation.discard(name)
+        self.beat_rotation.discard(name)
+
+
+def _with_heartbeat(fact: facts.PeerFact, heartbeat: int) -> facts.PeerFact:
+    return facts.PeerFact(
+        name=fact.name,
+        zone=fact.zone,
+        host=fact.host,
+        peer_port=fact.peer_port,
+        start=fact.start,
+        heartbeat=heartbeat,
+        phase=fact.phase,
+    )
--- a/damaskpoint/settings.py
+++ b/damaskpoint/settings.py
@@ -74,6 +74,8 @@
 
     peers: tuple[str, ...] = ()
     """Peers to start from, as HOST:PORT, while the list is down."""
+    networks: tuple[str, ...] = ()
+    """Networks that unlisted peers may speak from, as ADDRESS/BITS."""
     gossip_interval_s: float = pydantic.Field(defaults.GOSSIP_INTERVAL_S, gt=0)
     """Time between two rounds of gossip (seconds)."""
     peer_timeout_s: float = pydantic.Field(defaults.PEER_TIMEOUT_S, gt=0)
--- a/damaskpoint/wire/peer.thrift
+++ b/damaskpoint/wire/peer.thrift
@@ -7,24 +7,32 @@
 
 namespace py damaskpoint.wire.generated.peer
 
-// The start of a process that tells a fact: start numbers of one instance
-// are compared by the incarnation of the platform's list alone.
+// How far the life of a process has come.
+enum Phase {
+  STARTING = 1
+  SERVING = 2
+  LEAVING = 3
+  // The process ends now; no more is heard of this start.
+  GONE = 4
+}
+
+// A process of the system.
 struct PeerFact {
   1: required string name
   2: required string zone
   3: required string host
   4: required i32 peer_port
-  // Goes up with each start of the process (milliseconds of its own clock).
+  // Goes up with each start of the process of this name.
   5: required i64 start
   // Goes up with each round of gossip of that start.
   6: required i64 heartbeat
-  7: optional i32 operator_port
+  7: required Phase phase
 }
 
 struct ConfigurationFact {
   1: required i64 version
-  2: required string digest
-  // Age of the last confirmation by the platform.
+  2: required binary digest
+  // Age of the last confirmation by the platform; negative for none.
   3: required i64 confirmed_age_ms
 }
 
@@ -34,15 +42,21 @@
   ZONE_OUT = 3
 }
 
-// Removes a choice: of an upstream's incarnation, or of a zone in a version
+// Removes a choice: an incarnation of an upstream, or a zone as of a version
 // of the configuration.
 struct MarkFact {
   1: required MarkKind kind
   2: required string subject
+  // Incarnation of the upstream, or version of the configuration.
   3: required i64 incarnation
   4: required i64 age_ms
+  // Of an unproven notice alone: who noticed, and a number that goes up with
+  // each notice of that process and with its starts.
+  5: optional string origin
+  6: optional i64 sequence
 }
 
+// An upstream's own report of its load.
 struct LoadFact {
   1: required string upstream
   2: required i64 incarnation
@@ -52,16 +66,18 @@
   6: required i64 age_ms
 }
 
-// One peer's own calls in flight to an upstream.
+// The sender's own calls in flight to an upstream.
 struct ShareFact {
   1: required string upstream
   2: required i32 in_flight
 }
 
-// One peer's own demand of a client account: requests a second, in thousandths.
+// The sender's own demand of a client account.
 struct DemandFact {
   1: required string account
+  // Requests offered, in thousandths a second.
   2: required i64 offered_milli
+  // Requests running or waiting.
   3: required i32 in_flight
 }
 
@@ -69,10 +85,14 @@
   1: required PeerFact sender
   2: optional ConfigurationFact configuration
   3: optional list<PeerFact> peers
-  4: optional list<MarkFact> marks
-  5: optional list<LoadFact> loads
-  6: optional list<ShareFact> shares
-  7: optional list<DemandFact> demands
+  // Heartbeats of known starts, in two lists of equal length: a hash of the
+  // name and the start, and the heartbeat.
+  4: optional list<i32> beat_ids
+  5: optional list<i64> beats
+  6: optional list<MarkFact> marks
+  7: optional list<LoadFact> loads
+  8: optional list<ShareFact> shares
+  9: optional list<DemandFact> demands
 }
 
 struct ConfigurationBody {
