--- /dev/null
+++ b/damaskpoint/routing/router.py
@@ -0,0 +1,118 @@
+"""The router on the loop: gives tickets, lets calls wait, keeps time."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING, final
+
+from tornado.ioloop import PeriodicCallback
+
+from damaskpoint import defaults
+from damaskpoint.errors import Code, Failure
+from damaskpoint.routing import metrics
+from damaskpoint.routing.base import CallReport, RouteQuery, Router, Ticket
+from damaskpoint.routing.waiting import Waiter
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from damaskpoint.routing.core import RoutingCore
+
+_MS_PER_S = 1_000
+
+
+@final
+class CoreRouter(Router):
+    """Waits where ``RoutingCore`` decides."""
+
+    def __init__(self, core: RoutingCore, clock: Callable[[], float]) -> None:
+        """Keep the core and the monotonic clock (seconds)."""
+        self._core = core
+        self._clock = clock
+        self._ticks = PeriodicCallback(
+            self._tick, defaults.ROUTING_TICK_S * _MS_PER_S
+        )
+
+    def start(self) -> None:
+        """Keep time from now on; needs the running loop."""
+        self._ticks.start()
+
+    def stop(self) -> None:
+        """Stop to keep time."""
+        self._ticks.stop()
+
+    async def acquire(self, query: RouteQuery) -> Ticket | Failure:
+        """Return a ticket, waiting for one while that can help."""
+        now = self._clock()
+        if now >= query.deadline:
+            return Failure(Code.DEADLINE_PASSED)
+        # Those that wait go first.
+        if not self._core.count_waiting(query.pool):
+            ticket = self._core.try_acquire(query, now)
+            if ticket is not None:
+                return ticket
+        refused = self._core.judge(
+            query, self._core.count_waiting(query.pool), now
+        )
+        if refused is not None:
+            _count_refused(query, refused)
+            return refused
+        return await self._wait(query)
+
+    def release(self, ticket: Ticket, report: CallReport) -> None:
+        """Give a ticket back, exactly once, with what was seen."""
+        self._core.release(ticket, report, self._clock())
+
+    async def _wait(self, query: RouteQuery) -> Ticket | Failure:
+        """Wait in the pool's queue until a place, or the deadline."""
+        loop = asyncio.get_running_loop()
+        bell = asyncio.Event()
+        waiter = Waiter(query, bell.set)
+        self._core.enqueue(waiter)
+        alarm = loop.call_later(query.deadline - self._clock(), bell.set)
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._core.dequeue, waiter)
+            stack.callback(alarm.cancel)
+            while True:
+                await bell.wait()
+                bell.clear()
+                answer = self._retry(waiter)
+                if answer is not None:
+                    return answer
+
+    def _retry(self, waiter: Waiter) -> Ticket | Failure | None:
+        """Return what the woken call gets, or None to wait on."""
+        now = self._clock()
+        query = waiter.query
+        if now >= query.deadline:
+            return _time_out(query)
+        if not waiter.is_woken:
+            return None
+        ticket = self._core.try_acquire(query, now)
+        if ticket is not None:
+            return ticket
+        refused = self._core.judge(query, 0, now)
+        if refused is not None:
+            _count_refused(query, refused)
+            return refused
+        self._core.put_back(waiter)
+        return None
+
+    def _tick(self) -> None:
+        self._core.tick(self._clock())
+
+
+def _time_out(query: RouteQuery) -> Failure:
+    failure = Failure(Code.DEADLINE_PASSED, 'No upstream became free in time.')
+    _count_refused(query, failure)
+    return failure
+
+
+def _count_refused(query: RouteQuery, failure: Failure) -> None:
+    metrics.REFUSED.inc({'pool': query.pool, 'reason': failure.code.value})
+
+
+def create_router(core: RoutingCore, clock: Callable[[], float]) -> CoreRouter:
+    """Return a router over the deciding core."""
+    return CoreRouter(core, clock)
