Add calls between peers: ping, version in force, object of a configuration

A thrift message in the body of an HTTP POST. Only peers may ask for the object, which holds hashes of credentials; the version in force is open to the operator's tool.

--- a/damaskpoint/membership/gossip.py
+++ b/damaskpoint/membership/gossip.py
@@ -32,6 +32,10 @@
 class MembershipListener(abc.ABC):
     """Hears what peers tell; each call comes on the loop's thread."""
 
+    @abc.abstractmethod
+    def prepare_round(self, now: float) -> None:
+        """Tell what has changed here, before a round is packed."""
+
     @abc.abstractmethod
     def hear_configuration(
         self, fact: facts.ConfigurationFact, peer: facts.PeerFact, now: float
@@ -46,6 +50,12 @@
     def hear_load(self, load: facts.LoadFact, now: float) -> None:
         """Take a load report newer than the one known here."""
 
+    @abc.abstractmethod
+    def hear_shares(
+        self, peer: str, shares: tuple[facts.ShareFact, ...], now: float
+    ) -> None:
+        """Take a peer's own calls in flight, not all of them maybe."""
+
 
 @final
 class GossipLoop:
@@ -96,6 +106,8 @@
         if now - self._last_round_at > self._freeze_gap_s:
             self._drain()
         self._last_round_at = now
+        for listener in self.listeners:
+            listener.prepare_round(now)
         self._send(self.gossiper.start_round(now))
         self._log_changes(now)
 
@@ -127,17 +139,19 @@
             self.note_news()
 
     def _announce(self, news: News, now: float) -> None:
+        for mark in news.marks:
+            metrics.MARKS_HEARD.inc({'kind': mark.kind.name.lower()})
         for listener in self.listeners:
-            if news.configuration is not None:
-                listener.hear_configuration(
-                    news.configuration, news.sender, now
-                )
             for mark in news.marks:
                 listener.hear_mark(mark, now)
             for load in news.loads:
                 listener.hear_load(load, now)
-        for mark in news.marks:
-            metrics.MARKS_HEARD.inc({'kind': mark.kind.name.lower()})
+            if news.shares:
+                listener.hear_shares(news.sender.name, news.shares, now)
+            if news.configuration is not None:
+                listener.hear_configuration(
+                    news.configuration, news.sender, now
+                )
 
     def _send_news(self) -> None:
         if self.gossiper.has_news and self._endpoint is not None:
--- /dev/null
+++ b/damaskpoint/membership/peer_objects.py
@@ -0,0 +1,71 @@
+"""Fetches the object of a configuration from peers that have it in force."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final, final
+
+from damaskpoint.config.peers import ConfigurationPeers
+from damaskpoint.errors import Code, Failure
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from damaskpoint.config.versions import VersionClaim
+    from damaskpoint.membership.facts import PeerFact
+    from damaskpoint.membership.service import Membership
+    from damaskpoint.wire.peer_client import PeerClient
+
+# Peers asked for one object before the fetch counts as failed.
+_MOST_ASKED: Final = 3
+
+
+@final
+class PeerObjects(ConfigurationPeers):
+    """Remembers who told which version, and asks them."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        client: PeerClient,
+        clock: Callable[[], float],
+    ) -> None:
+        """Ask live peers of this membership."""
+        self._membership = membership
+        self._client = client
+        self._clock = clock
+        self._versions_by_peer: dict[str, int] = {}
+
+    def note_version(self, peer: str, version: int) -> None:
+        """Note which version a peer says it has in force."""
+        self._versions_by_peer[peer] = version
+
+    async def fetch_object(self, claim: VersionClaim) -> bytes | Failure:
+        """Return the bytes of a version, as a peer sent them.
+
+        The caller checks the digest. ``PEER_UNREACHABLE`` if no peer that
+        is known to have the version answers in time.
+        """
+        failure = Failure(Code.PEER_UNREACHABLE, 'no peer has the version')
+        for peer in self._find_holders(claim.version):
+            answer = await self._client.get_configuration(
+                peer.address, claim.version
+            )
+            if isinstance(answer, Failure):
+                failure = answer
+                continue
+            if answer.version == claim.version:
+                body: bytes = answer.body
+                return body
+        return Failure(Code.PEER_UNREACHABLE, failure.detail)
+
+    def _find_holders(self, version: int) -> list[PeerFact]:
+        live = self._membership.live_peers(self._clock())
+        live_names = {peer.name for peer in live}
+        for name in tuple(self._versions_by_peer):
+            if name not in live_names:
+                self._versions_by_peer.pop(name)
+        holders = []
+        for peer in live:
+            if self._versions_by_peer.get(peer.name, 0) >= version:
+                holders.append(peer)
+        return holders[:_MOST_ASKED]
--- a/damaskpoint/membership/reports.py
+++ b/damaskpoint/membership/reports.py
@@ -122,13 +122,16 @@
         shares: Sequence[ShareFact],
         demands: Sequence[DemandFact],
         now: float,
-    ) -> None:
-        """Take over what a peer says itself; late messages say nothing."""
+    ) -> bool:
+        """Take over what a peer says itself; late messages say nothing.
+
+        Returns whether the message was the newest.
+        """
         if not shares and not demands:
-            return
+            return False
         work = self._work_by_peer.setdefault(peer, _PeerWork())
         if order <= work.order:
-            return
+            return False
         if order[0] != work.order[0]:
             work.shares_by_upstream.clear()
             work.demands_by_account.clear()
@@ -137,6 +140,7 @@
             work.shares_by_upstream[share.upstream] = (share.in_flight, now)
         for demand in demands:
             work.demands_by_account[demand.account] = (demand, now)
+        return True
 
     def expire(self, live_names: frozenset[str], now: float) -> None:
         """Drop what silent peers said, and what was not said again."""
--- a/damaskpoint/membership/view.py
+++ b/damaskpoint/membership/view.py
@@ -48,6 +48,8 @@
     configuration: ConfigurationFact | None
     marks: tuple[Mark, ...]
     loads: tuple[LoadFact, ...]
+    # The sender's own; empty when a later message came first.
+    shares: tuple[ShareFact, ...]
     changed_peers: tuple[PeerFact, ...]
 
 
@@ -148,7 +150,7 @@
             if self.loads.merge(load, now):
                 new_loads.append(load)
         sender = message.sender
-        self.work.merge(
+        is_in_order = self.work.merge(
             sender.name,
             (sender.start, sender.heartbeat),
             message.shares,
@@ -160,6 +162,7 @@
             message.configuration,
             tuple(new_marks),
             tuple(new_loads),
+            message.shares if is_in_order else (),
             tuple(changed),
         )
 
--- a/damaskpoint/protocol.py
+++ b/damaskpoint/protocol.py
@@ -27,3 +27,7 @@
 EVENT_TOKEN: Final = 'token'
 EVENT_END: Final = 'end'
 EVENT_ERROR: Final = 'error'
+
+# Between the system's own processes.
+PATH_PEER: Final = '/peer'
+MEDIA_THRIFT: Final = 'application/x-thrift'
--- a/damaskpoint/wire/peer.thrift
+++ b/damaskpoint/wire/peer.thrift
@@ -95,6 +95,7 @@
   9: optional list<DemandFact> demands
 }
 
+// The object of a version, as it stands in the object store.
 struct ConfigurationBody {
   1: required i64 version
   2: required string digest
@@ -107,29 +108,6 @@
   3: required string digest
 }
 
-struct PermitRequest {
-  1: required string borrower
-  2: required string upstream
-  3: required i64 incarnation
-  4: required i32 count
-}
-
-struct PermitGrant {
-  // Permits lent; 0 when there are none to lend.
-  1: required i32 count
-  2: required i64 fencing
-  // Time for which the permits may be used to send, from the answer's read.
-  3: required i64 valid_ms
-}
-
-struct PermitReturn {
-  1: required string borrower
-  2: required string upstream
-  3: required i64 incarnation
-  4: required i64 fencing
-  5: required i32 count
-}
-
 // A typed refusal; the code is one of the system's stable failure codes.
 exception Refused {
   1: required string code
@@ -137,9 +115,9 @@
 }
 
 service Peer {
+  // Open to any caller.
   void ping()
-  InForce get_in_force()
+  InForce get_in_force() throws (1: Refused refused)
+  // Open to peers.
   ConfigurationBody get_configuration(1: i64 version) throws (1: Refused refused)
-  PermitGrant borrow_permits(1: PermitRequest request) throws (1: Refused refused)
-  void return_permits(1: PermitReturn returned) throws (1: Refused refused)
 }
--- /dev/null
+++ b/damaskpoint/wire/peer_client.py
@@ -0,0 +1,138 @@
+"""Calls peers: a thrift message in the body of an HTTP POST."""
+
+from __future__ import annotations
+
+import http
+from typing import TYPE_CHECKING, TypeVar, final
+
+from thrift.transport import TTransport
+from tornado import httpclient, simple_httpclient
+
+from damaskpoint import defaults, protocol
+from damaskpoint.errors import Code, Failure
+from damaskpoint.wire import codec, metrics
+from damaskpoint.wire.generated.peer import Peer, ttypes
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from damaskpoint.membership.facts import Address
+
+_Answer = TypeVar('_Answer')
+
+
+def create_peer_client(
+    timeout_s: float = defaults.PEER_CALL_TIMEOUT_S,
+) -> PeerClient:
+    """Return a client with an HTTP client of its own.
+
+    ``timeout_s`` bounds each call, from its start to its whole answer.
+    """
+    client = simple_httpclient.SimpleAsyncHTTPClient(
+        force_instance=True,
+        max_clients=defaults.MAX_PEER_CALLS,
+        max_body_size=defaults.MAX_PEER_BODY_BYTES,
+        max_buffer_size=defaults.MAX_PEER_BODY_BYTES,
+    )
+    return PeerClient(client, timeout_s)
+
+
+@final
+class PeerClient:
+    """Makes the calls of the thrift service ``Peer``.
+
+    Each call ends in its answer or in a failure: ``PEER_UNREACHABLE`` when
+    there was none in time, ``MESSAGE_MALFORMED`` when it could not be read,
+    or the failure that the peer gave.
+    """
+
+    def __init__(
+        self, client: httpclient.AsyncHTTPClient, timeout_s: float
+    ) -> None:
+        """Call through this HTTP client."""
+        self._client = client
+        self._timeout_s = timeout_s
+
+    async def get_in_force(self, address: Address) -> ttypes.InForce | Failure:
+        """Return which version a process has in force."""
+        request = _encode_call(lambda stub: stub.send_get_in_force())
+        body = await self._post(address, request)
+        if isinstance(body, Failure):
+            return _count('get_in_force', body)
+        answer: ttypes.InForce | Failure = _decode_answer(
+            body, lambda stub: stub.recv_get_in_force()
+        )
+        return _count('get_in_force', answer)
+
+    async def get_configuration(
+        self, address: Address, version: int
+    ) -> ttypes.ConfigurationBody | Failure:
+        """Return the object of this version, or of a higher one."""
+        request = _encode_call(
+            lambda stub: stub.send_get_configuration(version)
+        )
+        body = await self._post(address, request)
+        if isinstance(body, Failure):
+            return _count('get_configuration', body)
+        answer: ttypes.ConfigurationBody | Failure = _decode_answer(
+            body, lambda stub: stub.recv_get_configuration()
+        )
+        return _count('get_configuration', answer)
+
+    async def _post(self, address: Address, body: bytes) -> bytes | Failure:
+        request = httpclient.HTTPRequest(
+            f'http://{address.host}:{address.port}{protocol.PATH_PEER}',
+            method='POST',
+            headers={'Content-Type': protocol.MEDIA_THRIFT},
+            body=body,
+            connect_timeout=self._timeout_s,
+            request_timeout=self._timeout_s,
+            follow_redirects=False,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except (httpclient.HTTPClientError, OSError) as error:
+            return Failure(Code.PEER_UNREACHABLE, f'{address}: {error}')
+        if response.code != http.HTTPStatus.OK:
+            detail = f'{address}: HTTP {response.code}'
+            return Failure(Code.PEER_UNREACHABLE, detail)
+        return response.body
+
+
+def _encode_call(send: Callable[[Peer.Client], None]) -> bytes:
+    buffer = TTransport.TMemoryBuffer()
+    send(
+        Peer.Client(codec.create_protocol(buffer, defaults.MAX_PEER_BODY_BYTES))
+    )
+    encoded: bytes = buffer.getvalue()
+    return encoded
+
+
+def _decode_answer(
+    body: bytes, receive: Callable[[Peer.Client], _Answer]
+) -> _Answer | Failure:
+    received = codec.create_protocol(
+        TTransport.TMemoryBuffer(body), defaults.MAX_PEER_BODY_BYTES
+    )
+    try:
+        answer = receive(Peer.Client(received))
+    except ttypes.Refused as refused:
+        return _read_refusal(refused)
+    except codec.DECODE_ERRORS as error:
+        return Failure(Code.MESSAGE_MALFORMED, type(error).__name__)
+    return answer
+
+
+def _read_refusal(refused: ttypes.Refused) -> Failure:
+    for code in Code:
+        if code.value == refused.code:
+            return Failure(code, str(refused.detail))
+    return Failure(Code.MESSAGE_MALFORMED, 'unknown code')
+
+
+def _count(method: str, answer: _Answer | Failure) -> _Answer | Failure:
+    end = metrics.END_ANSWERED
+    if isinstance(answer, Failure):
+        end = answer.code.value
+    metrics.PEER_CALLS_MADE.inc({'method': method, 'end': end})
+    return answer
