--- a/features/support/checker.py
+++ b/features/support/checker.py
@@ -76,25 +76,37 @@
     return found
 
 
-def check_answers(events: list[Event], plan: Plan) -> list[str]:
-    """Every whole answer is that of the caller's own request."""
-    sent = {event['number']: event for event in _named(events, 'sent')}
+def check_same_outcome(events: list[Event], _plan: Plan) -> list[str]:
+    """All whole answers to one key are the same."""
+    body_by_key: dict[str, object] = {}
     found = []
     for event in _named(events, 'answered'):
-        kinds = plan.kinds_by_path.get(event['path'])
-        if not event['is_whole']:
+        if not event['key'] or not event['is_whole']:
             continue
-        asked = sent[event['number']]['body']
-        if kinds is None:
-            found += _check_service(event, asked)
+        outcome = event['body'].get('output', event['body'])
+        if body_by_key.setdefault(event['key'], outcome) != outcome:
+            found.append(f'{event["key"]} has two outcomes')
+    return found
+
+
+def check_answers(events: list[Event], plan: Plan) -> list[str]:
+    """Every whole answer is that of the caller's own request."""
+    sent = _named(events, 'sent')
+    asked_by_number = {event['number']: event['body'] for event in sent}
+    # A key repeated gets the answer to any one of its own tries.
+    ids_by_key: dict[str, list[str]] = collections.defaultdict(list)
+    for event in sent:
+        ids_by_key[event['key'] or event['request_id']].append(
+            event['request_id']
+        )
+    found = []
+    for answer in _named(events, 'answered'):
+        if not answer['is_whole']:
             continue
-        wanted = _derive_chain(kinds, event['request_id'], asked['input'])[-1]
-        if asked.get('stream'):
-            is_right = event['text'] == wanted['text']
-        else:
-            is_right = event['body'].get('output') == wanted
-        if not is_right:
-            found.append(f'{event["request_id"]} got a wrong answer')
+        asked = asked_by_number[answer['number']]
+        own_ids = ids_by_key[answer['key'] or answer['request_id']]
+        if not _is_own(answer, asked, own_ids, plan):
+            found.append(f'{answer["request_id"]} got a wrong answer')
     return found
 
 
@@ -243,6 +255,7 @@
 CHECKS: Final[dict[str, Check]] = {
     'at most once': check_at_most_once,
     'not run is true': check_not_run,
+    'same outcome': check_same_outcome,
     'own answer': check_answers,
     'own stages': check_stages,
     'one answer': check_one_answer,
@@ -317,11 +330,21 @@
     return str(asked['key'])
 
 
-def _check_service(event: Event, asked: dict[str, object]) -> list[str]:
-    wanted = derive.hash_text(json.dumps(asked))
-    if event['body'].get('body_sha256') == wanted:
-        return []
-    return [f'{event["request_id"]} got the answer to another body']
+def _is_own(
+    answer: Event, asked: dict[str, Any], own_ids: list[str], plan: Plan
+) -> bool:
+    """Tell whether a whole answer derives from one of a caller's tries."""
+    kinds = plan.kinds_by_path.get(answer['path'])
+    if kinds is None:
+        wanted_hash = derive.hash_text(json.dumps(asked))
+        return bool(answer['body'].get('body_sha256') == wanted_hash)
+    for request_id in own_ids:
+        wanted = _derive_chain(kinds, request_id, asked['input'])[-1]
+        if asked.get('stream') and answer['text'] == wanted['text']:
+            return True
+        if answer['body'].get('output') == wanted:
+            return True
+    return False
 
 
 def _derive_chain(
--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import collections
 import json
 import signal
 from dataclasses import dataclass, field
@@ -74,6 +76,10 @@
     entry_module: str = ENTRY_MODULE
     entry_words: tuple[str, ...] = ()
     platform_url: str = ''
+    # Taken by whoever stops a process, so that two faults do not mix.
+    locks_by_name: dict[str, asyncio.Lock] = field(
+        default_factory=lambda: collections.defaultdict(asyncio.Lock)
+    )
     operator: History = field(init=False)
     caller: Caller = field(init=False)
 
--- /dev/null
+++ b/features/support/traffic.py
@@ -0,0 +1,134 @@
+"""Callers' traffic over the entries, as a balancer would spread it."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import TYPE_CHECKING, Final
+
+from features.support import sheets
+from features.support.caller import CallerAnswer, CallerRequest
+from features.support.launcher import fetch
+
+if TYPE_CHECKING:
+    import random
+
+    from features.support.cluster import Cluster, Member
+
+_POLL_S: Final = 0.15
+_BACKOFF_S: Final = 0.3
+_ORDER_TRIES: Final = 4
+_MAX_TOKENS: Final = 40
+
+
+class Traffic:
+    """Sends requests to the entries that say they are ready."""
+
+    def __init__(self, cluster: Cluster, draw: random.Random) -> None:
+        """Keep the deployment; all choices come from the given numbers."""
+        self._cluster = cluster
+        self._draw = draw
+        self._numbers = itertools.count(1)
+        self._ready_names: list[str] = []
+        self._tasks: set[asyncio.Task[object]] = set()
+        self.sent = 0
+        self.whole = 0
+
+    async def watch(self) -> None:
+        """Ask the entries again and again whether they are ready."""
+        while True:
+            await self.look()
+            await asyncio.sleep(_POLL_S)
+
+    async def look(self) -> None:
+        """Ask every entry once whether it is ready."""
+        entries = self._entries()
+        asked = [
+            fetch(f'{entry.operator_url}/readyz', timeout_s=0.5)
+            for entry in entries
+        ]
+        answers = await asyncio.gather(*asked)
+        ready = []
+        for entry, (status, _said) in zip(entries, answers, strict=True):
+            if status == 200:
+                ready.append(entry.name)
+        self._ready_names = ready
+
+    async def run(
+        self, kinds: tuple[str, ...], count: int, gap_s: float
+    ) -> None:
+        """Start so many requests, one after each gap; wait for none."""
+        for _ in range(count):
+            kind = self._draw.choice(kinds)
+            await self.start(kind)
+            await asyncio.sleep(self._draw.uniform(0, 2 * gap_s))
+
+    async def start(self, kind: str) -> None:
+        """Start one request of a kind: answer, stream, order or service."""
+        number = next(self._numbers)
+        work = self.order(kind, number)
+        if kind in {'answer', 'stream'}:
+            work = self.answer(number, kind == 'stream')
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def finish(self) -> None:
+        """Wait for every request that was started."""
+        while self._tasks:
+            await asyncio.wait(list(self._tasks))
+
+    async def answer(self, number: int, is_stream: bool) -> None:
+        """Ask the idempotent pipeline once."""
+        asked = {
+            'key': f'a{number}',
+            'tokens': self._draw.randint(1, _MAX_TOKENS),
+            'prefix': f'p{self._draw.randint(0, 3)}',
+        }
+        request = CallerRequest(
+            f'answer-{number}',
+            sheets.ANSWER_PATH,
+            {'input': asked, 'stream': is_stream},
+        )
+        await self._call(self._choose(), request)
+
+    async def order(self, kind: str, number: int) -> None:
+        """Place one order: try until it is known what became of it.
+
+        Some callers lose patience and try at two entries at once.
+        """
+        key = f'{kind}-{number}'
+        body: dict[str, object] = {'key': key, 'count': 1}
+        path = sheets.SERVICE_PATH
+        if kind == 'order':
+            body = {'input': {**body, 'tokens': 3}}
+            path = sheets.ORDER_PATH
+        twins = self._draw.choice(('a', 'a', 'ab'))
+        for attempt in range(1, _ORDER_TRIES + 1):
+            requests = [
+                CallerRequest(f'{key}-{attempt}{twin}', path, body, key)
+                for twin in twins
+            ]
+            calls = [self._call(self._choose(), one) for one in requests]
+            answers = await asyncio.gather(*calls)
+            if any(answer.is_whole for answer in answers):
+                return
+            await asyncio.sleep(_BACKOFF_S * attempt)
+
+    def _entries(self) -> list[Member]:
+        members = self._cluster.members_by_name.values()
+        return [member for member in members if member.pool == 'entry']
+
+    def _choose(self) -> str:
+        """Return the name of an entry, a ready one if there is one."""
+        names = self._ready_names
+        if not names:
+            names = [entry.name for entry in self._entries()]
+        return self._draw.choice(names)
+
+    async def _call(self, entry: str, request: CallerRequest) -> CallerAnswer:
+        member = self._cluster.members_by_name[entry]
+        self.sent += 1
+        answer = await self._cluster.caller.call(entry, member.url, request)
+        self.whole += answer.is_whole
+        return answer
--- /dev/null
+++ b/features/support/trials.py
@@ -0,0 +1,229 @@
+"""A trial: a small deployment, traffic, drawn faults, and the checks."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final
+
+from features.support import operators, sheets
+from features.support.checker import check_all
+from features.support.cluster import ENTRY_MODULE, Cluster
+from features.support.faults import draw_schedule, run_schedule
+from features.support.traffic import Traffic
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from features.support.faults import PlannedFault
+
+    Operation = Coroutine[object, object, None]
+    Operate = Callable[[Cluster, Traffic, random.Random], Operation]
+
+_LIMIT_S: Final = 150.0
+_TRAFFIC_S: Final = 5.0
+_SHUTDOWN: Final[dict[str, object]] = {'notice_s': 0.6}
+
+
+@dataclass(frozen=True, slots=True)
+class Promise:
+    """What a trial sends, breaks and checks for one promise."""
+
+    checks: tuple[str, ...]
+    kinds: tuple[str, ...]
+    faults: tuple[str, ...]
+    requests: int = 40
+    fault_count: int = 3
+    cold_limit: int = 1
+    engine_words: tuple[str, ...] = ('--starts=warm',)
+    # What operators do during the traffic; None for nothing.
+    operate: Operate | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class TrialOptions:
+    """Which trial is run, and over which entry."""
+
+    promise: str
+    seed: int
+    entry_module: str = ENTRY_MODULE
+    entry_words: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class TrialResult:
+    """What came of a trial."""
+
+    sent: int
+    whole: int
+    faults: list[PlannedFault]
+    violations_by_check: dict[str, list[str]]
+
+    @property
+    def violations(self) -> list[str]:
+        """Return all violations, with their checks."""
+        return [
+            f'{check}: {text}'
+            for check, texts in self.violations_by_check.items()
+            for text in texts
+        ]
+
+
+PROMISES: Final[dict[str, Promise]] = {
+    'at most once': Promise(
+        ('at most once', 'not run is true', 'same outcome', 'own answer'),
+        ('order', 'service'),
+        (
+            'kill entry',
+            'freeze entry',
+            'lose writes',
+            'stop table',
+            'slow table',
+            'kill service',
+            'kill engine',
+            'drop answers',
+            'fail calls',
+        ),
+    ),
+    'own answers': Promise(
+        ('own answer', 'own stages', 'one answer'),
+        ('answer', 'stream'),
+        (
+            'cross answers',
+            'delay answers',
+            'drop answers',
+            'cut streams',
+            'fail calls',
+            'kill engine',
+            'kill entry',
+            'freeze upstream',
+        ),
+        fault_count=5,
+    ),
+    'cold start': Promise(
+        ('cold start',),
+        ('answer', 'stream'),
+        (
+            'return zone',
+            'turn cold',
+            'freeze entry',
+            'slow table',
+            'stop table',
+            'kill engine',
+            'kill entry',
+        ),
+        requests=80,
+        engine_words=('--starts=cold', '--warm-after-s=4'),
+    ),
+    'zone out': Promise(
+        ('zone out and leaving', 'own answer'),
+        ('answer', 'stream'),
+        (
+            'freeze entry',
+            'slow table',
+            'kill entry',
+            'cut streams',
+            'fail calls',
+            'stop platform',
+        ),
+        requests=100,
+        operate=operators.take_zone_out,
+    ),
+    'leaving upstream': Promise(
+        ('zone out and leaving', 'own answer'),
+        ('answer', 'stream'),
+        ('freeze entry', 'kill entry', 'cut streams', 'fail calls'),
+        requests=100,
+        operate=operators.let_upstream_leave,
+    ),
+    'accepted configuration': Promise(
+        ('accepted configuration',),
+        ('answer',),
+        ('lose writes', 'slow table', 'freeze entry', 'kill entry'),
+        requests=20,
+        operate=operators.apply_sheets,
+    ),
+    'graceful shutdown': Promise(
+        ('graceful shutdown', 'own answer', 'one answer', 'at most once'),
+        ('stream', 'stream', 'answer', 'order', 'service'),
+        ('cut streams', 'slow table', 'freeze upstream'),
+        requests=60,
+        fault_count=2,
+        engine_words=('--starts=warm', '--token-ms=40'),
+        operate=operators.replace_entries,
+    ),
+}
+
+
+async def run_trial(options: TrialOptions) -> TrialResult:
+    """Run one trial from its seed; everything is ended afterwards."""
+    promise = PROMISES[options.promise]
+    draw = random.Random(f'{options.promise} {options.seed}')
+    cluster = Cluster(
+        sections={'shutdown': _SHUTDOWN},
+        entry_module=options.entry_module,
+        entry_words=options.entry_words,
+    )
+    try:
+        return await asyncio.wait_for(_run(cluster, promise, draw), _LIMIT_S)
+    finally:
+        cluster.close()
+
+
+async def _run(
+    cluster: Cluster, promise: Promise, draw: random.Random
+) -> TrialResult:
+    await start_deployment(cluster, draw, promise)
+    traffic = Traffic(cluster, draw)
+    await traffic.look()
+    watching = asyncio.ensure_future(traffic.watch())
+    faults = draw_schedule(
+        draw, promise.faults, promise.fault_count, _TRAFFIC_S
+    )
+    works = [
+        traffic.run(
+            promise.kinds, promise.requests, _TRAFFIC_S / promise.requests
+        ),
+        run_schedule(cluster, draw, faults),
+    ]
+    if promise.operate is not None:
+        works.append(promise.operate(cluster, traffic, draw))
+    await asyncio.gather(*works)
+    await traffic.finish()
+    watching.cancel()
+    found = check_all(cluster.events(), sheets.PLAN, promise.checks)
+    return TrialResult(traffic.sent, traffic.whole, faults, found)
+
+
+async def start_deployment(
+    cluster: Cluster, draw: random.Random, promise: Promise
+) -> None:
+    """Start three engines, two services and two or three entries."""
+    await cluster.start_platform()
+    await asyncio.gather(*_start_upstreams(cluster, promise))
+    names = ('entry-1', 'entry-2', 'entry-3')[: draw.randint(2, 3)]
+    for name, zone in zip(names, sheets.ZONES, strict=False):
+        await cluster.add_entry(name, zone)
+    options = sheets.SheetOptions(cold_limit=promise.cold_limit)
+    status = await cluster.apply(options, '--wait-s=0')
+    assert status in {0, 7}, cluster.events()[-1]
+    cluster.operator.record('accepted', number=1)
+    waiting = [cluster.wait_entry(entry) for entry in names]
+    await asyncio.gather(*waiting)
+
+
+def _start_upstreams(
+    cluster: Cluster, promise: Promise
+) -> list[Coroutine[object, object, object]]:
+    limit = f'--cold-limit={promise.cold_limit}'
+    starting = []
+    for number, zone in enumerate(sheets.ZONES, 1):
+        place = (f'engine-{number}', sheets.MODEL_POOL, zone)
+        words = (limit, *promise.engine_words)
+        starting.append(cluster.add_upstream('engine', *place, *words))
+    for position, service_zone in enumerate(sheets.ZONES[:2], 1):
+        place = (f'service-{position}', sheets.SERVICE_POOL, service_zone)
+        words = (limit, '--starts=warm')
+        starting.append(cluster.add_upstream('service', *place, *words))
+    return list(starting)
