--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -11,15 +11,22 @@
 # HTTP borders.
 MAX_PORT: Final = 65_535
 MAX_BODY_BYTES: Final = 1_048_576
+# Time that a connection of a caller may rest, and that a body may take to
+# arrive (seconds).
+IDLE_CALLER_S: Final = 75.0
+BODY_TIMEOUT_S: Final = 30.0
 MAX_HEADER_BYTES: Final = 16_384
 MAX_JSON_DEPTH: Final = 32
 MAX_KEY_CHARACTERS: Final = 128
 MAX_ANSWER_BYTES: Final = 8_388_608
+MAX_EVENT_BYTES: Final = 65_536
 DEADLINE_MS: Final = 3_000
 MAX_DEADLINE_MS: Final = 600_000
 
 # Platform.
 PLATFORM_TIMEOUT_S: Final = 2.0
+# Calls to the platform at once.
+PLATFORM_CLIENTS: Final = 64
 CONFIGURATION_POLL_S: Final = 1.0
 INSTANCE_LIST_POLL_S: Final = 1.0
 CONFIRMATION_BOUND_S: Final = 4.0
@@ -106,10 +113,46 @@
 RETRY_SHARE: Final = 0.1
 RETRY_BURST: Final = 10
 
+# Requests: tries of one stage, first one included; tries that never reached
+# an upstream count apart.
+MAX_TRIES: Final = 3
+MAX_UNSENT_TRIES: Final = 6
+# Longest time between the choice of an upstream and the send (seconds).
+SEND_BOUND_S: Final = 0.5
+# Connections kept to one upstream, and how long an idle one is kept.
+MAX_IDLE_CONNECTIONS: Final = 16
+IDLE_CONNECTION_S: Final = 5.0
+# Time to tell an engine that a stream is not wanted any more (seconds).
+STOP_STREAM_S: Final = 1.0
+
 # Journal.
 JOURNAL_KEEP_S: Final = 86_400
 INLINE_OUTCOME_BYTES: Final = 16_384
+# Rows in one transaction, and rows that may wait for theirs.
+JOURNAL_BATCH: Final = 64
+JOURNAL_WAITING: Final = 4_096
+# Tries to open one key, and the pause between two (seconds).
+JOURNAL_OPEN_TRIES: Final = 8
+JOURNAL_PAUSE_S: Final = 0.05
+# Longest pause between two tries to close a row (seconds).
+JOURNAL_MAX_PAUSE_S: Final = 2.0
+# How long an answer waits for its record (seconds).
+JOURNAL_RECORD_WAIT_S: Final = 0.25
+# Rows whose closing may be pending, and their bytes.
+JOURNAL_PENDING: Final = 4_096
+JOURNAL_PENDING_BYTES: Final = 33_554_432
+# Time after a request's deadline at which its row counts as left (seconds).
+JOURNAL_GRACE_S: Final = 5.0
+# Sweep of rows past their time: rows read a round, time between rounds and
+# length of the sweeper's lease (seconds).
+SWEEP_ROWS: Final = 100
+SWEEP_INTERVAL_S: Final = 5.0
+SWEEP_LEASE_S: Final = 60.0
 
 # Shutdown.
 SHUTDOWN_NOTICE_S: Final = 2.0
 SHUTDOWN_LIMIT_S: Final = 60.0
+# Time between two looks at what is in flight (seconds).
+SHUTDOWN_STEP_S: Final = 0.05
+# Time between two rounds of housekeeping (seconds).
+HOUSEKEEPING_S: Final = 1.0
--- a/features/support/trials.py
+++ b/features/support/trials.py
@@ -23,6 +23,8 @@
 
 _LIMIT_S: Final = 150.0
 _TRAFFIC_S: Final = 5.0
+# Sheets up to this number can be applied.
+_MODELS: Final = tuple(f'--model=model-{number}:1' for number in range(1, 9))
 _SHUTDOWN: Final[dict[str, object]] = {'notice_s': 0.6}
 
 
@@ -220,7 +222,7 @@
     starting = []
     for number, zone in enumerate(sheets.ZONES, 1):
         place = (f'engine-{number}', sheets.MODEL_POOL, zone)
-        words = (limit, *promise.engine_words)
+        words = (limit, *_MODELS, *promise.engine_words)
         starting.append(cluster.add_upstream('engine', *place, *words))
     for position, service_zone in enumerate(sheets.ZONES[:2], 1):
         place = (f'service-{position}', sheets.SERVICE_POOL, service_zone)
--- a/standins/main.py
+++ b/standins/main.py
@@ -16,9 +16,9 @@
 from standins.engine import Engine, create_engine_app
 from standins.engine_orders import (
     EngineModels,
-    LoadedModel,
     OrderOptions,
     OrderTarget,
+    parse_model,
 )
 from standins.history import create_history
 from standins.platform import InstanceLog, Platform, create_platform_app
@@ -103,7 +103,7 @@
     )
     target = OrderTarget(
         role=arguments.role_at_start,
-        models=[_parse_model(text) for text in arguments.model],
+        models=[parse_model(text) for text in arguments.model],
     )
     models = EngineModels(order_options, target, upstream.history)
     times = read_engine_times(arguments)
@@ -116,11 +116,5 @@
     return create_service_app(upstream, seconds, not arguments.no_load)
 
 
-def _parse_model(text: str) -> LoadedModel:
-    model, version, *more = text.split(':')
-    adapters = more[0].split(',') if more else []
-    return LoadedModel(model=model, version=version, adapters=adapters)
-
-
 if __name__ == '__main__':
     main()
