--- a/damaskpoint/entry/runtime.py
+++ b/damaskpoint/entry/runtime.py
@@ -13,13 +13,18 @@
 from damaskpoint.entry.caller_app import create_caller_server
 from damaskpoint.entry.periodic import repeat
 from damaskpoint.entry.shutdown import DrainView, Phase
-from damaskpoint.entry.wiring import create_entry_parts, create_shared_parts
+from damaskpoint.entry.wiring import (
+    create_entry_parts,
+    create_entry_routing,
+    create_shared_parts,
+)
 from damaskpoint.observe.operator_app import Readiness, create_operator_app
 
 if TYPE_CHECKING:
     from damaskpoint.entry.parts import EntryParts
     from damaskpoint.entry.wiring import SharedParts
     from damaskpoint.errors import Failure
+    from damaskpoint.routing.wiring import Routing
     from damaskpoint.settings import Options
 
 _LOG: Final = logging.getLogger(__name__)
@@ -45,9 +50,12 @@
 class EntryRuntime:
     """A whole entry process."""
 
-    def __init__(self, shared: SharedParts, parts: EntryParts) -> None:
+    def __init__(
+        self, shared: SharedParts, routing: Routing, parts: EntryParts
+    ) -> None:
         """Keep the parts; nothing listens yet."""
         self._shared = shared
+        self._routing = routing
         self._parts = parts
         self._caller_server = create_caller_server(parts)
         self._operator_server = httpserver.HTTPServer(
@@ -80,7 +88,9 @@
         poll = self._shared.instances.poll
         self._operator_server.listen(instance.operator_port, instance.host)
         self._caller_server.listen(instance.port, instance.host)
+        self._routing.start()
         for work in (
+            self._routing.permit_client.run(),
             self._shared.follower.run(time.monotonic),
             repeat(platform.instance_list_poll_s, poll),
             repeat(defaults.HOUSEKEEPING_S, self._close_idle),
@@ -107,6 +117,7 @@
             self._parts.in_flight.count,
             self._shared.background.count,
         )
+        self._routing.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -118,4 +129,6 @@
 def create_runtime(options: Options) -> EntryRuntime:
     """Return an entry process; to be called inside its loop."""
     shared = create_shared_parts(options)
-    return EntryRuntime(shared, create_entry_parts(shared))
+    routing = create_entry_routing(shared)
+    parts = create_entry_parts(shared, routing)
+    return EntryRuntime(shared, routing, parts)
--- a/damaskpoint/entry/wiring.py
+++ b/damaskpoint/entry/wiring.py
@@ -5,6 +5,7 @@
 import functools
 import random
 import time
+import uuid
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, final
 
@@ -32,13 +33,13 @@
 from damaskpoint.platform.http_instances import create_http_instance_list
 from damaskpoint.platform.http_objects import create_http_object_store
 from damaskpoint.platform.http_table import create_http_table
-from damaskpoint.routing.directory import UpstreamDirectory
-from damaskpoint.routing.router import create_router
+from damaskpoint.routing.wiring import Identity, Routing, create_routing
 
 if TYPE_CHECKING:
     from damaskpoint.config.follower import ConfigurationFollower
     from damaskpoint.config.model import Configuration
     from damaskpoint.platform.base import InstanceList, ObjectStore, Table
+    from damaskpoint.routing.directory import UpstreamDirectory
     from damaskpoint.settings import Options, PlatformOptions
 
 
@@ -107,15 +108,29 @@
     )
 
 
-def create_call_parts(shared: SharedParts) -> CallParts:
-    """Return what calls to upstreams need, routing included."""
-    directory = UpstreamDirectory()
+def create_entry_routing(shared: SharedParts) -> Routing:
+    """Return routing, fed with the configuration and the instance list."""
+    instance = shared.options.instance
+    identity = Identity(instance.name, instance.zone, uuid.uuid4().hex)
+    routing = create_routing(
+        identity,
+        shared.options.routing,
+        shared.platform.table,
+        time.monotonic,
+        random.Random(),
+    )
     shared.follower.add_listener(
-        functools.partial(_apply_configuration, directory)
+        functools.partial(_apply_configuration, routing.directory)
     )
-    shared.instances.add_listener(directory.hear_list)
+    shared.instances.add_listener(routing.directory.hear_list)
+    shared.registry.register('routing', routing.dump)
+    return routing
+
+
+def create_call_parts(shared: SharedParts, routing: Routing) -> CallParts:
+    """Return what calls to upstreams need."""
     return CallParts(
-        create_router(directory, random.Random()),
+        routing.router,
         shared.client,
         shared.background,
         shared.attempt_ids,
@@ -147,7 +162,7 @@
     return PipelineService(runner, times, guard)
 
 
-def create_entry_parts(shared: SharedParts) -> EntryParts:
+def create_entry_parts(shared: SharedParts, routing: Routing) -> EntryParts:
     """Return all parts that serve callers."""
     options = shared.options
     admission = create_admission(options.admission, time.monotonic)
@@ -161,7 +176,7 @@
         options.admission.retry_share, options.admission.retry_burst
     )
     shared.registry.register('retry_budget', budget)
-    calls = create_call_parts(shared)
+    calls = create_call_parts(shared, routing)
     guard = create_guard(shared)
     return EntryParts(
         shared.follower,
