--- a/standins/engine_orders.py
+++ b/standins/engine_orders.py
@@ -133,3 +133,10 @@
             target=order.target.model_dump(),
             checks_fencing=self._options.checks_fencing,
         )
+
+
+def parse_model(text: str) -> LoadedModel:
+    """Return the model that MODEL:VERSION[:ADAPTER,...] names."""
+    model, version, *more = text.split(':')
+    adapters = more[0].split(',') if more else []
+    return LoadedModel(model=model, version=version, adapters=adapters)
