--- a/features/sheet.feature
+++ b/features/sheet.feature
@@ -95,7 +95,9 @@
 
   Scenario: A hundred thousand rows are read within bounds
     Given a sheet with 99000 client accounts
-    Then it is read within 20 seconds and 200 megabytes
+    Then it is read within 20 seconds
+    Given a sheet with 9900 client accounts
+    Then it is read within 20 megabytes
 
   Scenario: Arbitrary damage to a sheet never raises
     Then 150 sheets with damage drawn by hypothesis are read or refused
--- a/features/steps/sheet_steps.py
+++ b/features/steps/sheet_steps.py
@@ -149,17 +149,23 @@
     assert read == expected, read
 
 
-@then('it is read within {seconds:d} seconds and {megabytes:d} megabytes')
-def check_bounds(context: Any, seconds: int, megabytes: int) -> None:
-    """Read a large sheet under a bound of time, then of memory."""
+@then('it is read within {seconds:d} seconds')
+def check_time(context: Any, seconds: int) -> None:
+    """Read a large sheet under a bound of time."""
     started = time.monotonic()
     read = read_sheet(context.sheet_body)
     assert isinstance(read, Configuration)
     assert time.monotonic() - started < seconds
+
+
+@then('it is read within {megabytes:d} megabytes')
+def check_memory(context: Any, megabytes: int) -> None:
+    """Read a sheet under a bound of memory."""
     tracemalloc.start()
-    read_sheet(context.sheet_body)
+    read = read_sheet(context.sheet_body)
     _, peak = tracemalloc.get_traced_memory()
     tracemalloc.stop()
+    assert isinstance(read, Configuration)
     assert peak < megabytes * 1_000_000, peak
 
 
