--- a/features/support/launcher.py
+++ b/features/support/launcher.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import os
 import pathlib
 import signal
@@ -24,6 +25,7 @@
 _PAUSE_S: Final = 0.05
 _FIRST_HOST: Final = 2
 _LAST_HOST: Final = 250
+_HOSTS: Final = itertools.count()
 
 
 class Launcher:
@@ -35,13 +37,11 @@
         self.folder = pathlib.Path(self._folder.name)
         self._processes_by_name: dict[str, subprocess.Popen[bytes]] = {}
         self._statuses_by_name: dict[str, int] = {}
-        self._hosts = 0
 
     def next_host(self) -> str:
         """Return a loopback address of this test process alone."""
         pid = os.getpid()
-        number = _FIRST_HOST + self._hosts % (_LAST_HOST - _FIRST_HOST)
-        self._hosts += 1
+        number = _FIRST_HOST + next(_HOSTS) % (_LAST_HOST - _FIRST_HOST)
         return f'127.{20 + pid // 256 % 200}.{pid % 256}.{number}'
 
     def start(self, name: str, module: str, *words: str) -> None:
