--- a/standins/engine_orders.py
+++ b/standins/engine_orders.py
@@ -13,7 +13,7 @@
     from standins.history import History
 
 STAGE_KINDS: Final = ('encode', 'retrieve', 'rerank', 'generate')
-_ANY_ROLE: Final = 'any'
+_MIXED_ROLE: Final = 'mixed'
 _WEIGHTS_PAUSE_S: Final = 0.2
 _WEIGHTS_TRIES: Final = 25
 
@@ -31,7 +31,7 @@
 class OrderTarget(pydantic.BaseModel):
     """The state that an order asks for."""
 
-    role: str = _ANY_ROLE
+    role: str = _MIXED_ROLE
     models: list[LoadedModel] = []
 
 
@@ -133,3 +133,10 @@
             target=order.target.model_dump(),
             checks_fencing=self._options.checks_fencing,
         )
+
+
+def parse_model(text: str) -> LoadedModel:
+    """Return the model that MODEL:VERSION[:ADAPTER,...] names."""
+    model, version, *more = text.split(':')
+    adapters = more[0].split(',') if more else []
+    return LoadedModel(model=model, version=version, adapters=adapters)
--- a/standins/site.py
+++ b/standins/site.py
@@ -18,7 +18,12 @@
 from tornado import httpserver, web
 
 from standins.engine import Engine, EngineTimes, create_engine_app
-from standins.engine_orders import EngineModels, OrderOptions, OrderTarget
+from standins.engine_orders import (
+    EngineModels,
+    OrderOptions,
+    OrderTarget,
+    parse_model,
+)
 from standins.history import History, create_history
 from standins.http import JsonHandler
 from standins.platform import InstanceLog, Platform, create_platform_app
@@ -85,6 +90,7 @@
     def __init__(self, arguments: argparse.Namespace) -> None:
         """Start nothing yet."""
         self._arguments = arguments
+        self._profile = PROFILES_BY_NAME[arguments.profile]
         host = f'{arguments.base_host}.1'
         self._platform_url = f'http://{host}:{_PLATFORM_PORT}'
         self._log = InstanceLog([], time.monotonic())
@@ -92,7 +98,7 @@
 
     def start(self) -> dict[str, object]:
         """Start all and return where it is."""
-        profile = PROFILES_BY_NAME[self._arguments.profile]
+        profile = self._profile
         number = _FIRST_UPSTREAM
         for pool in profile.pools:
             for position in range(pool.size):
@@ -170,7 +176,9 @@
             weights_url=self._platform_url,
             load_s=arguments.load_s,
         )
-        models = EngineModels(orders, OrderTarget(), upstream.history)
+        texts = arguments.model or self._profile.models
+        target = OrderTarget(models=[parse_model(text) for text in texts])
+        models = EngineModels(orders, target, upstream.history)
         return create_engine_app(Engine(upstream, models, times))
 
     def _create_history(self, name: str) -> History:
