--- a/damaskpoint/sheet_tool/in_force.py
+++ b/damaskpoint/sheet_tool/in_force.py
@@ -44,6 +44,9 @@
     )
     report.content['in_force'] = progress.in_force_count
     report.content['entries'] = len(progress.answers)
+    if progress.is_everywhere and not progress.answers:
+        report.lines.append('No live entry is listed.')
+        return report
     if progress.is_everywhere:
         count = len(progress.answers)
         report.lines.append(
--- a/damaskpoint/sheet_tool/patience.py
+++ b/damaskpoint/sheet_tool/patience.py
@@ -21,11 +21,16 @@
 class Patience:
     """Pauses with growth between tries, within one bound of time."""
 
-    def __init__(self, bound_s: float, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        bound_s: float,
+        clock: Callable[[], float],
+        first_pause_s: float = _FIRST_PAUSE_S,
+    ) -> None:
         """Start the bound now; ``clock`` gives monotonic seconds."""
         self._clock = clock
         self._deadline = clock() + bound_s
-        self._pause_s = _FIRST_PAUSE_S
+        self._pause_s = first_pause_s
 
     def remaining_s(self) -> float:
         """Return the seconds left, not below 0."""
--- a/damaskpoint/sheet_tool/probe.py
+++ b/damaskpoint/sheet_tool/probe.py
@@ -3,25 +3,16 @@
 from __future__ import annotations
 
 import abc
-import http
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Final, final
+from typing import TYPE_CHECKING, final
 
-from thrift.protocol.TCompactProtocol import TCompactProtocol
-from thrift.Thrift import TException
-from thrift.transport.TTransport import TMemoryBuffer
-from tornado.httpclient import HTTPClientError
-
-from damaskpoint.errors import Code, Failure
-from damaskpoint.wire.generated.peer import Peer
+from damaskpoint.errors import Failure
+from damaskpoint.membership.facts import Address
+from damaskpoint.wire.peer_client import PeerClient, create_peer_client
 
 if TYPE_CHECKING:
-    from tornado.httpclient import AsyncHTTPClient
-
     from damaskpoint.platform.base import ListedInstance
 
-_PATH: Final = '/peer'
-
 
 @final
 @dataclass(frozen=True, slots=True)
@@ -41,42 +32,22 @@
 
 
 @final
-class ThriftEntryProbe(EntryProbe):
+class PeerEntryProbe(EntryProbe):
     """Calls the entry's peer port."""
 
-    def __init__(self, client: AsyncHTTPClient, timeout_s: float) -> None:
-        """Keep the client and the bound of a call, in seconds."""
+    def __init__(self, client: PeerClient) -> None:
+        """Ask through this client."""
         self._client = client
-        self._timeout_s = timeout_s
 
     async def ask(self, entry: ListedInstance) -> EntryVersion | Failure:
         """Return the version in force; ``PEER_UNREACHABLE`` if silent."""
-        sent = TMemoryBuffer()
-        Peer.Client(TCompactProtocol(sent)).send_get_in_force()
-        try:
-            answer = await self._client.fetch(
-                f'http://{entry.host}:{entry.peer_port}{_PATH}',
-                method='POST',
-                body=sent.getvalue(),
-                connect_timeout=self._timeout_s,
-                request_timeout=self._timeout_s,
-            )
-        except (HTTPClientError, OSError) as error:
-            return Failure(Code.PEER_UNREACHABLE, f'{entry.name}: {error}')
-        if answer.code != http.HTTPStatus.OK:
-            return Failure(Code.PEER_UNREACHABLE, f'HTTP {answer.code}')
-        return _decode(answer.body)
-
-
-def create_entry_probe(client: AsyncHTTPClient, timeout_s: float) -> EntryProbe:
-    """Return a probe that calls entries over HTTP."""
-    return ThriftEntryProbe(client, timeout_s)
-
-
-def _decode(body: bytes) -> EntryVersion | Failure:
-    received = Peer.Client(TCompactProtocol(TMemoryBuffer(body)))
-    try:
-        answer = received.recv_get_in_force()
-    except (TException, EOFError, ValueError) as error:
-        return Failure(Code.MESSAGE_MALFORMED, str(error))
-    return EntryVersion(answer.version, answer.digest)
+        address = Address(entry.host, entry.peer_port)
+        answer = await self._client.get_in_force(address)
+        if isinstance(answer, Failure):
+            return answer
+        return EntryVersion(answer.version, answer.digest)
+
+
+def create_entry_probe(timeout_s: float) -> EntryProbe:
+    """Return a probe that calls entries; each call has a bound of time."""
+    return PeerEntryProbe(create_peer_client(timeout_s))
--- a/damaskpoint/sheet_tool/tool.py
+++ b/damaskpoint/sheet_tool/tool.py
@@ -50,6 +50,6 @@
         table=table,
         acceptor=Acceptor(table, create_http_object_store(options, client)),
         instances=create_http_instance_list(options, client),
-        probe=create_entry_probe(client, options.timeout_s),
+        probe=create_entry_probe(options.timeout_s),
         clock=time.monotonic,
     )
