--- a/features/long_run.py
+++ b/features/long_run.py
@@ -81,7 +81,7 @@
         _print(
             f'{name}, seed {options.seed}: {result.sent} requests, '
             f'{result.whole} whole, {len(result.violations)} violations, '
-            f'{seconds:.1f} s [{faults}]'
+            f'{seconds:.1f} s [{faults}] {result.counts_by_code}'
         )
         for violation in result.violations:
             _print(f'  {violation}')
--- a/features/support/checker.py
+++ b/features/support/checker.py
@@ -274,6 +274,12 @@
     return {name: CHECKS[name](events, plan) for name in names}
 
 
+def count_codes(events: list[Event]) -> dict[str, int]:
+    """Return how many requests ended with each code."""
+    codes = [str(event.get('code', event['event'])) for event in _ends(events)]
+    return dict(collections.Counter(codes))
+
+
 def _named(events: list[Event], name: str) -> list[Event]:
     return [event for event in events if event['event'] == name]
 
--- a/features/support/faults.py
+++ b/features/support/faults.py
@@ -38,6 +38,17 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def space_schedule(
+    names: tuple[str, ...], within_s: float
+) -> list[PlannedFault]:
+    """Return the named faults, evenly over the time."""
+    gap_s = within_s / (len(names) + 1)
+    return [
+        PlannedFault(gap_s * number, name)
+        for number, name in enumerate(names, 1)
+    ]
+
+
 async def run_schedule(
     cluster: Cluster, draw: random.Random, faults: list[PlannedFault]
 ) -> None:
@@ -111,7 +122,7 @@
 
 
 async def _cut_streams(cluster: Cluster, draw: random.Random) -> None:
-    cut = {'count': 4, 'tokens': draw.randint(0, 12)}
+    cut = {'count': 2, 'tokens': draw.randint(0, 12)}
     await _control(cluster, draw, cut=cut)
 
 
--- a/features/support/traffic.py
+++ b/features/support/traffic.py
@@ -66,9 +66,10 @@
     async def start(self, kind: str) -> None:
         """Start one request of a kind: answer, stream, order or service."""
         number = next(self._numbers)
-        work = self.order(kind, number)
         if kind in {'answer', 'stream'}:
             work = self.answer(number, kind == 'stream')
+        else:
+            work = self.order(kind, number)
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
