--- /dev/null
+++ b/features/proof_at_most_once.feature
@@ -0,0 +1,37 @@
+Feature: At most once, and "not run" is true
+  A non-idempotent request runs at most once, over all entries and upstreams,
+  whatever is killed, frozen or lost. A refusal that says "not run" is true.
+
+  Scenario: The check fails without the guard "journal"
+    Given a trial of the promise "at most once"
+    And its entries run without the guard "journal"
+    And these faults, one after the other
+      | fault |
+      | drop answers |
+      | kill service |
+      | kill entry |
+    When the trial runs with the seed 1
+    Then the check "at most once" finds a violation
+
+  Scenario: The check fails without the guard "doubt"
+    Given a trial of the promise "at most once"
+    And its entries run without the guard "doubt"
+    And these faults, one after the other
+      | fault |
+      | drop answers |
+      | drop answers |
+      | drop answers |
+      | drop answers |
+    When the trial runs with the seed 1
+    Then the check "not run is true" finds a violation
+
+  Scenario Outline: The promise holds under drawn faults, seed <seed>
+    Given a trial of the promise "at most once"
+    When the trial runs with the seed <seed>
+    Then no check finds a violation
+    And at least 60 of 100 requests were answered whole
+
+    Examples: Seeds
+      | seed |
+      | 1 |
+      | 2 |
