--- /dev/null
+++ b/features/proof_zone_out.feature
@@ -0,0 +1,22 @@
+Feature: A zone that is out receives no new work
+  Five seconds after a zone was taken out, nothing new goes there, retries and
+  resumes included.
+
+  Scenario: The check fails without the guard "zones"
+    Given a trial of the promise "zone out"
+    And its entries run without the guard "zones"
+    And these faults, one after the other
+      | fault |
+      | slow table |
+    When the trial runs with the seed 1
+    Then the check "zone out and leaving" finds a violation
+
+  Scenario Outline: The promise holds under drawn faults, seed <seed>
+    Given a trial of the promise "zone out"
+    When the trial runs with the seed <seed>
+    Then no check finds a violation
+    And at least 50 of 100 requests were answered whole
+
+    Examples: Seeds
+      | seed |
+      | 1 |
