--- /dev/null
+++ b/features/proof_leaving.feature
@@ -0,0 +1,22 @@
+Feature: A leaving upstream receives no new work
+  Five seconds after an engine was marked, nothing new goes there, though the
+  list lags and steps back.
+
+  Scenario: The check fails without the guard "leave marks"
+    Given a trial of the promise "leaving upstream"
+    And its entries run without the guard "leave marks"
+    And these faults, one after the other
+      | fault |
+      | fail calls |
+    When the trial runs with the seed 1
+    Then the check "zone out and leaving" finds a violation
+
+  Scenario Outline: The promise holds under drawn faults, seed <seed>
+    Given a trial of the promise "leaving upstream"
+    When the trial runs with the seed <seed>
+    Then no check finds a violation
+    And at least 50 of 100 requests were answered whole
+
+    Examples: Seeds
+      | seed |
+      | 1 |
