--- /dev/null
+++ b/features/proof_configuration.feature
@@ -0,0 +1,22 @@
+Feature: An accepted configuration is in force and never reverts
+  Probes ask every entry one by one; the platform goes down right after the
+  acceptance, and all entries are replaced.
+
+  Scenario: The check fails without the guard "polls"
+    Given a trial of the promise "accepted configuration"
+    And its entries run without the guard "polls"
+    And these faults, one after the other
+      | fault |
+      | slow table |
+    When the trial runs with the seed 1
+    Then the check "accepted configuration" finds a violation
+
+  Scenario Outline: The promise holds under drawn faults, seed <seed>
+    Given a trial of the promise "accepted configuration"
+    When the trial runs with the seed <seed>
+    Then no check finds a violation
+    And at least 50 of 100 requests were answered whole
+
+    Examples: Seeds
+      | seed |
+      | 1 |
