--- a/features/support/sheets.py
+++ b/features/support/sheets.py
@@ -44,8 +44,6 @@
     cold_limit: int = 1
     warm_limit: int = 8
     checks_fencing: bool = True
-    # Whether the sheet says which model the engines must have loaded.
-    has_targets: bool = False
 
 
 def write_sheet(options: SheetOptions) -> str:
@@ -73,9 +71,8 @@
     lines += _list_stages(options.number)
     lines += ['[bindings]', 'pipeline,account']
     lines += [f'answer,{ACCOUNT}', f'order,{ACCOUNT}']
-    if options.has_targets:
-        lines += ['[targets]', 'pool,model,version,adapters,role']
-        lines.append(f'{MODEL_POOL},model-{options.number},1,,mixed')
+    lines += ['[targets]', 'pool,model,version,adapters,role']
+    lines.append(f'{MODEL_POOL},model-{options.number},1,,mixed')
     return '\n'.join(lines) + '\n'
 
 
--- a/standins/commands.py
+++ b/standins/commands.py
@@ -84,18 +84,18 @@
         default='mixed',
         help='role at the start',
     )
-    parser.add_argument(
-        '--model',
-        action='append',
-        default=[],
-        help='MODEL:VERSION[:ADAPTER,...] that is loaded at the start',
-    )
     parser.add_argument(
         '--platform-url', default='', help='where the weight store is'
     )
 
 
 def _add_engine_times(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        '--model',
+        action='append',
+        default=[],
+        help='MODEL:VERSION[:ADAPTER,...] that is loaded at the start',
+    )
     for kind in ('encode', 'retrieve', 'rerank', 'generate'):
         parser.add_argument(
             f'--{kind}-ms', type=float, default=_STAGE_MS, help='its time'
