--- a/damaskpoint/admission/controller.py
+++ b/damaskpoint/admission/controller.py
@@ -2,86 +2,168 @@
 
 from __future__ import annotations
 
-import itertools
-import math
+import asyncio
 from typing import TYPE_CHECKING, final
 
+from tornado import ioloop
+
+from damaskpoint.admission import metrics
 from damaskpoint.admission.base import Admission, AdmissionPass
-from damaskpoint.errors import Code, Failure
+from damaskpoint.admission.core import AdmissionCore, Queued
+from damaskpoint.admission.gate import UnknownCapacity
+from damaskpoint.admission.shares import NoPeers
+from damaskpoint.errors import Failure
 from damaskpoint.observe.state import StateSource
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from damaskpoint.admission.base import AdmissionRequest
-    from damaskpoint.config.model import Account, Configuration
+    from damaskpoint.admission.gate import CapacitySource
+    from damaskpoint.admission.shares import DemandSource
+    from damaskpoint.config.model import Configuration
     from damaskpoint.settings import AdmissionOptions
 
 
 def create_admission(
-    options: AdmissionOptions, clock: Callable[[], float]
+    options: AdmissionOptions,
+    clock: Callable[[], float],
+    *,
+    own_name: str = 'alone',
+    demand: DemandSource | None = None,
+    capacity: CapacitySource | None = None,
 ) -> AdmissionController:
-    """Return an admission that refuses all until it has a configuration."""
-    return AdmissionController(options, clock)
+    """Return an admission that refuses all until it has a configuration.
+
+    Without ``demand`` the limits are all this entry's; without ``capacity``
+    only the limits of the client accounts bound what runs.
+    """
+    core = AdmissionCore(
+        own_name,
+        options.queue_limit,
+        demand or NoPeers(own_name),
+        capacity or UnknownCapacity(),
+    )
+    return AdmissionController(core, clock)
 
 
 @final
 class AdmissionController(Admission, StateSource):
-    """Bounds each client account by its rate and its requests in flight."""
+    """Carries decisions to the requests that wait for them."""
 
-    def __init__(
-        self, options: AdmissionOptions, clock: Callable[[], float]
-    ) -> None:
-        """Start without client accounts."""
-        self._options = options
+    def __init__(self, core: AdmissionCore, clock: Callable[[], float]) -> None:
+        """Wait with the loop's timers; ``clock`` is monotonic, in seconds."""
+        self.core = core
         self._clock = clock
-        self._numbers = itertools.count(1)
-        self._accounts_by_name: dict[str, Account] = {}
-        self._in_flight_by_account: dict[str, int] = {}
-        self._tokens_by_account: dict[str, tuple[float, float]] = {}
-        self._open_numbers: set[int] = set()
+        self._waiters_by_number: dict[
+            int, asyncio.Future[AdmissionPass | Failure]
+        ] = {}
+        self._timer: object | None = None
 
     def apply_configuration(self, configuration: Configuration) -> None:
-        """Take over the client accounts of a configuration."""
-        self._accounts_by_name = dict(configuration.accounts_by_name)
+        """Take over the client accounts and targets of a configuration."""
+        self.core.apply_configuration(configuration, self._clock())
 
     async def admit(self, request: AdmissionRequest) -> AdmissionPass | Failure:
-        """Return a pass, or ``ACCOUNT_LIMIT`` at once."""
-        now = self._clock()
-        account = self._accounts_by_name.get(request.account)
-        if account is None:
-            return Failure(Code.UNKNOWN_ACCOUNT, request.account)
-        in_flight = self._in_flight_by_account.get(account.name, 0)
-        if in_flight >= account.max_in_flight:
-            return Failure(
-                Code.ACCOUNT_LIMIT, 'requests in flight', retry_after_s=1
-            )
-        tokens = self._refill(account, now)
-        if tokens < 1:
-            wait_s = (1 - tokens) / account.rate_per_s
-            return Failure(
-                Code.ACCOUNT_LIMIT,
-                'requests a second',
-                retry_after_s=math.ceil(wait_s),
-            )
-        self._tokens_by_account[account.name] = (tokens - 1, now)
-        self._in_flight_by_account[account.name] = in_flight + 1
-        number = next(self._numbers)
-        self._open_numbers.add(number)
-        return AdmissionPass(number, account.name, request.target, now)
+        """Return a pass, after a bounded and fair wait, or a failure."""
+        decided = self.core.offer(request, self._clock())
+        if isinstance(decided, Queued):
+            result = await self._wait(decided.number, request)
+            _count(request, result, 'yes')
+        else:
+            result = decided
+            _count(request, result, 'no')
+        metrics.RUNNING.set({}, self.core.running_count)
+        return result
 
     def release(self, admission_pass: AdmissionPass, is_whole: bool) -> None:
         """Give a pass back; a second time changes nothing."""
-        if admission_pass.number not in self._open_numbers:
-            return
-        self._open_numbers.remove(admission_pass.number)
-        self._in_flight_by_account[admission_pass.account] -= 1
+        self.core.release(admission_pass, self._clock(), is_whole=is_whole)
+        self._advance()
 
     def dump_state(self, now: float) -> dict[str, object]:
-        """Return the requests in flight by client account."""
-        return {'in_flight_by_account': dict(self._in_flight_by_account)}
+        """Return the accounts, the queue, the pools and service times."""
+        accounts: dict[str, object] = {}
+        for limits in self.core.accounts.list_known():
+            name = limits.account.name
+            accounts[name] = {
+                'in_flight': limits.in_flight,
+                'max_in_flight': limits.max_in_flight,
+                'share': round(limits.share, 4),
+                'offered_per_s': round(limits.demand.rate_per_s(now), 2),
+                'waiting_cost_s': round(self.core.queue.cost_of(name), 3),
+            }
+        return {
+            'running': self.core.running_count,
+            'waiting': len(self.core.queue),
+            'accounts_by_name': accounts,
+            'pools': self.core.gate.dump(),
+            'service_times_by_target': self.core.times.dump(now),
+        }
+
+    async def _wait(
+        self, number: int, request: AdmissionRequest
+    ) -> AdmissionPass | Failure:
+        waiter: asyncio.Future[AdmissionPass | Failure] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiters_by_number[number] = waiter
+        self._advance()
+        try:
+            return await waiter
+        except asyncio.CancelledError:
+            self._leave(number, waiter)
+            metrics.ABANDONED.inc({'account': request.account})
+            raise
+        finally:
+            self._waiters_by_number.pop(number, None)
+
+    def _leave(
+        self, number: int, waiter: asyncio.Future[AdmissionPass | Failure]
+    ) -> None:
+        """Forget a caller that left, even in the turn that let it in."""
+        self.core.queue.remove(number)
+        if not waiter.done() or waiter.cancelled():
+            return
+        admitted = waiter.result()
+        if isinstance(admitted, AdmissionPass):
+            self.release(admitted, is_whole=False)
+
+    def _advance(self) -> None:
+        """Deliver what is decided, and look again when it is due."""
+        now = self._clock()
+        for outcome in self.core.advance(now):
+            waiter = self._waiters_by_number.pop(outcome.number, None)
+            if waiter is not None and not waiter.done():
+                waiter.set_result(outcome.result)
+            elif isinstance(outcome.result, AdmissionPass):
+                self.core.release(outcome.result, now, is_whole=False)
+        metrics.WAITING.set({}, len(self.core.queue))
+        self._set_timer(now)
+
+    def _set_timer(self, now: float) -> None:
+        loop = ioloop.IOLoop.current()
+        if self._timer is not None:
+            loop.remove_timeout(self._timer)
+            self._timer = None
+        due = self.core.next_check
+        if due is not None:
+            wait_s = max(0, due - now)
+            self._timer = loop.call_later(wait_s, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer = None
+        self._advance()
+
 
-    def _refill(self, account: Account, now: float) -> float:
-        burst = float(account.burst)
-        tokens, since = self._tokens_by_account.get(account.name, (burst, now))
-        return min(burst, tokens + (now - since) * account.rate_per_s)
+def _count(
+    request: AdmissionRequest, result: AdmissionPass | Failure, waited: str
+) -> None:
+    account = request.account
+    if isinstance(result, Failure):
+        metrics.REFUSED.inc(
+            {'account': account, 'code': result.code.value, 'waited': waited}
+        )
+        return
+    metrics.ADMITTED.inc({'account': account, 'waited': waited})
+    metrics.WAIT_SECONDS.observe({}, result.admitted_at - request.arrived_at)
--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -123,6 +123,14 @@
 
 # Admission.
 QUEUE_LIMIT: Final = 256
+SHARE_HOLD_S: Final = 1.0
+SHARE_REFRESH_S: Final = 0.25
+ADMISSION_TICK_S: Final = 0.1
+CAPACITY_FILL: Final = 1.25
+MIN_RETRY_AFTER_S: Final = 1.0
+MAX_RETRY_AFTER_S: Final = 60.0
+SERVICE_TIME_KEEP_S: Final = 5.0
+UNKNOWN_SERVICE_S: Final = 0.1
 
 # Dump of the state: entries shown of one collection.
 MAX_DUMP_ITEMS: Final = 200
--- a/damaskpoint/membership/reports.py
+++ b/damaskpoint/membership/reports.py
@@ -13,9 +13,13 @@
 from damaskpoint.membership.rotation import Rotation
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator, Mapping, Sequence
+    from collections.abc import Iterator, Mapping
 
-    from damaskpoint.membership.facts import DemandFact, LoadFact, ShareFact
+    from damaskpoint.membership.facts import (
+        DemandFact,
+        GossipMessage,
+        LoadFact,
+    )
 
 _Told = TypeVar('_Told')
 
@@ -115,30 +119,25 @@
         """Start without peers."""
         self._work_by_peer: dict[str, _PeerWork] = {}
 
-    def merge(
-        self,
-        peer: str,
-        order: tuple[int, int],
-        shares: Sequence[ShareFact],
-        demands: Sequence[DemandFact],
-        now: float,
-    ) -> bool:
+    def merge(self, message: GossipMessage, now: float) -> bool:
         """Take over what a peer says itself; late messages say nothing.
 
-        Returns whether the message was the newest.
+        Returns whether the message was the newest of its sender.
         """
-        if not shares and not demands:
+        if not message.shares and not message.demands:
             return False
-        work = self._work_by_peer.setdefault(peer, _PeerWork())
+        sender = message.sender
+        order = (sender.start, sender.heartbeat)
+        work = self._work_by_peer.setdefault(sender.name, _PeerWork())
         if order <= work.order:
             return False
         if order[0] != work.order[0]:
             work.shares_by_upstream.clear()
             work.demands_by_account.clear()
         work.order = order
-        for share in shares:
+        for share in message.shares:
             work.shares_by_upstream[share.upstream] = (share.in_flight, now)
-        for demand in demands:
+        for demand in message.demands:
             work.demands_by_account[demand.account] = (demand, now)
         return True
 
@@ -159,20 +158,22 @@
                 sums[upstream] = sums.get(upstream, 0) + in_flight
         return sums
 
-    def iterate_demands(self, account: str) -> Iterator[DemandFact]:
+    def demands_of(self, account: str) -> dict[str, DemandFact]:
         """Return what each peer says of its demand of an account."""
-        for work in self._work_by_peer.values():
+        demands_by_peer: dict[str, DemandFact] = {}
+        for peer, work in self._work_by_peer.items():
             told = work.demands_by_account.get(account)
             if told is not None:
-                yield told[0]
+                demands_by_peer[peer] = told[0]
+        return demands_by_peer
 
-    def count_peers_with_demands(self) -> int:
-        """Return how many peers told any demand lately."""
-        count = 0
-        for work in self._work_by_peer.values():
+    def peers_with_demands(self) -> frozenset[str]:
+        """Return the peers that told their demands lately."""
+        found = []
+        for peer, work in self._work_by_peer.items():
             if work.demands_by_account:
-                count += 1
-        return count
+                found.append(peer)
+        return frozenset(found)
 
 
 def _drop_older(
--- a/damaskpoint/membership/view.py
+++ b/damaskpoint/membership/view.py
@@ -149,16 +149,9 @@
         for load in message.loads:
             if self.loads.merge(load, now):
                 new_loads.append(load)
-        sender = message.sender
-        is_in_order = self.work.merge(
-            sender.name,
-            (sender.start, sender.heartbeat),
-            message.shares,
-            message.demands,
-            now,
-        )
+        is_in_order = self.work.merge(message, now)
         return News(
-            sender,
+            message.sender,
             message.configuration,
             tuple(new_marks),
             tuple(new_loads),
--- /dev/null
+++ b/features/steps/admission_bench.py
@@ -0,0 +1,197 @@
+"""Entries with admission alone, under virtual time, for the steps."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from dataclasses import dataclass, field
+
+from damaskpoint.admission.base import AdmissionPass, AdmissionRequest
+from damaskpoint.admission.core import AdmissionCore, Queued
+from damaskpoint.admission.gate import CapacitySource
+from damaskpoint.admission.shares import DemandSource
+from damaskpoint.config import model
+from damaskpoint.errors import Code, Failure
+
+TARGET = 'explain-alarm'
+POOL = 'model-pool'
+
+
+class FixedCapacity(CapacitySource):
+    """A capacity that a test sets."""
+
+    def __init__(self, calls: float) -> None:
+        self.calls = calls
+
+    def find_capacity(self, pool: str) -> float | None:
+        return self.calls
+
+
+class ToldDemand(DemandSource):
+    """Demand as other benches told it, with a delay that the test keeps."""
+
+    def __init__(self, names: tuple[str, ...]) -> None:
+        self.names = names
+        self.rates_by_account: dict[str, dict[str, float]] = {}
+        self.work: dict[str, float] = {}
+
+    def entry_names(self, now: float) -> tuple[str, ...]:
+        return self.names
+
+    def peer_demands(self, account: str) -> dict[str, float]:
+        return self.rates_by_account.get(account, {})
+
+    def peer_work(self) -> dict[str, float]:
+        return self.work
+
+
+def create_configuration(accounts: list[model.Account]) -> model.Configuration:
+    """Return a configuration of one pool and one pipeline of two stages."""
+    stages = tuple(
+        model.Stage(name, kind, POOL, 'm', '', False)
+        for name, kind in (
+            ('encode', model.StageKind.ENCODE),
+            ('generate', model.StageKind.GENERATE),
+        )
+    )
+    pool = model.Pool(POOL, model.PoolKind.MODEL, 1, 8, True, True)
+    names = frozenset(account.name for account in accounts)
+    return model.Configuration(
+        version=1,
+        digest='00',
+        accounts_by_name={account.name: account for account in accounts},
+        pools_by_name={POOL: pool},
+        pipelines_by_name={TARGET: model.Pipeline(TARGET, stages, 3000, names)},
+    )
+
+
+def create_account(name: str, **changes: int) -> model.Account:
+    """Return an account with limits that seldom bind."""
+    fields = {
+        'weight': 1,
+        'rate_per_s': 100_000,
+        'burst': 10_000,
+        'max_in_flight': 10_000,
+        'priority': 0,
+    }
+    return model.Account(name, '', **(fields | changes))
+
+
+@dataclass
+class Seen:
+    """What became of an account's requests."""
+
+    offered: int = 0
+    served_in_time: int = 0
+    served_late: int = 0
+    refusals: dict[Code, int] = field(default_factory=dict)
+    waits_s: list[float] = field(default_factory=list)
+    # Time from a request's arrival to its refusal.
+    refusal_delays_s: list[float] = field(default_factory=list)
+
+
+class Bench:
+    """One entry's admission with a server of fixed service time."""
+
+    def __init__(
+        self,
+        accounts: list[model.Account],
+        *,
+        slots: float,
+        service_s: float,
+        queue_limit: int = 256,
+        demand: DemandSource | None = None,
+        name: str = 'entry-0',
+    ) -> None:
+        self.now = 100.0
+        self.capacity = FixedCapacity(slots)
+        self.core = AdmissionCore(
+            name, queue_limit, demand or ToldDemand((name,)), self.capacity
+        )
+        self.core.apply_configuration(create_configuration(accounts), self.now)
+        self.service_s = service_s
+        self.seen = {account.name: Seen() for account in accounts}
+        self.requests: dict[int, AdmissionRequest] = {}
+        self.results: dict[int, tuple[float, AdmissionPass | Failure]] = {}
+        self._events: list[tuple[float, int, object]] = []
+        self._numbers = itertools.count()
+        self._rng = random.Random(7)
+
+    def push(self, at: float, event: object) -> None:
+        heapq.heappush(self._events, (at, next(self._numbers), event))
+
+    def offer_steadily(
+        self, account: str, rate_per_s: float, seconds: float, deadline_s: float
+    ) -> None:
+        """Plan Poisson arrivals of an account."""
+        at = self.now
+        while True:
+            at += self._rng.expovariate(rate_per_s)
+            if at > self.now + seconds:
+                return
+            self.push(at, (account, deadline_s))
+
+    def run(self, until: float) -> None:
+        """Run arrivals, ends of service and checks in order of time."""
+        while True:
+            due = self.core.next_check
+            next_at = self._events[0][0] if self._events else float('inf')
+            if due is not None and due <= next_at:
+                if due > until:
+                    break
+                self.now = max(self.now + 1e-6, due)
+                self._advance()
+                continue
+            if next_at > until:
+                break
+            at, _, event = heapq.heappop(self._events)
+            self.now = max(self.now, at)
+            self._handle(event)
+        self.now = max(self.now, until)
+
+    def offer(self, account: str, deadline_s: float) -> None:
+        """Offer one request now."""
+        request = AdmissionRequest(
+            'r', account, TARGET, self.now, self.now + deadline_s
+        )
+        self.seen[account].offered += 1
+        decided = self.core.offer(request, self.now)
+        if isinstance(decided, Queued):
+            self.requests[decided.number] = request
+        else:
+            self._finish(request, decided)
+        self._advance()
+
+    def _handle(self, event: object) -> None:
+        if isinstance(event, AdmissionPass):
+            request = self.requests.pop(-event.number)
+            in_time = self.now <= request.deadline
+            seen = self.seen[event.account]
+            seen.served_in_time += in_time
+            seen.served_late += not in_time
+            self.core.release(event, self.now, is_whole=in_time)
+            self._advance()
+            return
+        account, deadline_s = event  # type: ignore[misc]
+        self.offer(account, deadline_s)
+
+    def _advance(self) -> None:
+        for outcome in self.core.advance(self.now):
+            request = self.requests.pop(outcome.number)
+            self._finish(request, outcome.result)
+
+    def _finish(
+        self, request: AdmissionRequest, result: AdmissionPass | Failure
+    ) -> None:
+        seen = self.seen[request.account]
+        if isinstance(result, Failure):
+            count = seen.refusals.get(result.code, 0)
+            seen.refusals[result.code] = count + 1
+            seen.refusal_delays_s.append(self.now - request.arrived_at)
+            assert result.retry_after_s, result
+            return
+        seen.waits_s.append(self.now - request.arrived_at)
+        self.requests[-result.number] = request
+        spread = self._rng.uniform(0.7, 1.3)
+        self.push(self.now + self.service_s * spread, result)
