--- a/damaskpoint/admission/feasibility.py
+++ b/damaskpoint/admission/feasibility.py
@@ -62,18 +62,19 @@
         A request that ended early would have taken longer; it only counts
         when it took longer than the mean.
         """
-        known = self.estimate(target, now)
-        if not is_whole and seconds <= known.mean_s:
-            return
         times = self._times_by_target.get(target)
         if times is None:
-            times = _Times(seconds, seconds / 2, now)
-            self._times_by_target[target] = times
+            if is_whole:
+                self._times_by_target[target] = _Times(
+                    seconds, seconds / 2, now
+                )
+            return
+        error = seconds - times.mean_s
+        if not is_whole and error <= 0:
             return
-        error = seconds - known.mean_s
-        change = abs(error) - known.deviation_s
-        times.mean_s = known.mean_s + error * _MEAN_WEIGHT
-        times.deviation_s = known.deviation_s + change * _DEVIATION_WEIGHT
+        change = abs(error) - times.deviation_s
+        times.mean_s += error * _MEAN_WEIGHT
+        times.deviation_s += change * _DEVIATION_WEIGHT
         times.measured_at = now
         times.count += 1
 
@@ -89,9 +90,10 @@
         if times is None:
             return ServiceEstimate(0, 0)
         silent_s = now - times.measured_at
-        if silent_s <= defaults.SERVICE_TIME_KEEP_S:
+        keep_s = defaults.SERVICE_TIME_KEEP_S + 2 * times.mean_s
+        if silent_s <= keep_s:
             return ServiceEstimate(times.mean_s, times.deviation_s)
-        factor = defaults.SERVICE_TIME_KEEP_S / silent_s
+        factor = keep_s / silent_s
         return ServiceEstimate(times.mean_s * factor, times.deviation_s)
 
     def dump(self, now: float) -> dict[str, object]:
--- a/damaskpoint/load/slopes_admission.py
+++ b/damaskpoint/load/slopes_admission.py
@@ -72,11 +72,11 @@
 class _Demand(DemandSource):
     """Peers of equal demand, of which some were heard lately."""
 
-    def __init__(self, entries: int) -> None:
+    def __init__(self, entries: int, work: int) -> None:
         self._names = tuple(f'entry-{index:03d}' for index in range(entries))
         heard = self._names[1:_TOLD]
         self._rates = dict.fromkeys(heard, float(1))
-        self._work = dict.fromkeys(heard, float(_SLOTS + _WAITING))
+        self._work = dict.fromkeys(heard, float(work))
 
     def entry_names(self, now: float) -> Sequence[str]:
         return self._names
@@ -88,7 +88,7 @@
         return self._work
 
 
-def _create_core(size: int, entries: int) -> AdmissionCore:
+def _create_core(size: int, entries: int, waiting: int) -> AdmissionCore:
     accounts = {}
     for index in range(size):
         name = f'account-{index:04d}'
@@ -102,9 +102,8 @@
             priority=0,
         )
     pool = Pool(_POOL, PoolKind.MODEL, 1, 8, True, True)
-    core = AdmissionCore(
-        _OWN, 2 * _WAITING, _Demand(entries), _Capacity(entries)
-    )
+    demand = _Demand(entries, _RUNNING + waiting)
+    core = AdmissionCore(_OWN, 2 * _WAITING, demand, _Capacity(entries))
     core.apply_configuration(
         Configuration(
             1, '', accounts_by_name=accounts, pools_by_name={_POOL: pool}
@@ -116,7 +115,7 @@
 
 def _measure_requests(size: int, entries: int, waiting: int) -> float:
     """Return microseconds for a request while so many wait."""
-    core = _create_core(size, entries)
+    core = _create_core(size, entries, waiting)
     running: list[AdmissionPass] = []
     now: float = 0
     for number in range(_RUNNING + waiting):
@@ -149,7 +148,7 @@
 def _measure_memory(size: int) -> float:
     """Return kilobytes after a request of every account."""
     tracemalloc.start()
-    core = _create_core(size, 1)
+    core = _create_core(size, 1, 0)
     before, _ = tracemalloc.get_traced_memory()
     running: list[AdmissionPass] = []
     for index in range(size):
--- a/features/steps/admission_bench.py
+++ b/features/steps/admission_bench.py
@@ -91,6 +91,14 @@
     refusal_delays_s: list[float] = field(default_factory=list)
 
 
+@dataclass(frozen=True)
+class Arrival:
+    """A request to come."""
+
+    account: str
+    deadline_s: float
+
+
 class Bench:
     """One entry's admission with a server of fixed service time."""
 
@@ -114,13 +122,20 @@
         self.seen = {account.name: Seen() for account in accounts}
         self.requests: dict[int, AdmissionRequest] = {}
         self.results: dict[int, tuple[float, AdmissionPass | Failure]] = {}
-        self._events: list[tuple[float, int, object]] = []
+        self._events: list[tuple[float, int, Arrival | AdmissionPass]] = []
         self._numbers = itertools.count()
         self._rng = random.Random(7)
+        self.last_retry_after_s: float = 0
+        # Ends of waits by refusal: when, and the deadline.
+        self.ends: list[tuple[float, float]] = []
 
-    def push(self, at: float, event: object) -> None:
+    def push(self, at: float, event: Arrival | AdmissionPass) -> None:
         heapq.heappush(self._events, (at, next(self._numbers), event))
 
+    def stop_service(self) -> None:
+        """Let what runs run for ever."""
+        self._events = []
+
     def offer_steadily(
         self, account: str, rate_per_s: float, seconds: float, deadline_s: float
     ) -> None:
@@ -130,24 +145,22 @@
             at += self._rng.expovariate(rate_per_s)
             if at > self.now + seconds:
                 return
-            self.push(at, (account, deadline_s))
+            self.push(at, Arrival(account, deadline_s))
 
     def run(self, until: float) -> None:
         """Run arrivals, ends of service and checks in order of time."""
-        while True:
-            due = self.core.next_check
-            next_at = self._events[0][0] if self._events else float('inf')
-            if due is not None and due <= next_at:
-                if due > until:
-                    break
-                self.now = max(self.now + 1e-6, due)
+        while self._find_next() <= until:
+            check_at = self.core.next_check
+            if check_at is not None and check_at <= self._find_next():
+                self.now = max(self.now + 1e-6, check_at)
                 self._advance()
                 continue
-            if next_at > until:
-                break
             at, _, event = heapq.heappop(self._events)
             self.now = max(self.now, at)
-            self._handle(event)
+            if isinstance(event, AdmissionPass):
+                self._end(event)
+            else:
+                self.offer(event.account, event.deadline_s)
         self.now = max(self.now, until)
 
     def offer(self, account: str, deadline_s: float) -> None:
@@ -163,18 +176,19 @@
             self._finish(request, decided)
         self._advance()
 
-    def _handle(self, event: object) -> None:
-        if isinstance(event, AdmissionPass):
-            request = self.requests.pop(-event.number)
-            in_time = self.now <= request.deadline
-            seen = self.seen[event.account]
-            seen.served_in_time += in_time
-            seen.served_late += not in_time
-            self.core.release(event, self.now, is_whole=in_time)
-            self._advance()
-            return
-        account, deadline_s = event  # type: ignore[misc]
-        self.offer(account, deadline_s)
+    def _find_next(self) -> float:
+        next_at = self._events[0][0] if self._events else float('inf')
+        check_at = self.core.next_check
+        return next_at if check_at is None else min(next_at, check_at)
+
+    def _end(self, admitted: AdmissionPass) -> None:
+        request = self.requests.pop(-admitted.number)
+        in_time = self.now <= request.deadline
+        seen = self.seen[admitted.account]
+        seen.served_in_time += in_time
+        seen.served_late += not in_time
+        self.core.release(admitted, self.now, is_whole=in_time)
+        self._advance()
 
     def _advance(self) -> None:
         for outcome in self.core.advance(self.now):
@@ -190,6 +204,9 @@
             seen.refusals[result.code] = count + 1
             seen.refusal_delays_s.append(self.now - request.arrived_at)
             assert result.retry_after_s, result
+            self.last_retry_after_s = result.retry_after_s
+            if self.now > request.arrived_at:
+                self.ends.append((self.now, request.deadline))
             return
         seen.waits_s.append(self.now - request.arrived_at)
         self.requests[-result.number] = request
