--- a/standins/site_profiles.py
+++ b/standins/site_profiles.py
@@ -24,6 +24,8 @@
 
     zones: tuple[str, ...]
     pools: tuple[PoolProfile, ...]
+    # Loaded at the start, as MODEL:VERSION[:ADAPTER,...].
+    models: tuple[str, ...]
 
 
 _LAGOS = Profile(
@@ -35,6 +37,7 @@
         PoolProfile('invoice-svc', False, 4),
         PoolProfile('audit-log', False, 4),
     ),
+    ('encoder:1', 'retriever:1', 'reranker:1', 'writer:3:alarms,pumps'),
 )
 _PT_INTERIOR = Profile(
     ('pti-a', 'pti-b', 'pti-c'),
@@ -45,5 +48,6 @@
         PoolProfile('faturas', False, 3),
         PoolProfile('notificacoes', False, 3),
     ),
+    ('encoder:1', 'retriever:1', 'reranker:1', 'writer:3:counter,orders'),
 )
 PROFILES_BY_NAME: Final = {'lagos': _LAGOS, 'pt-interior': _PT_INTERIOR}
