Wire gossip, peer calls and shared admission into the entry

Leave marks, zones taken out and unproven notices spread at once; the configuration is offered to the follower and fetched from peers; admission divides limits and capacity by the demand that peers tell. Capacity counts warm and cold places of the open upstreams, lowered by AIMD per pool while upstreams refuse for overload or time out.

--- a/damaskpoint/admission/account_table.py
+++ b/damaskpoint/admission/account_table.py
@@ -73,6 +73,11 @@
         record = self._records_by_account.get(name)
         return None if record is None else record.limits
 
+    @property
+    def first_name(self) -> str | None:
+        """Return the name of the first account of the configuration."""
+        return next(iter(self._accounts_by_name), None)
+
     def list_known(self) -> tuple[AccountLimits, ...]:
         """Return the limits of all accounts that were used here."""
         return tuple(
--- a/damaskpoint/admission/controller.py
+++ b/damaskpoint/admission/controller.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, final
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final, final
 
 from tornado import ioloop
 
@@ -24,6 +25,9 @@
     from damaskpoint.config.model import Configuration
     from damaskpoint.settings import AdmissionOptions
 
+# A rate below this is not worth telling (requests a second).
+_LEAST_RATE_PER_S: Final = 0.01
+
 
 def create_admission(
     options: AdmissionOptions,
@@ -47,6 +51,17 @@
     return AdmissionController(core, clock)
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class AccountDemand:
+    """What an entry sees of an account."""
+
+    account: str
+    offered_per_s: float
+    # Requests running or waiting.
+    work: int
+
+
 @final
 class AdmissionController(Admission, StateSource):
     """Carries decisions to the requests that wait for them."""
@@ -81,6 +96,23 @@
         self.core.release(admission_pass, self._clock(), is_whole=is_whole)
         self._advance()
 
+    def own_demands(self, now: float) -> tuple[AccountDemand, ...]:
+        """Return the demand of each account that has any here.
+
+        An entry without demand says so by one account with none.
+        """
+        demands = []
+        for limits in self.core.accounts.list_known():
+            name = limits.account.name
+            work = limits.in_flight + self.core.queue.count_of(name)
+            rate_per_s = limits.demand.rate_per_s(now)
+            if work or rate_per_s >= _LEAST_RATE_PER_S:
+                demands.append(AccountDemand(name, rate_per_s, work))
+        first_name = self.core.accounts.first_name
+        if not demands and first_name is not None:
+            demands.append(AccountDemand(first_name, 0, 0))
+        return tuple(demands)
+
     def dump_state(self, now: float) -> dict[str, object]:
         """Return the accounts, the queue, the pools and service times."""
         accounts: dict[str, object] = {}
--- a/damaskpoint/admission/fair_queue.py
+++ b/damaskpoint/admission/fair_queue.py
@@ -187,6 +187,11 @@
         state = self._states_by_account.get(account)
         return 0 if state is None else state.waiting_cost
 
+    def count_of(self, account: str) -> int:
+        """Return how many requests of an account wait."""
+        state = self._states_by_account.get(account)
+        return 0 if state is None else state.waiting
+
     def weight_of(self, account: str) -> int:
         """Return an account's weight."""
         state = self._states_by_account.get(account)
--- /dev/null
+++ b/damaskpoint/entry/capacity.py
@@ -0,0 +1,76 @@
+"""What admission is told of the upstreams' capacity."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, final
+
+from damaskpoint.admission.backoff import CapacityBackoff
+from damaskpoint.admission.gate import CapacitySource
+from damaskpoint.routing.base import Router
+from damaskpoint.routing.nodes import Placement
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from damaskpoint.errors import Failure
+    from damaskpoint.routing.base import CallReport, RouteQuery, Ticket
+    from damaskpoint.routing.core import RoutingCore
+    from damaskpoint.routing.nodes import PoolSlate
+
+
+@final
+class PoolCapacity(CapacitySource):
+    """Counts the calls that the open upstreams of a pool bear."""
+
+    def __init__(
+        self,
+        core: RoutingCore,
+        backoff: CapacityBackoff,
+        clock: Callable[[], float],
+    ) -> None:
+        """Ask routing, and take the overload that was seen into account."""
+        self._core = core
+        self._backoff = backoff
+        self._clock = clock
+
+    def find_capacity(self, pool: str) -> float | None:
+        """Return the calls at once that the pool bears, over all entries."""
+        slate = self._core.fleet.slates_by_pool.get(pool)
+        if slate is None:
+            return None
+        warm = _count(slate, Placement.READY, Placement.FULL)
+        cold = _count(slate, Placement.COLD, Placement.PERMITTED)
+        limits = slate.pool
+        calls = warm * limits.warm_limit + cold * limits.cold_limit
+        return calls * self._backoff.find_factor(pool, self._clock())
+
+
+def _count(slate: PoolSlate, *placements: Placement) -> int:
+    return sum(len(slate.names_by_placement[kind]) for kind in placements)
+
+
+@final
+class ObservedRouter(Router):
+    """Passes calls on to a router, and their ends to the backoff too."""
+
+    def __init__(
+        self,
+        router: Router,
+        backoff: CapacityBackoff,
+        clock: Callable[[], float],
+    ) -> None:
+        """Stand before this router."""
+        self._router = router
+        self._backoff = backoff
+        self._clock = clock
+
+    async def acquire(self, query: RouteQuery) -> Ticket | Failure:
+        """Return the router's answer."""
+        return await self._router.acquire(query)
+
+    def release(self, ticket: Ticket, report: CallReport) -> None:
+        """Take note of the end and pass it on."""
+        self._backoff.note_end(
+            ticket.upstream.pool, report.end, ticket.taken_at, self._clock()
+        )
+        self._router.release(ticket, report)
--- /dev/null
+++ b/damaskpoint/entry/gossip_listener.py
@@ -0,0 +1,161 @@
+"""Ties gossip to configuration, routing and admission."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, final
+
+from damaskpoint import defaults
+from damaskpoint.membership import facts
+from damaskpoint.membership.gossip import MembershipListener
+from damaskpoint.routing.directory import ZoneMark
+from damaskpoint.routing.evidence import UnprovenListener
+from damaskpoint.routing.report import LoadReport
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from damaskpoint.admission.controller import AdmissionController
+    from damaskpoint.config.follower import ConfigurationFollower
+    from damaskpoint.config.model import Configuration
+    from damaskpoint.membership.peer_objects import PeerObjects
+    from damaskpoint.membership.service import Membership
+    from damaskpoint.platform.base import ListedInstance
+    from damaskpoint.routing.wiring import Routing
+
+
+@final
+class GossipListener(MembershipListener, UnprovenListener):
+    """Passes on what peers tell, and tells them what happens here."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        follower: ConfigurationFollower,
+        routing: Routing,
+        admission: AdmissionController,
+        peer_objects: PeerObjects,
+        clock: Callable[[], float],
+    ) -> None:
+        """Stand between these parts."""
+        self._membership = membership
+        self._follower = follower
+        self._routing = routing
+        self._admission = admission
+        self._peer_objects = peer_objects
+        self._clock = clock
+
+    # What happens here.
+
+    def prepare_round(self, now: float) -> None:
+        """Tell what has changed here, and take stock of the peers."""
+        self._tell_configuration(now)
+        self._tell_marks()
+        self._membership.tell_shares(self._routing.core.shares_by_name())
+        self._membership.tell_loads(self._collect_loads(now))
+        self._membership.tell_demands(
+            facts.DemandFact(demand.account, demand.offered_per_s, demand.work)
+            for demand in self._admission.own_demands(now)
+        )
+        reach = self._membership.view.reach(now)
+        self._follower.note_reach(reach.reachable, reach.known)
+        live = self._membership.live_peers(now)
+        self._routing.ranks.hear_entries(peer.name for peer in live)
+
+    def note_instances(
+        self, instances: tuple[ListedInstance, ...], read_at: float
+    ) -> None:
+        """Take the platform's list, after the directory has taken it."""
+        self._membership.apply_instances(instances)
+        self._tell_marks()
+
+    def note_configuration(self, configuration: Configuration) -> None:
+        """Tell a version that is now in force, after all have applied it."""
+        self._tell_configuration(self._clock())
+        self._tell_marks()
+
+    def on_unproven(self, name: str, incarnation: int) -> None:
+        """Tell that an upstream no longer counts as warm."""
+        kind = facts.MarkKind.UNPROVEN
+        self._membership.tell_mark(kind, name, incarnation)
+
+    # What peers tell.
+
+    def hear_configuration(
+        self, fact: facts.ConfigurationFact, peer: facts.PeerFact, now: float
+    ) -> None:
+        """Offer the version to the follower."""
+        self._peer_objects.note_version(peer.name, fact.version)
+        age_s = defaults.MAX_AGE_S
+        if fact.confirmed_at is not None:
+            age_s = now - fact.confirmed_at
+        self._follower.offer(fact.version, fact.digest, age_s, now)
+
+    def hear_mark(self, mark: facts.Mark, now: float) -> None:
+        """Remove the choice."""
+        if mark.kind is facts.MarkKind.LEAVING:
+            self._routing.directory.hear_leaving(
+                mark.subject, mark.incarnation, now
+            )
+        elif mark.kind is facts.MarkKind.ZONE_OUT:
+            self._routing.directory.hear_zone(
+                mark.subject, ZoneMark(mark.incarnation, is_out=True), now
+            )
+        else:
+            self._routing.core.evidence.hear_unproven(
+                mark.subject, mark.incarnation, now
+            )
+
+    def hear_load(self, load: facts.LoadFact, now: float) -> None:
+        """Pass a report on."""
+        report = LoadReport(
+            load.incarnation, load.is_warm, load.in_flight, load.limit
+        )
+        self._routing.core.evidence.hear_report(
+            load.upstream, report, now - load.measured_at, now
+        )
+
+    def hear_shares(
+        self, peer: str, shares: tuple[facts.ShareFact, ...], now: float
+    ) -> None:
+        """Pass a peer's calls in flight on."""
+        counts_by_name = {share.upstream: share.in_flight for share in shares}
+        self._routing.core.evidence.hear_shares(peer, counts_by_name, 0, now)
+
+    # Steps.
+
+    def _tell_configuration(self, now: float) -> None:
+        claim = self._follower.claim(now)
+        if claim is None:
+            return
+        confirmed_at = None
+        if claim.age_s < defaults.MAX_AGE_S:
+            confirmed_at = now - claim.age_s
+        self._membership.tell_configuration(
+            facts.ConfigurationFact(claim.version, claim.digest, confirmed_at)
+        )
+
+    def _tell_marks(self) -> None:
+        directory = self._routing.directory
+        leaving = facts.MarkKind.LEAVING
+        for name, leave in directory.leave_marks_by_name.items():
+            self._membership.tell_mark(leaving, name, leave.incarnation)
+        zone_out = facts.MarkKind.ZONE_OUT
+        for zone, mark in directory.zone_marks_by_name.items():
+            if mark.is_out:
+                self._membership.tell_mark(zone_out, zone, mark.version)
+
+    def _collect_loads(self, now: float) -> list[facts.LoadFact]:
+        loads = []
+        for heard in self._routing.poller.reports_to_share(now):
+            report = heard.report
+            loads.append(
+                facts.LoadFact(
+                    heard.name,
+                    report.incarnation,
+                    report.in_flight,
+                    report.limit,
+                    report.is_warm,
+                    now - heard.age_s,
+                )
+            )
+        return loads
--- /dev/null
+++ b/damaskpoint/entry/peering.py
@@ -0,0 +1,112 @@
+"""The peers' side of an entry: gossip, peer calls, and who hears them."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, final
+
+from damaskpoint.entry.gossip_listener import GossipListener
+from damaskpoint.errors import Failure, FailureError
+from damaskpoint.membership import facts
+from damaskpoint.membership.peer_objects import PeerObjects
+from damaskpoint.membership.service import create_membership
+from damaskpoint.wire.peer_client import create_peer_client
+from damaskpoint.wire.peer_server import (
+    HeldConfiguration,
+    PeerService,
+    create_peer_server,
+)
+
+if TYPE_CHECKING:
+    from tornado import httpserver
+
+    from damaskpoint.admission.controller import AdmissionController
+    from damaskpoint.config.follower import ConfigurationFollower
+    from damaskpoint.entry.wiring import SharedParts
+    from damaskpoint.membership.service import Membership
+    from damaskpoint.routing.wiring import Routing
+    from damaskpoint.settings import InstanceOptions
+
+
+@final
+class _EntryService(PeerService):
+    """Answers peers out of the follower."""
+
+    def __init__(self, follower: ConfigurationFollower) -> None:
+        self._follower = follower
+
+    def find_configuration(self) -> HeldConfiguration | None:
+        """Return what is in force, or None before the first version."""
+        current = self._follower.current
+        if current is None:
+            return None
+        return HeldConfiguration(
+            current.version, current.digest, self._follower.object_body
+        )
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Peering:
+    """The parts that face the peers."""
+
+    membership: Membership
+    server: httpserver.HTTPServer
+    instance: InstanceOptions
+
+    def start(self) -> None:
+        """Listen to peers and begin to gossip; raises ``OSError``."""
+        self.server.listen(self.instance.peer_port, self.instance.host)
+        self.membership.start()
+        self.membership.set_phase(facts.Phase.SERVING)
+
+    def begin_leaving(self) -> None:
+        """Tell the peers that this entry shuts down."""
+        self.membership.set_phase(facts.Phase.LEAVING)
+
+    def stop(self) -> None:
+        """Tell the peers that this entry ends, and close."""
+        self.membership.stop()
+        self.server.stop()
+
+
+def create_entry_membership(shared: SharedParts) -> Membership:
+    """Return the membership; raises ``FailureError`` for its settings."""
+    options = shared.options
+    membership = create_membership(
+        options.membership, options.instance, time.monotonic
+    )
+    if isinstance(membership, Failure):
+        raise FailureError(membership)
+    shared.registry.register('membership', membership)
+    return membership
+
+
+def create_peering(
+    shared: SharedParts,
+    membership: Membership,
+    routing: Routing,
+    admission: AdmissionController,
+) -> Peering:
+    """Return the peers' side, tied to the other parts.
+
+    To be called after these parts were given the configuration's and the
+    instance list's listeners, which must hear before the peers do.
+    """
+    clock = time.monotonic
+    peer_objects = PeerObjects(membership, create_peer_client(), clock)
+    listener = GossipListener(
+        membership, shared.follower, routing, admission, peer_objects, clock
+    )
+    membership.listen(listener)
+    routing.core.evidence.listener = listener
+    shared.follower.use_peers(peer_objects)
+    shared.follower.add_listener(listener.note_configuration)
+    shared.instances.add_listener(listener.note_instances)
+    server = create_peer_server(
+        _EntryService(shared.follower),
+        shared.options.instance.name,
+        membership.is_peer_host,
+    )
+    return Peering(membership, server, shared.options.instance)
--- a/damaskpoint/entry/runtime.py
+++ b/damaskpoint/entry/runtime.py
@@ -10,10 +10,14 @@
 from tornado import httpserver
 
 from damaskpoint import defaults
+from damaskpoint.admission.backoff import CapacityBackoff
 from damaskpoint.entry.caller_app import create_caller_server
 from damaskpoint.entry.periodic import repeat
 from damaskpoint.entry.shutdown import DrainView, Phase
+from damaskpoint.entry.capacity import ObservedRouter
+from damaskpoint.entry.peering import create_entry_membership, create_peering
 from damaskpoint.entry.wiring import (
+    create_entry_admission,
     create_entry_parts,
     create_entry_routing,
     create_shared_parts,
@@ -22,6 +26,7 @@
 
 if TYPE_CHECKING:
     from damaskpoint.entry.parts import EntryParts
+    from damaskpoint.entry.peering import Peering
     from damaskpoint.entry.wiring import SharedParts
     from damaskpoint.errors import Failure
     from damaskpoint.routing.wiring import Routing
@@ -51,9 +56,14 @@
     """A whole entry process."""
 
     def __init__(
-        self, shared: SharedParts, routing: Routing, parts: EntryParts
+        self,
+        shared: SharedParts,
+        routing: Routing,
+        parts: EntryParts,
+        peering: Peering,
     ) -> None:
         """Keep the parts; nothing listens yet."""
+        self._peering = peering
         self._shared = shared
         self._routing = routing
         self._parts = parts
@@ -69,6 +79,7 @@
     def begin_shutdown(self) -> None:
         """Begin to shut down; a second call changes nothing."""
         self._parts.shutdown.begin(time.monotonic())
+        self._peering.begin_leaving()
         self._signalled.set()
 
     async def run(self) -> None:
@@ -89,6 +100,7 @@
         self._operator_server.listen(instance.operator_port, instance.host)
         self._caller_server.listen(instance.port, instance.host)
         self._routing.start()
+        self._peering.start()
         for work in (
             self._routing.permit_client.run(),
             self._shared.follower.run(time.monotonic),
@@ -118,6 +130,7 @@
             self._shared.background.count,
         )
         self._routing.stop()
+        self._peering.stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -127,8 +140,16 @@
 
 
 def create_runtime(options: Options) -> EntryRuntime:
-    """Return an entry process; to be called inside its loop."""
+    """Return an entry process; to be called inside its loop.
+
+    Raises ``FailureError`` for settings that cannot be used.
+    """
     shared = create_shared_parts(options)
     routing = create_entry_routing(shared)
-    parts = create_entry_parts(shared, routing)
-    return EntryRuntime(shared, routing, parts)
+    backoff = CapacityBackoff()
+    router = ObservedRouter(routing.router, backoff, time.monotonic)
+    membership = create_entry_membership(shared)
+    admission = create_entry_admission(shared, membership, routing, backoff)
+    parts = create_entry_parts(shared, router, admission)
+    peering = create_peering(shared, membership, routing, admission)
+    return EntryRuntime(shared, routing, parts, peering)
--- a/damaskpoint/entry/wiring.py
+++ b/damaskpoint/entry/wiring.py
@@ -15,8 +15,10 @@
 from damaskpoint.admission.controller import create_admission
 from damaskpoint.config.follower import create_follower
 from damaskpoint.entry.in_flight import InFlightRequests
+from damaskpoint.entry.capacity import PoolCapacity
 from damaskpoint.entry.instance_poller import InstancePoller
 from damaskpoint.entry.parts import EntryParts
+from damaskpoint.entry.peer_demand import PeerDemand
 from damaskpoint.entry.shutdown import ShutdownState
 from damaskpoint.journal.guard import Guard
 from damaskpoint.journal.table_journal import create_table_journal
@@ -36,9 +38,14 @@
 from damaskpoint.routing.wiring import Identity, Routing, create_routing
 
 if TYPE_CHECKING:
+    from damaskpoint.admission.backoff import CapacityBackoff
+    from damaskpoint.admission.base import Admission
+    from damaskpoint.admission.controller import AdmissionController
     from damaskpoint.config.follower import ConfigurationFollower
     from damaskpoint.config.model import Configuration
+    from damaskpoint.membership.service import Membership
     from damaskpoint.platform.base import InstanceList, ObjectStore, Table
+    from damaskpoint.routing.base import Router
     from damaskpoint.routing.directory import UpstreamDirectory
     from damaskpoint.settings import Options, PlatformOptions
 
@@ -127,10 +134,10 @@
     return routing
 
 
-def create_call_parts(shared: SharedParts, routing: Routing) -> CallParts:
+def create_call_parts(shared: SharedParts, router: Router) -> CallParts:
     """Return what calls to upstreams need."""
     return CallParts(
-        routing.router,
+        router,
         shared.client,
         shared.background,
         shared.attempt_ids,
@@ -162,12 +169,33 @@
     return PipelineService(runner, times, guard)
 
 
-def create_entry_parts(shared: SharedParts, routing: Routing) -> EntryParts:
-    """Return all parts that serve callers."""
+def create_entry_admission(
+    shared: SharedParts,
+    membership: Membership,
+    routing: Routing,
+    backoff: CapacityBackoff,
+) -> AdmissionController:
+    """Return admission that knows the peers' demand and the capacity."""
     options = shared.options
-    admission = create_admission(options.admission, time.monotonic)
+    admission = create_admission(
+        options.admission,
+        time.monotonic,
+        own_name=options.instance.name,
+        demand=PeerDemand(
+            membership, options.membership.peer_timeout_s, time.monotonic
+        ),
+        capacity=PoolCapacity(routing.core, backoff, time.monotonic),
+    )
     shared.follower.add_listener(admission.apply_configuration)
     shared.registry.register('admission', admission)
+    return admission
+
+
+def create_entry_parts(
+    shared: SharedParts, router: Router, admission: Admission
+) -> EntryParts:
+    """Return all parts that serve callers."""
+    options = shared.options
     in_flight = InFlightRequests()
     shared.registry.register('requests', in_flight)
     shutdown = ShutdownState(options.shutdown)
@@ -176,7 +204,7 @@
         options.admission.retry_share, options.admission.retry_burst
     )
     shared.registry.register('retry_budget', budget)
-    calls = create_call_parts(shared, routing)
+    calls = create_call_parts(shared, router)
     guard = create_guard(shared)
     return EntryParts(
         shared.follower,
--- a/damaskpoint/membership/marks.py
+++ b/damaskpoint/membership/marks.py
@@ -41,7 +41,10 @@
         return True
 
     def supersede(self, version: int, now: float) -> None:
-        """Drop zone marks that a configuration in force has overtaken."""
+        """Drop zone marks that a configuration in force has overtaken.
+
+        One of the very version in force stays, for those who have it not.
+        """
         self._version_in_force = max(self._version_in_force, version)
         self.expire(now)
 
@@ -59,17 +62,6 @@
         """Return all marks that are held."""
         yield from self._marks_by_identity.values()
 
-    def is_leaving(self, upstream: str, incarnation: int) -> bool:
-        """Return whether this start of the upstream is marked as leaving."""
-        identity = MarkIdentity(MarkKind.LEAVING, upstream, '')
-        mark = self._marks_by_identity.get(identity)
-        return mark is not None and incarnation <= mark.incarnation
-
-    def is_zone_out(self, zone: str) -> bool:
-        """Return whether a newer configuration takes the zone out."""
-        identity = MarkIdentity(MarkKind.ZONE_OUT, zone, '')
-        return identity in self._marks_by_identity
-
     def __len__(self) -> int:
         """Return how many marks are held."""
         return len(self._marks_by_identity)
@@ -81,7 +73,7 @@
         if now - mark.happened_at > keep_s:
             return True
         if mark.kind is MarkKind.ZONE_OUT:
-            return mark.incarnation <= self._version_in_force
+            return mark.incarnation < self._version_in_force
         return False
 
     def _drop_oldest(self) -> None:
--- a/damaskpoint/membership/reports.py
+++ b/damaskpoint/membership/reports.py
@@ -167,13 +167,17 @@
                 demands_by_peer[peer] = told[0]
         return demands_by_peer
 
-    def peers_with_demands(self) -> frozenset[str]:
-        """Return the peers that told their demands lately."""
-        found = []
+    def work_by_peer(self) -> dict[str, int]:
+        """Return requests running or waiting, by the peers that told."""
+        work_by_peer: dict[str, int] = {}
         for peer, work in self._work_by_peer.items():
-            if work.demands_by_account:
-                found.append(peer)
-        return frozenset(found)
+            if not work.demands_by_account:
+                continue
+            work_by_peer[peer] = sum(
+                demand.in_flight
+                for demand, _ in work.demands_by_account.values()
+            )
+        return work_by_peer
 
 
 def _drop_older(
--- a/damaskpoint/membership/service.py
+++ b/damaskpoint/membership/service.py
@@ -147,9 +147,10 @@
         """Return the other processes that are heard of."""
         return self._gossiper.view.live_peers(now)
 
-    def reach(self, now: float) -> facts.Reach:
-        """Return how many of the peers last known are heard of."""
-        return self._gossiper.view.reach(now)
+    @property
+    def listed_names(self) -> frozenset[str]:
+        """Return the entries that the platform's list shows."""
+        return self._gossiper.addresses.listed_names
 
     def is_peer_host(self, host: str) -> bool:
         """Return whether a peer may call from this IP number."""
--- a/damaskpoint/settings.py
+++ b/damaskpoint/settings.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import ipaddress
 import pathlib
 import sys
 from typing import Literal, Self, final
@@ -84,6 +85,25 @@
     bytes_per_s: int = pydantic.Field(defaults.GOSSIP_BYTES_PER_S, gt=0)
     """Bound on gossip that one instance sends (bytes a second)."""
 
+    @pydantic.field_validator('peers')
+    @classmethod
+    def check_peers(cls, peers: tuple[str, ...]) -> tuple[str, ...]:
+        """Refuse a peer that is not an IP number and a port."""
+        for text in peers:
+            host, _, port = text.rpartition(':')
+            ipaddress.ip_address(host)
+            if not 0 < int(port) <= defaults.MAX_PORT:
+                raise ValueError(f'{text}: port out of range')
+        return peers
+
+    @pydantic.field_validator('networks')
+    @classmethod
+    def check_networks(cls, networks: tuple[str, ...]) -> tuple[str, ...]:
+        """Refuse a network that is not an address and a number of bits."""
+        for text in networks:
+            ipaddress.ip_network(text)
+        return networks
+
 
 @final
 class RoutingOptions(_Section):
