Hedge only what is slow since its send, and tell routing how far a request is

The timer now starts at the send, the estimate does not fade, and a call must take 1.5 times its slow run.

--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -150,6 +150,8 @@
 # an upstream count apart.
 MAX_TRIES: Final = 3
 MAX_UNSENT_TRIES: Final = 6
+# A call is hedged once it takes this many times the slow runs of its stage.
+HEDGE_FACTOR: Final = 1.5
 # Longest time between the choice of an upstream and the send (seconds).
 SEND_BOUND_S: Final = 0.5
 # Connections kept to one upstream, and how long an idle one is kept.
--- a/damaskpoint/pipeline/attempt.py
+++ b/damaskpoint/pipeline/attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import hashlib
 import json
 import time
@@ -54,6 +55,8 @@
         """Prepare a try that has no upstream yet."""
         # Name of the upstream; empty until one is chosen.
         self.upstream = ''
+        # Set once the call is on its way.
+        self.sent = asyncio.Event()
         self._job = job
         self._parts = parts
         self._receiver: TokenReceiver | None = None
@@ -109,6 +112,7 @@
             excluded,
             job.end_by,
             only,
+            job.stages_done,
         )
         return await self._parts.router.acquire(query)
 
@@ -120,6 +124,7 @@
         """Send on a ticket and give the ticket back, whatever happens."""
         self._identity = self._make_identity()
         self._sent_at = time.monotonic()
+        self.sent.set()
         try:
             outcome, head = await self._converse(ticket)
         except BaseException:
--- a/damaskpoint/pipeline/pipeline_runner.py
+++ b/damaskpoint/pipeline/pipeline_runner.py
@@ -62,6 +62,7 @@
                     remaining[1:], self.request.deadline, now
                 ),
                 self._sink if is_last else None,
+                position,
             )
             result = await self._runner.run(job)
             if isinstance(result, Failure):
--- a/damaskpoint/pipeline/stage_runner.py
+++ b/damaskpoint/pipeline/stage_runner.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, final
 
+from damaskpoint import defaults
 from damaskpoint.errors import Failure, Ran
 from damaskpoint.pipeline import metrics
 from damaskpoint.pipeline.attempt import StageAttempt
@@ -117,7 +118,7 @@
     async def _try(
         self, job: StageJob, used: frozenset[str], estimate: StageEstimate
     ) -> Outcome:
-        slow_s = estimate.slow_s(time.monotonic())
+        slow_s = estimate.slow_s * defaults.HEDGE_FACTOR
         may_hedge = not job.stage.has_side_effect and job.sink is None
         first = StageAttempt(job, self._parts)
         if not may_hedge or slow_s <= 0:
@@ -131,14 +132,17 @@
         used: frozenset[str],
         slow_s: float,
     ) -> Outcome:
-        """Run a try, and a second one elsewhere once it is slow."""
+        """Run a try, and a second one elsewhere once it is slow.
+
+        The time for an upstream to be chosen does not count: a second try
+        would only wait beside the first.
+        """
         running = [asyncio.ensure_future(first.run(used))]
         try:
-            await asyncio.wait(running, timeout=slow_s)
+            is_slow = await _outlasts(running[0], first.sent, slow_s)
         except asyncio.CancelledError:
             await _cancel(running)
             raise
-        is_slow = not running[0].done() and bool(first.upstream)
         if is_slow and self._budget.spend():
             second = StageAttempt(job, self._parts)
             excluded = used | {first.upstream}
@@ -155,6 +159,22 @@
         return self._times.find(job.request.pipeline.name, job.stage.name)
 
 
+async def _outlasts(
+    task: asyncio.Task[Outcome], sent: asyncio.Event, limit_s: float
+) -> bool:
+    """Return whether a try still runs so long after it was sent."""
+    sending = asyncio.ensure_future(sent.wait())
+    try:
+        await asyncio.wait((task, sending), return_when=asyncio.FIRST_COMPLETED)
+    except asyncio.CancelledError:
+        sending.cancel()
+        raise
+    sending.cancel()
+    if not task.done():
+        await asyncio.wait((task,), timeout=limit_s)
+    return not task.done()
+
+
 async def _take_first(running: list[asyncio.Task[Outcome]]) -> Outcome:
     """Return the first result; a fault only when nothing else is left."""
     waiting = set(running)
--- a/damaskpoint/pipeline/stage_times.py
+++ b/damaskpoint/pipeline/stage_times.py
@@ -50,11 +50,16 @@
             return 0
         return self._fast_s * self._fade(now)
 
-    def slow_s(self, now: float) -> float:
-        """Return the time that one run in twenty exceeds; 0 if unknown."""
+    @property
+    def slow_s(self) -> float:
+        """Return the time that one run in twenty exceeds; 0 if unknown.
+
+        It does not fade: it refuses nothing, and an estimate that falls
+        while nothing runs would call the next runs slow.
+        """
         if self._runs < _LEAST_RUNS:
             return 0
-        return max(self._fast_s, self._slow_s) * self._fade(now)
+        return max(self._fast_s, self._slow_s)
 
     def _fade(self, now: float) -> float:
         periods = int((now - self._updated_at) / _HALF_LIFE_S)
@@ -97,7 +102,7 @@
         for (pipeline, stage), estimate in self._estimates_by_stage.items():
             dumped[f'{pipeline}/{stage}'] = {
                 'fast_s': estimate.fast_s(now),
-                'slow_s': estimate.slow_s(now),
+                'slow_s': estimate.slow_s,
             }
         return dumped
 
--- a/damaskpoint/pipeline/work.py
+++ b/damaskpoint/pipeline/work.py
@@ -56,6 +56,8 @@
     end_by: float
     # Set where the text is wanted piece by piece.
     sink: TokenSink | None
+    # Stages of the request that have run.
+    stages_done: int
 
 
 @final
--- a/damaskpoint/routing/base.py
+++ b/damaskpoint/routing/base.py
@@ -46,6 +46,8 @@
     deadline: float
     # Name of the only upstream that will do, to resume a stream; or empty.
     only: str = ''
+    # Stages of the request that have run; their work is lost if it fails.
+    stages_done: int = 0
 
 
 @final
