Prove that versions only rise and that a process cut off stops in time

The store gets 0.3 s before a peer is asked as well.

Found by hypothesis: a message read before the first known turn of the loop was trusted whatever its age ([('freeze', 2.0)]); it is not counted now.

--- a/damaskpoint/config/confirmation.py
+++ b/damaskpoint/config/confirmation.py
@@ -69,9 +69,13 @@
     ) -> None:
         """Add a peer's confirmation, whose age counts until its arrival.
 
-        A message that is read just after a stall may be as old as that.
+        A message that is read just after a stall may be as old as that; one
+        before the first known turn of the loop may be of any age.
         """
+        is_first = self._last_turn is None
         self.note_turn(now)
+        if is_first:
+            return
         if now < self._draining_until:
             age_s += self._stall_s + _DRAIN_S
         self.confirm(version, now - max(age_s, 0))
--- a/damaskpoint/config/fetch.py
+++ b/damaskpoint/config/fetch.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, final
 
+from damaskpoint import defaults
 from damaskpoint.config import document, metrics
 from damaskpoint.errors import Failure
 
@@ -14,6 +16,8 @@
     from damaskpoint.config.versions import VersionClaim
     from damaskpoint.platform.base import ObjectStore
 
+    _FetchTask = asyncio.Task['Fetched | Failure']
+
 
 @final
 @dataclass(frozen=True, slots=True)
@@ -43,11 +47,40 @@
         ``CONFIGURATION_CORRUPT`` if only other bytes were found; otherwise
         the failure of the last source that was asked.
         """
+        first = asyncio.create_task(self._fetch_from_store(claim))
+        if self._peers is None:
+            return await first
+        # A store that is slow or down must not hold the version up.
+        await asyncio.wait((first,), timeout=defaults.PEER_FETCH_AFTER_S)
+        if first.done() and not isinstance(first.result(), Failure):
+            return first.result()
+        second = asyncio.create_task(self._fetch_from_peers(claim, self._peers))
+        return await _choose_first(first, second)
+
+    async def _fetch_from_store(self, claim: VersionClaim) -> Fetched | Failure:
         body = await self._object_store.get(document.name_object(claim.digest))
-        fetched = _decode('platform', claim, body)
-        if not isinstance(fetched, Failure) or self._peers is None:
-            return fetched
-        return _decode('peer', claim, await self._peers.fetch_object(claim))
+        return _decode('platform', claim, body)
+
+    async def _fetch_from_peers(
+        self, claim: VersionClaim, peers: ConfigurationPeers
+    ) -> Fetched | Failure:
+        return _decode('peer', claim, await peers.fetch_object(claim))
+
+
+async def _choose_first(*tasks: _FetchTask) -> Fetched | Failure:
+    """Return the first whole answer, else the last task's failure."""
+    pending: set[_FetchTask] = set(tasks)
+    while pending:
+        done, pending = await asyncio.wait(
+            pending, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in done:
+            if isinstance(task.result(), Failure):
+                continue
+            for other in pending:
+                other.cancel()
+            return task.result()
+    return tasks[-1].result()
 
 
 def _decode(
--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -30,6 +30,8 @@
 CONFIGURATION_POLL_S: Final = 1.0
 INSTANCE_LIST_POLL_S: Final = 1.0
 CONFIRMATION_BOUND_S: Final = 4.0
+# Silence of the object store after which a peer is asked as well.
+PEER_FETCH_AFTER_S: Final = 0.3
 # Silence of the loop past which what it reads may have waited long.
 LOOP_STALL_S: Final = 1.5
 # Age that stands for never.
--- /dev/null
+++ b/features/steps/configuration_steps.py
@@ -0,0 +1,375 @@
+"""Steps on the configuration in force, over a platform in memory."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from aioprometheus.collectors import REGISTRY
+from aioprometheus.renderer import render
+from behave import given, then, when
+from hypothesis import given as draw
+from hypothesis import seed, settings
+from hypothesis import strategies as st
+
+from damaskpoint.config import document
+from damaskpoint.config.accepted_row import ACCEPTED_ROW, follow_row
+from damaskpoint.config.confirmation import (
+    ConfirmationBounds,
+    ConfirmationTracker,
+)
+from damaskpoint.config.follower import create_follower
+from damaskpoint.config.model import Configuration, Zone
+from damaskpoint.config.peers import ConfigurationPeers
+from damaskpoint.config.versions import VersionClaim, VersionTracker
+from damaskpoint.errors import Code, Failure
+from damaskpoint.platform.base import Write
+from damaskpoint.settings import PlatformOptions
+from features.support.memory_platform import MemoryObjects, ScriptedTable
+
+_OPTIONS = PlatformOptions(
+    table_url='http://x', objects_url='http://x', instances_url='http://x'
+)
+_BOUND_S = 4.0
+
+
+class ScriptedPeers(ConfigurationPeers):
+    """Peers that have the objects that a test gives them."""
+
+    def __init__(self) -> None:
+        self.bodies_by_version: dict[int, bytes] = {}
+
+    async def fetch_object(self, claim: VersionClaim) -> bytes | Failure:
+        body = self.bodies_by_version.get(claim.version)
+        return body or Failure(Code.PEER_UNREACHABLE)
+
+
+@given('a new follower, while the platform is down')
+def start_follower(context: Any) -> None:
+    """Start without a configuration."""
+    context.now = 1000.0
+    context.config_table = ScriptedTable()
+    context.config_objects = MemoryObjects()
+    context.config_peers = ScriptedPeers()
+    context.follower = create_follower(
+        context.config_table, context.config_objects, _OPTIONS
+    )
+    context.follower.use_peers(context.config_peers)
+    context.follower.note_reach(0, 7)
+    context.follower.note_turn(context.now)
+    _go_down(context)
+
+
+@given('a follower with version {version:d} in force')
+def follow(context: Any, version: int) -> None:
+    """Accept versions one by one and follow them."""
+    start_follower(context)
+    _come_up(context)
+    context.heard = []
+    context.follower.add_listener(
+        lambda configuration: context.heard.append(configuration.version)
+    )
+    for number in range(1, version + 1):
+        _accept(context, number)
+    _poll(context)
+    assert context.follower.current.version == version
+
+
+@given('version {version:d} is accepted, but {what}')
+def accept_but(context: Any, version: int, what: str) -> None:
+    """Accept a version that the follower cannot get in the usual way."""
+    _accept(context, version)
+    if what == 'the object store corrupts it':
+        context.config_objects.is_corrupt = True
+    if what in {'the table is down', 'the platform is down'}:
+        context.config_table.is_down = True
+    if what == 'the platform is down':
+        context.config_objects.is_down = True
+    if what == 'the object store hangs':
+        context.config_table.is_down = True
+        context.config_objects.get = _hang
+
+
+@given('a peer has version {version:d}')
+@then('a peer has version {version:d}')
+def give_peer(context: Any, version: int) -> None:
+    """Give a peer the object of a version."""
+    body = document.encode(_configure(version))
+    context.config_peers.bodies_by_version[version] = body
+
+
+@given('a peer has other bytes for version {version:d}')
+def give_peer_other(context: Any, version: int) -> None:
+    """Give a peer bytes that do not match the digest."""
+    context.config_peers.bodies_by_version[version] = b'{}'
+
+
+@when('the platform shows version {version:d} again')
+def show_old(context: Any, version: int) -> None:
+    """Let the table go back, as an old read would."""
+    context.age_before = context.follower.claim(context.now).age_s
+    context.now += 1
+    _write_row(context, version)
+    _poll(context)
+
+
+@when('a peer offers version {version:d} confirmed {age:g} seconds ago')
+def offer(context: Any, version: int, age: float) -> None:
+    """Hear a peer and fetch what it offers."""
+    _hear(context, version, age)
+    asyncio.run(context.follower.fetch_wanted())
+
+
+@when('it polls the platform')
+def poll(context: Any) -> None:
+    """Poll once."""
+    _poll(context)
+
+
+@when('version {version:d} is accepted and polled')
+def accept_and_poll(context: Any, version: int) -> None:
+    """Accept a version and poll it."""
+    _accept(context, version)
+    context.now += 1
+    _poll(context)
+
+
+@when('{seconds:g} seconds pass without the platform')
+@when('{seconds:g} seconds pass with the loop turning')
+def pass_time(context: Any, seconds: float) -> None:
+    """Let time pass in turns of the loop."""
+    end = context.now + seconds
+    while context.now < end:
+        context.now = min(context.now + 0.25, end)
+        _turn(context)
+
+
+@when('it is frozen for {seconds:g} seconds')
+def freeze(context: Any, seconds: float) -> None:
+    """Let time pass without any turn of the loop."""
+    _turn(context)
+    context.now += seconds
+
+
+@when('it reaches {reached:d} of {known:d} peers')
+def reach(context: Any, reached: int, known: int) -> None:
+    """Tell how many peers are reached."""
+    context.follower.note_reach(reached, known)
+
+
+@when("a peer's claim of version {version:d} is {age:g} seconds old")
+@when(
+    "a peer's claim of version {version:d} is {age:g} seconds old "
+    'by its own account'
+)
+def claim(context: Any, version: int, age: float) -> None:
+    """Hear a peer."""
+    _hear(context, version, age)
+
+
+@when('the table answers a poll with 429 and Retry-After 5')
+def answer_busy(context: Any) -> None:
+    """Poll a table that is too busy."""
+    context.config_table.read_failure = Failure(
+        Code.PLATFORM_UNAVAILABLE, '429', retry_after_s=5
+    )
+    context.now += 1
+    _poll(context)
+
+
+@then('version {version:d} is in force')
+def check_in_force(context: Any, version: int) -> None:
+    """Compare the version in force."""
+    assert context.follower.current.version == version
+
+
+@then('its confirmation is not fresher than before')
+def check_age(context: Any) -> None:
+    """An old read confirms nothing."""
+    age_s = context.follower.claim(context.now).age_s
+    assert age_s >= context.age_before + 1
+
+
+@then('it is ready')
+def check_ready(context: Any) -> None:
+    """Ask for readiness."""
+    failure = context.follower.check_ready(context.now)
+    assert failure is None, failure
+
+
+@then('it is not ready')
+def check_not_ready(context: Any) -> None:
+    """Ask for readiness."""
+    assert context.follower.check_ready(context.now)
+
+
+@then('a fetch that ended as {end} is counted')
+def check_counted(context: Any, end: str) -> None:
+    """Find the counter in the metrics."""
+    text = render(REGISTRY, ['text/plain'])[0].decode()
+    lines = [line for line in text.splitlines() if end in line]
+    assert any('config_fetches_total' in line for line in lines), lines
+
+
+@then('its listener has heard versions 1 and 2')
+def check_heard(context: Any) -> None:
+    """Compare what the listener heard."""
+    assert context.heard == [1, 2]
+
+
+@then('no poll is due')
+def check_not_due(context: Any) -> None:
+    """Ask often: the spread is random."""
+    for _ in range(50):
+        assert not context.follower.is_poll_due(context.now)
+
+
+@then('a poll is due')
+def check_due(context: Any) -> None:
+    """Ask often: the spread is random."""
+    for _ in range(50):
+        assert context.follower.is_poll_due(context.now)
+
+
+@then('no poll is due for {seconds:d} seconds')
+def check_not_due_for(context: Any, seconds: int) -> None:
+    """Ask through all of that time."""
+    for step in range(seconds * 10):
+        assert not context.follower.is_poll_due(context.now + step / 10)
+
+
+@then(
+    '{count:d} histories of claims drawn by hypothesis only raise the version'
+)
+def check_claims(context: Any, count: int) -> None:
+    """Claim and install in any order; one digest may be wrong."""
+    event = st.tuples(
+        st.sampled_from(('claim', 'conflict', 'install')), st.integers(1, 9)
+    )
+
+    @seed(22)
+    @settings(max_examples=count, database=None, deadline=None)
+    @draw(st.lists(event, max_size=40))
+    def follow_events(events: list[tuple[str, int]]) -> None:
+        _follow_events(events)
+
+    follow_events()
+
+
+@then('{count:d} histories of confirmations drawn by hypothesis keep the bound')
+def check_confirmations(context: Any, count: int) -> None:
+    """Serve only within the bound of a true confirmation, if cut off."""
+    event = st.tuples(
+        st.sampled_from(('read', 'peer', 'freeze', 'turn')),
+        st.floats(0, 6),
+    )
+
+    @seed(23)
+    @settings(max_examples=count, database=None, deadline=None)
+    @draw(st.lists(event, max_size=40))
+    def keep(events: list[tuple[str, float]]) -> None:
+        _keep_bound(events)
+
+    keep()
+
+
+def _follow_events(events: list[tuple[str, int]]) -> None:
+    tracker = VersionTracker()
+    highest = 0
+    for kind, version in events:
+        digest = 'other' if kind == 'conflict' else f'd{version}'
+        if kind == 'install':
+            tracker.install(Configuration(version, f'd{version}'))
+        else:
+            tracker.note_claim(VersionClaim(version, digest))
+        current = tracker.current.version if tracker.current else 0
+        assert current >= highest
+        highest = current
+        assert tracker.highest_version >= current
+        if tracker.wanted:
+            assert tracker.wanted.version > current
+
+
+def _keep_bound(events: list[tuple[str, float]]) -> None:
+    """Play a lonely process whose messages may wait while it is frozen.
+
+    A message of a peer is read in the first turn after it was sent; its age
+    is true at the sending. The process reaches nobody else.
+    """
+    tracker = ConfirmationTracker(ConfirmationBounds(_BOUND_S, 1.5))
+    tracker.note_reach(0, 7)
+    now = 100.0
+    truly_confirmed_at: float = 0
+    buffered: list[tuple[float, float]] = []
+    for kind, seconds in events:
+        if kind == 'freeze':
+            # Sent as the freeze began, read when it ends.
+            buffered.append((now, seconds / 10))
+            now += seconds * 5
+        if kind == 'turn':
+            now += min(seconds, 1)
+            tracker.note_turn(now)
+        if kind == 'read':
+            tracker.confirm(1, now)
+            truly_confirmed_at = now
+        if kind == 'peer':
+            buffered.append((now, seconds))
+        for sent_at, age_s in buffered:
+            tracker.confirm_through_peer(1, age_s, now)
+            truly_confirmed_at = max(truly_confirmed_at, sent_at - age_s)
+        buffered.clear()
+        tracker.note_turn(now)
+        if tracker.check(1, 1, now) is None:
+            # What the loop's own turns may hide is shorter than a stall.
+            assert now - truly_confirmed_at <= _BOUND_S + 1.5
+
+
+def _configure(version: int) -> Configuration:
+    zone = Zone(f'zone-{version}', is_out=False)
+    return document.stamp(
+        Configuration(0, '', zones_by_name={zone.name: zone}), version
+    )
+
+
+def _accept(context: Any, version: int) -> None:
+    configuration = _configure(version)
+    name = document.name_object(configuration.digest)
+    body = document.encode(configuration)
+    asyncio.run(context.config_objects.put(name, body))
+    _write_row(context, version)
+
+
+def _write_row(context: Any, version: int) -> None:
+    digest = _configure(version).digest
+    row = follow_row(None, digest, document.name_object(digest), 'x')
+    row = row.model_copy(update={'version': version})
+    write = Write(ACCEPTED_ROW, None, row.model_dump(mode='json'))
+    asyncio.run(context.config_table.transact((write,)))
+
+
+def _poll(context: Any) -> None:
+    asyncio.run(context.follower.poll(context.now))
+
+
+def _hear(context: Any, version: int, age: float) -> None:
+    digest = _configure(version).digest
+    context.follower.offer(version, digest, age, context.now)
+
+
+def _turn(context: Any) -> None:
+    context.follower.note_turn(context.now)
+
+
+def _go_down(context: Any) -> None:
+    context.config_table.is_down = True
+    context.config_objects.is_down = True
+
+
+def _come_up(context: Any) -> None:
+    context.config_table.is_down = False
+    context.config_objects.is_down = False
+
+
+async def _hang(name: str) -> bytes | Failure:
+    await asyncio.sleep(60)
+    return Failure(Code.PLATFORM_UNAVAILABLE, name)
--- a/features/support/memory_platform.py
+++ b/features/support/memory_platform.py
@@ -49,6 +49,8 @@
         self.rows = MemoryTable()
         self.faults: deque[WriteFault] = deque()
         self.is_down = False
+        # What reads answer instead, if anything.
+        self.read_failure: Failure | None = None
         self.reads = 0
         # Run before a write, as if another wrote in between.
         self.before_write: deque[RivalWrite] = deque()
@@ -57,6 +59,8 @@
         self, row_keys: Sequence[RowKey]
     ) -> tuple[Row | None, ...] | Failure:
         self.reads += 1
+        if self.read_failure:
+            return self.read_failure
         if self.is_down:
             return Failure(Code.PLATFORM_UNAVAILABLE, 'down')
         rows: list[Row | None] = []
@@ -130,7 +134,7 @@
         body = self.bodies_by_name.get(name)
         if body is None:
             return Failure(Code.PLATFORM_MISSING, name)
-        return b'x' + body[1:] if self.is_corrupt else body
+        return body.replace(b'false', b'true') if self.is_corrupt else body
 
 
 class MemoryInstances(InstanceList):
