--- a/features/routing_sim/entries.py
+++ b/features/routing_sim/entries.py
@@ -235,6 +235,7 @@
     violations: tuple[str, ...]
     cold_calls: int
     window_calls: int
+    last_warm_at: float
 
 
 class Simulation:
@@ -273,6 +274,7 @@
             tuple(self.upstream.violations),
             self.upstream.cold_calls,
             self.upstream.window_calls,
+            self.upstream.last_warm_at,
         )
 
     def _turn_later(self, fault: Fault) -> None:
--- a/features/routing_sim/world.py
+++ b/features/routing_sim/world.py
@@ -175,6 +175,7 @@
         self.violations: list[str] = []
         self.cold_calls = 0
         self.window_calls = 0
+        self.last_warm_at = float('-inf')
         self._last_call = 0
         self._phase = 0
         self._history = [(world.now, LoadReport(1, False, 0, COLD_LIMIT))]
@@ -197,6 +198,7 @@
         self.inside.add(self._last_call)
         self._note()
         if not self.is_cold:
+            self.last_warm_at = self.world.now
             return self._last_call
         now = self.world.now
         what = f'{now:.2f}s entry {entry}, {len(self.inside)} inside'
