Serve pools that do not report, refuse vain waits at once, resume in place

A pool without load reports never got a permit: its lease's holder waited for a report. Now the holder counts the peers' shares, an answer's word of warmth holds longer and is shared with the peers. A call whose wait cannot end in time is refused at once; one that waits is told as soon as it could not be served in time any more, not at its deadline.

--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -124,6 +124,11 @@
 CLAIM_RANK_DELAY_S: Final = 1.0
 # Longest time for which an upstream may work on a call (seconds).
 LONGEST_CALL_S: Final = 600.0
+# Upstreams that do not report their load: age past which an answer's word of
+# warmth proves nothing, and time after which a call that was broken off
+# counts as stopped (seconds).
+SILENT_PROOF_S: Final = 30.0
+SILENT_CALL_S: Final = 10.0
 # A loop that stood still longer than this has old messages in its sockets.
 PAUSE_BOUND_S: Final = 1.0
 ROUTING_TICK_S: Final = 0.1
--- a/damaskpoint/routing/core.py
+++ b/damaskpoint/routing/core.py
@@ -10,15 +10,15 @@
 from typing import TYPE_CHECKING, final
 
 from damaskpoint import defaults
-from damaskpoint.errors import Code, Failure
 from damaskpoint.routing import metrics
 from damaskpoint.routing.base import CallEnd, CallReport, RouteQuery, Ticket
+from damaskpoint.routing.choice import Choice, ChoiceReason
 from damaskpoint.routing.nodes import Node, Placement, PoolSlate
 from damaskpoint.routing.outliers import review_outliers
-from damaskpoint.routing.waiting import Waiter, judge_wait
+from damaskpoint.routing.wait_room import WaitRoom
 
 if TYPE_CHECKING:
-    from damaskpoint.routing.choice import Choice, ChoicePolicy
+    from damaskpoint.routing.choice import ChoicePolicy
     from damaskpoint.routing.directory import UpstreamDirectory
     from damaskpoint.routing.evidence import Evidence
     from damaskpoint.routing.fleet import Fleet
@@ -48,6 +48,7 @@
         self.evidence = evidence
         self.fleet = fleet
         self.permits = permits
+        self.waiting = WaitRoom(fleet)
         self._directory = directory
         self._policy = policy
         self._tickets_by_number: dict[int, Ticket] = {}
@@ -63,6 +64,8 @@
         if slate is None:
             return None
         slate.last_demand_at = now
+        if query.only:
+            return self._try_only(query, slate, now)
         for _ in range(_TRIES):
             choice = self._policy.choose(query, slate, now)
             if choice is None:
@@ -89,37 +92,6 @@
         self.evidence.note_end(node, ticket, report, now)
         self.fleet.refresh(node, now)
 
-    def enqueue(self, waiter: Waiter) -> None:
-        """Let a call wait for its pool."""
-        self.fleet.queues_by_pool[waiter.query.pool].add(waiter)
-        metrics.WAITED.inc({'pool': waiter.query.pool})
-
-    def dequeue(self, waiter: Waiter) -> None:
-        """Let a call wait no longer, and wake the next."""
-        pool = waiter.query.pool
-        self.fleet.queues_by_pool[pool].leave(waiter)
-        self.wake(pool)
-
-    def put_back(self, waiter: Waiter) -> None:
-        """Let a call that was woken in vain wait on.
-
-        It keeps its turn, unless there are places that just do not fit it.
-        """
-        slate = self.fleet.slates_by_pool[waiter.query.pool]
-        queue = self.fleet.queues_by_pool[waiter.query.pool]
-        is_misfit = bool(slate.ready) or bool(slate.permitted)
-        queue.put_back(waiter, is_first=not is_misfit)
-
-    def wake(self, pool: str) -> None:
-        """Wake the next call that waits, if an upstream can take one."""
-        slate = self.fleet.slates_by_pool[pool]
-        queue = self.fleet.queues_by_pool[pool]
-        if slate.ready or slate.permitted:
-            queue.wake_next()
-        elif not slate.open_count:
-            # There is nothing to wait for: all are told at once.
-            queue.wake_all()
-
     def tick(self, now: float) -> None:
         """Do what is due; called some ten times a second."""
         self.evidence.note_alive(now)
@@ -128,35 +100,14 @@
         for slate in self.fleet.slates_by_pool.values():
             if now - slate.last_demand_at < defaults.CLAIM_WISH_S:
                 self._wish(slate, now)
-            self.wake(slate.pool.name)
+            self.waiting.wake(slate.pool.name)
+            self.waiting.review(slate, now)
         if now - self._swept_at >= _SWEEP_S:
             self._swept_at = now
             self._sweep(now)
 
     # Queries.
 
-    def count_waiting(self, pool: str) -> int:
-        """Return the number of calls that wait for a pool."""
-        queue = self.fleet.queues_by_pool.get(pool)
-        return 0 if queue is None else len(queue)
-
-    def judge(
-        self, query: RouteQuery, ahead: int, now: float
-    ) -> Failure | None:
-        """Return a failure if a call had better not wait.
-
-        ``ahead`` is the number of calls that wait before it.
-        """
-        slate = self.fleet.slates_by_pool.get(query.pool)
-        if slate is None:
-            metrics.REFUSED.inc({'pool': 'unknown', 'reason': 'no_pool'})
-            return Failure(
-                Code.NO_UPSTREAM,
-                'The pool has no upstreams.',
-                retry_after_s=defaults.ROUTE_RETRY_AFTER_S,
-            )
-        return judge_wait(query, slate, ahead, now)
-
     def shares_by_name(self) -> dict[str, int]:
         """Return the own calls in flight, of upstreams that have any."""
         shares: dict[str, int] = {}
@@ -173,6 +124,18 @@
         for node in self.fleet.take_restarted():
             self.evidence.note_restarted(node, now)
 
+    def _try_only(
+        self, query: RouteQuery, slate: PoolSlate, now: float
+    ) -> Ticket | None:
+        """Return a ticket for the one upstream that will do."""
+        node = slate.nodes_by_name.get(query.only)
+        if node is None:
+            return None
+        self.fleet.refresh(node, now)
+        if not self.fleet.is_placed_open(node):
+            return None
+        return self._give(Choice(node, ChoiceReason.RESUMED), slate, now)
+
     def _give(self, choice: Choice, slate: PoolSlate, now: float) -> Ticket:
         node = choice.node
         is_cold = node.placement is Placement.PERMITTED
@@ -210,10 +173,11 @@
         review_outliers(slate, node, now)
 
     def _wish(self, slate: PoolSlate, now: float) -> None:
-        for name in itertools.islice(slate.cold, _WISHES):
-            self.permits.want(name, now)
-        for permitted in itertools.islice(slate.permitted, _WISHES):
-            self.permits.want(permitted, now)
+        """Wish for the leases of a pool's cold upstreams."""
+        is_silent = not slate.pool.reports_load
+        for names in (slate.cold, slate.permitted):
+            for name in itertools.islice(names, _WISHES):
+                self.permits.want(name, now, is_silent=is_silent)
 
     def _sweep(self, now: float) -> None:
         self.permits.sweep(now)
--- a/damaskpoint/routing/dump.py
+++ b/damaskpoint/routing/dump.py
@@ -52,7 +52,7 @@
         for name, node in itertools.islice(nodes, _MOST_SHOWN):
             upstreams[name] = self._dump_node(node, now)
         return {
-            'waiting': self._core.count_waiting(slate.pool.name),
+            'waiting': self._core.waiting.count_waiting(slate.pool.name),
             'own_in_flight': slate.own_in_flight,
             'estimated_in_flight': slate.total_in_flight,
             'service_s': slate.service_s,
--- a/damaskpoint/routing/evidence.py
+++ b/damaskpoint/routing/evidence.py
@@ -9,6 +9,7 @@
 from damaskpoint.routing import metrics
 from damaskpoint.routing.base import CallEnd
 from damaskpoint.routing.permit_events import PermitEvents
+from damaskpoint.routing.report import LoadReport
 from damaskpoint.routing.warmth import UnprovenReason
 
 if TYPE_CHECKING:
@@ -21,7 +22,6 @@
     from damaskpoint.routing.nodes import Node
     from damaskpoint.routing.permits import PermitBook
     from damaskpoint.routing.ranks import EntryRanks
-    from damaskpoint.routing.report import LoadReport
     from damaskpoint.routing.warmth import WarmthBook
 
 # Ends after which the upstream is not known to have stopped the call.
@@ -37,6 +37,12 @@
     CallEnd.BROKEN: UnprovenReason.BROKEN,
     CallEnd.UNREACHABLE: UnprovenReason.UNREACHABLE,
 }
+_HEARD_REASONS = frozenset(
+    (
+        UnprovenReason.TOLD_BY_PEER,
+        UnprovenReason.TOLD_COLD,
+    )
+)
 # Ranks beyond this claim no later than it does.
 _MOST_RANKS = 60
 
@@ -111,6 +117,8 @@
     ) -> None:
         """Start with nobody to tell."""
         self.listener: UnprovenListener = NoListener()
+        # What answers of upstreams that do not report showed last.
+        self.answers_by_name: dict[str, tuple[float, LoadReport]] = {}
         self._fleet = fleet
         self._warmth = warmth
         self._permits = permits
@@ -166,9 +174,8 @@
         if report.is_warm:
             self._prove(node, report.incarnation, asked_at - self._lag_s, now)
         elif not self._warmth.is_proved_after(name, now - age_s):
-            reason = UnprovenReason.TOLD_BY_PEER
+            reason = UnprovenReason.TOLD_COLD
             self._doubt(node, report.incarnation, reason, now)
-            self._warmth.note_said_cold(name)
         self._fleet.refresh(node, now)
 
     def hear_unproven(self, name: str, incarnation: int, now: float) -> None:
@@ -229,10 +236,15 @@
             if incarnation > self._warmth.find_incarnation(name):
                 restarted = UnprovenReason.RESTARTED
                 self._doubt(node, incarnation, restarted, now)
-        elif report.is_warm:
+            return
+        if report.is_warm:
             self._prove(node, incarnation, ticket.taken_at, now)
         else:
             self._note_cold(node, incarnation, ticket.taken_at, now)
+        slate = self._fleet.slates_by_pool[node.upstream.pool]
+        if not slate.pool.reports_load:
+            shown = LoadReport(incarnation, report.is_warm, 0, 0)
+            self.answers_by_name[name] = (ticket.taken_at, shown)
 
     # Steps.
 
@@ -267,6 +279,6 @@
             return
         metrics.UNPROVEN.inc({'reason': reason.value})
         self._permits.note_settled(name, self._warmth.find_settled(name))
-        if reason is UnprovenReason.TOLD_BY_PEER:
+        if reason in _HEARD_REASONS:
             return
         self.listener.on_unproven(name, self._warmth.find_incarnation(name))
--- a/damaskpoint/routing/fleet.py
+++ b/damaskpoint/routing/fleet.py
@@ -10,7 +10,7 @@
 from damaskpoint.routing.nodes import Node, Placement, PoolSlate
 from damaskpoint.routing.outliers import decay_outlier
 from damaskpoint.routing.waiting import WaitQueue
-from damaskpoint.routing.warmth import UnprovenReason
+from damaskpoint.routing.warmth import SIGNS_OF_COLD, UnprovenReason
 
 if TYPE_CHECKING:
     from damaskpoint.routing.directory import UpstreamDirectory
@@ -20,6 +20,8 @@
 
 _OPEN_PLACEMENTS = frozenset((Placement.READY, Placement.PERMITTED))
 _FOREVER = float('inf')
+# Time until a report that is asked for after a doubt is a proof (seconds).
+_PROOF_S = defaults.LOAD_REPORT_LAG_S + defaults.LOAD_POLL_S
 
 
 @final
@@ -141,6 +143,8 @@
         node = Node(upstream)
         self.nodes_by_name[name] = node
         slate.add(node)
+        if not pool.reports_load:
+            self._warmth.lengthen(name, defaults.SILENT_PROOF_S)
         return node
 
     def _adopt_pool(self, slate: PoolSlate) -> None:
@@ -197,9 +201,7 @@
         name = node.upstream.name
         limit = slate.pool.cold_limit
         own = node.load.own
-        reason = self._warmth.find_reason(name)
-        is_held = self._permits.is_held(name, now)
-        node.is_hopeful = is_held or reason is not UnprovenReason.SAID_COLD
+        node.hope_at = _find_hope(self._permits, self._warmth, node, slate, now)
         if own + node.load.peers_total >= limit:
             return Placement.COLD
         is_silent = not slate.pool.reports_load
@@ -227,3 +229,24 @@
         if timer_at < node.timer_at:
             node.timer_at = timer_at
             heapq.heappush(self._timers, (timer_at, name))
+
+
+def _find_hope(
+    permits: PermitBook,
+    warmth: WarmthBook,
+    node: Node,
+    slate: PoolSlate,
+    now: float,
+) -> float:
+    """Return when a cold upstream may take a call of this entry.
+
+    Infinite when others have its permits, or none is in sight.
+    """
+    name = node.upstream.name
+    if permits.is_held(name, now):
+        return max(now, permits.find_ready(name))
+    said_cold = warmth.find_reason(name) in SIGNS_OF_COLD
+    if said_cold or not slate.pool.reports_load:
+        return permits.find_claimed(name, now)
+    # Unproven alone: its next report may prove it warm.
+    return max(now, warmth.find_doubt(name) + _PROOF_S)
--- a/damaskpoint/routing/leases.py
+++ b/damaskpoint/routing/leases.py
@@ -84,6 +84,8 @@
     # From this time nobody but the holder sends; infinite until known.
     settled_at: float = float('inf')
     others: int | None = None
+    # Whether there are no reports to wait for.
+    is_silent: bool = False
     # When each call ended for us that may still run in the upstream.
     unseen_ends: list[float] = field(default_factory=list)
 
@@ -115,9 +117,17 @@
         self.unseen_ends = newer
 
     def wait_out(self, now: float) -> None:
-        """Drop what no call can outlast."""
+        """Drop what no call can outlast.
+
+        A silent upstream's calls by others are known from their shares
+        alone, and one that was broken off counts as stopped after a while.
+        """
         longest = defaults.LONGEST_CALL_S
-        if self.others is None and now >= self.settled_at + longest:
+        settling = longest
+        if self.is_silent:
+            longest = defaults.SILENT_CALL_S
+            settling = 0
+        if self.others is None and now >= self.settled_at + settling:
             self.others = 0
         kept = [end for end in self.unseen_ends if now < end + longest]
         self.unseen_ends = kept
--- a/damaskpoint/routing/nodes.py
+++ b/damaskpoint/routing/nodes.py
@@ -53,9 +53,9 @@
     # Calls in flight by the last count, as summed up in the pool.
     counted: int = 0
     last_cold_at: float = float('-inf')
-    # Whether a cold upstream may soon take a call of this entry: it holds
-    # the lease, or the upstream is unproven without having said cold.
-    is_hopeful: bool = False
+    # When a cold upstream may take a call of this entry; infinite for no
+    # hope as far as is known.
+    hope_at: float = float('inf')
     # When the node has to be looked at again; infinite if not.
     timer_at: float = float('inf')
 
--- a/damaskpoint/routing/permits.py
+++ b/damaskpoint/routing/permits.py
@@ -36,8 +36,11 @@
 
     # Commands.
 
-    def want(self, name: str, now: float) -> None:
-        """Wish for a lease, to be claimed when it is this entry's turn."""
+    def want(self, name: str, now: float, *, is_silent: bool) -> None:
+        """Wish for a lease, to be claimed when it is this entry's turn.
+
+        A silent upstream does not report its load.
+        """
         lease = self.leases_by_name.get(name)
         if lease is None:
             lease = Lease(name)
@@ -46,6 +49,7 @@
             lease.wish_at = now + self._events.find_delay(name)
         lease.wanted_until = now + defaults.CLAIM_WISH_S
         lease.is_release_wanted = False
+        lease.inside.is_silent = is_silent
 
     def give_up(self, name: str) -> None:
         """Send nothing more under the lease, and release its row."""
@@ -123,6 +127,22 @@
             return 0
         return max(0, limit - own - bound)
 
+    def find_ready(self, name: str) -> float:
+        """Return from when the holder may send; infinite if not known."""
+        lease = self.leases_by_name[name]
+        if lease.inside.others is not None:
+            return NEVER
+        if lease.inside.is_silent:
+            return lease.inside.settled_at
+        return lease.inside.settled_at + self._terms.lag_s
+
+    def find_claimed(self, name: str, now: float) -> float:
+        """Return when a claim under way may give a permit, or infinity."""
+        lease = self.leases_by_name.get(name)
+        if lease is None or lease.state is LeaseState.RIVAL:
+            return math.inf
+        return max(now, lease.wish_at) + self._terms.lease_s
+
 
 def create_permit_book(terms: LeaseTerms, events: PermitEvents) -> PermitBook:
     """Return an empty book."""
--- a/damaskpoint/routing/poller.py
+++ b/damaskpoint/routing/poller.py
@@ -77,9 +77,15 @@
     # Queries.
 
     def reports_to_share(self, now: float) -> tuple[HeardReport, ...]:
-        """Return the own reports that still prove something, with ages."""
+        """Return what still proves something, with ages.
+
+        These are the own polls' reports and, for upstreams that do not
+        report their load, what their last answers said.
+        """
+        answers = self._core.evidence.answers_by_name
+        seen_by_name = {**answers, **self._asked_by_name}
         heard = []
-        for name, (asked_at, report) in self._asked_by_name.items():
+        for name, (asked_at, report) in seen_by_name.items():
             age_s = now - asked_at
             if age_s <= self._options.load_report_bound_s:
                 heard.append(HeardReport(name, report, age_s))
--- a/damaskpoint/routing/router.py
+++ b/damaskpoint/routing/router.py
@@ -48,12 +48,12 @@
         if now >= query.deadline:
             return Failure(Code.DEADLINE_PASSED)
         # Those that wait go first.
-        if not self._core.count_waiting(query.pool):
+        if not self._core.waiting.count_waiting(query.pool):
             ticket = self._core.try_acquire(query, now)
             if ticket is not None:
                 return ticket
-        refused = self._core.judge(
-            query, self._core.count_waiting(query.pool), now
+        refused = self._core.waiting.judge(
+            query, self._core.waiting.count_waiting(query.pool), now
         )
         if refused is not None:
             _count_refused(query, refused)
@@ -69,10 +69,12 @@
         loop = asyncio.get_running_loop()
         bell = asyncio.Event()
         waiter = Waiter(query, bell.set)
-        self._core.enqueue(waiter)
-        alarm = loop.call_later(query.deadline - self._clock(), bell.set)
+        self._core.waiting.enqueue(waiter)
+        # Past this it could not be served in time any more.
+        latest_s = self._core.waiting.find_latest_start(query) - self._clock()
+        alarm = loop.call_later(max(0, latest_s), bell.set)
         with contextlib.ExitStack() as stack:
-            stack.callback(self._core.dequeue, waiter)
+            stack.callback(self._core.waiting.dequeue, waiter)
             stack.callback(alarm.cancel)
             while True:
                 await bell.wait()
@@ -85,30 +87,26 @@
         """Return what the woken call gets, or None to wait on."""
         now = self._clock()
         query = waiter.query
-        if now >= query.deadline:
-            return _time_out(query)
+        if now >= self._core.waiting.find_latest_start(query):
+            failure = self._core.waiting.refuse_late(query)
+            _count_refused(query, failure)
+            return failure
         if not waiter.is_woken:
             return None
         ticket = self._core.try_acquire(query, now)
         if ticket is not None:
             return ticket
-        refused = self._core.judge(query, 0, now)
+        refused = self._core.waiting.judge(query, 0, now)
         if refused is not None:
             _count_refused(query, refused)
             return refused
-        self._core.put_back(waiter)
+        self._core.waiting.put_back(waiter)
         return None
 
     def _tick(self) -> None:
         self._core.tick(self._clock())
 
 
-def _time_out(query: RouteQuery) -> Failure:
-    failure = Failure(Code.DEADLINE_PASSED, 'No upstream became free in time.')
-    _count_refused(query, failure)
-    return failure
-
-
 def _count_refused(query: RouteQuery, failure: Failure) -> None:
     metrics.REFUSED.inc({'pool': query.pool, 'reason': failure.code.value})
 
--- a/damaskpoint/routing/waiting.py
+++ b/damaskpoint/routing/waiting.py
@@ -32,6 +32,8 @@
     wake: Callable[[], None]
     is_woken: bool = False
     is_gone: bool = False
+    # Whether all were woken: in order, they go to the end again.
+    is_last: bool = False
 
 
 @final
@@ -61,10 +63,11 @@
         """Let a woken call that got no place wait on."""
         self._woken -= 1
         waiter.is_woken = False
-        if is_first:
+        if is_first and not waiter.is_last:
             self._waiters.appendleft(waiter)
         else:
             self._waiters.append(waiter)
+        waiter.is_last = False
 
     def leave(self, waiter: Waiter) -> None:
         """Take a call out: it got its place, or gave up."""
@@ -88,6 +91,13 @@
             waiter.wake()
             return
 
+    def find_first(self) -> Waiter | None:
+        """Return the first call that waits and is not woken yet."""
+        for waiter in self._waiters:
+            if not waiter.is_gone:
+                return waiter
+        return None
+
     def wake_all(self) -> None:
         """Wake every call that waits."""
         while self._waiters:
@@ -96,6 +106,7 @@
                 self._gone -= 1
                 continue
             waiter.is_woken = True
+            waiter.is_last = True
             self._woken += 1
             waiter.wake()
 
@@ -108,20 +119,19 @@
     ``ahead`` is the number of calls that wait already.
     """
     if ahead >= defaults.ROUTE_QUEUE_LIMIT:
-        wait_s = _estimate_turn(slate, ahead)
+        wait_s = estimate_turn(slate, ahead)
         return _refuse('Too many calls wait for the pool.', wait_s)
-    if not _has_candidate(query, slate):
+    if query.only or not _has_candidate(query, slate):
         return _refuse(
             'No upstream may get this call.', defaults.ROUTE_RETRY_AFTER_S
         )
     expected_s = _estimate_capacity(slate, ahead, now)
     if math.isinf(expected_s):
         return _refuse(
-            'All upstreams are cold, and others have their permits.',
+            'All upstreams are cold, without a permit to be had soon.',
             defaults.ROUTE_RETRY_AFTER_S,
         )
-    service_s = slate.service_s or defaults.SERVICE_TIME_S
-    if now + expected_s + service_s > query.deadline:
+    if now + expected_s + estimate_service(slate) > query.deadline:
         return _refuse('The wait would outlast the deadline.', expected_s)
     return None
 
@@ -148,9 +158,9 @@
     """Return the expected time until a place is free (seconds)."""
     counts = slate.names_by_placement
     if counts[Placement.FULL] or slate.ready or slate.permitted:
-        return _estimate_turn(slate, ahead)
+        return estimate_turn(slate, ahead)
     if counts[Placement.COLD]:
-        return _estimate_cold(slate, ahead)
+        return _estimate_cold(slate, ahead, now)
     # Breakers are open everywhere: the first one to close counts.
     reopened_at = min(
         (
@@ -162,19 +172,24 @@
     return max(0, reopened_at - now)
 
 
-def _estimate_cold(slate: PoolSlate, ahead: int) -> float:
+def _estimate_cold(slate: PoolSlate, ahead: int, now: float) -> float:
     """Return the expected time until a cold upstream takes a call.
 
     Infinite when this entry can hope for none, as far as a few show.
     """
+    hope_at = math.inf
     for name in itertools.islice(slate.cold, _COLD_LOOKED_AT):
-        if slate.nodes_by_name[name].is_hopeful:
-            return max(defaults.LOAD_POLL_S, _estimate_turn(slate, ahead))
-    return math.inf
+        hope_at = min(hope_at, slate.nodes_by_name[name].hope_at)
+    return max(0, hope_at - now) + estimate_turn(slate, ahead)
+
+
+def estimate_service(slate: PoolSlate) -> float:
+    """Return the expected time of one call in the pool (seconds)."""
+    return slate.service_s or defaults.SERVICE_TIME_S
 
 
-def _estimate_turn(slate: PoolSlate, ahead: int) -> float:
+def estimate_turn(slate: PoolSlate, ahead: int) -> float:
     """Return the expected time until the calls ahead have started."""
-    service_s = slate.service_s or defaults.SERVICE_TIME_S
+    service_s = estimate_service(slate)
     places = max(1, slate.own_in_flight)
     return service_s * (ahead + 1) / places
--- a/damaskpoint/routing/warmth.py
+++ b/damaskpoint/routing/warmth.py
@@ -39,6 +39,16 @@
     SAID_COLD = 'said_cold'
     STALE = 'stale'
     TOLD_BY_PEER = 'told_by_peer'
+    # A peer's report shows it cold.
+    TOLD_COLD = 'told_cold'
+
+
+SIGNS_OF_COLD = frozenset(
+    (
+        UnprovenReason.SAID_COLD,
+        UnprovenReason.TOLD_COLD,
+    )
+)
 
 
 @final
@@ -50,6 +60,8 @@
     proved_at: float
     doubted_at: float
     reason: UnprovenReason
+    # Age past which a proof proves nothing.
+    bound_s: float
     was_warm: bool = False
     # Latest time of the first, and earliest time of the last, of a chain of
     # answers that said cold; None if broken.
@@ -78,7 +90,11 @@
         self._gap_s = gap_s
         self._warmth_by_name: dict[str, _Warmth] = {}
 
-    # Commands; each returns whether the upstream changed state by it.
+    # Commands; some return whether the upstream changed state by it.
+
+    def lengthen(self, name: str, bound_s: float) -> None:
+        """Let proofs of an upstream that does not report hold longer."""
+        self._meet(name, 0).bound_s = bound_s
 
     def prove(
         self, name: str, incarnation: int, proved_at: float, now: float
@@ -89,10 +105,10 @@
             return False
         if proved_at <= warmth.doubted_at:
             return False
-        if not self._is_seen_long(warmth, proved_at, now):
+        if not _is_seen_long(warmth, proved_at - self._span_s, now):
             return False
         warmth.proved_at = max(warmth.proved_at, proved_at)
-        if now - warmth.proved_at > self.bound_s:
+        if now - warmth.proved_at > warmth.bound_s:
             return False
         was_warm = warmth.was_warm
         warmth.cold_since = None
@@ -117,7 +133,7 @@
         if seen < known.incarnation:
             return False
         is_change = known.was_warm or seen > known.incarnation
-        if seen > known.incarnation:
+        if seen > known.incarnation or reason in SIGNS_OF_COLD:
             known.needs_span = True
         known.incarnation = seen
         if is_change:
@@ -128,10 +144,6 @@
         known.warm_from = None
         return is_change
 
-    def note_said_cold(self, name: str) -> None:
-        """Ask for warmth over a span from now on, before it is a proof."""
-        self._warmth_by_name[name].needs_span = True
-
     def note_cold(self, name: str, asked_at: float, now: float) -> None:
         """Take the upstream's own word, asked for by this entry."""
         warmth = self._warmth_by_name[name]
@@ -148,12 +160,12 @@
         warmth = self._warmth_by_name.get(name)
         if warmth is None or not warmth.was_warm:
             return False
-        if now - warmth.proved_at <= self.bound_s:
+        if now - warmth.proved_at <= warmth.bound_s:
             return False
         warmth.was_warm = False
         warmth.reason = UnprovenReason.STALE
         warmth.doubted_at = max(
-            warmth.doubted_at, warmth.proved_at + self.bound_s
+            warmth.doubted_at, warmth.proved_at + warmth.bound_s
         )
         return True
 
@@ -168,7 +180,7 @@
         warmth = self._warmth_by_name.get(name)
         if warmth is None or not warmth.was_warm:
             return False
-        return now - warmth.proved_at <= self.bound_s
+        return now - warmth.proved_at <= warmth.bound_s
 
     def is_proved_after(self, name: str, moment: float) -> bool:
         """Return whether the proof held speaks of a later moment."""
@@ -187,7 +199,12 @@
         warmth = self._warmth_by_name.get(name)
         if warmth is None or not warmth.was_warm:
             return _NEVER
-        return warmth.proved_at + self.bound_s
+        return warmth.proved_at + warmth.bound_s
+
+    def find_doubt(self, name: str) -> float:
+        """Return when warmth was last doubted; the past if never."""
+        warmth = self._warmth_by_name.get(name)
+        return _NEVER if warmth is None else warmth.doubted_at
 
     def find_reason(self, name: str) -> UnprovenReason:
         """Return why the upstream is unproven."""
@@ -208,35 +225,40 @@
             return False
         return now - warmth.cold_seen_at <= self._gap_s
 
-    def _is_seen_long(
-        self, warmth: _Warmth, proved_at: float, now: float
-    ) -> bool:
-        """Return whether warmth was seen for long enough to trust it."""
-        if not warmth.needs_span:
-            return True
-        if warmth.warm_from is None:
-            # It may have turned warm as late as now.
-            warmth.warm_from = now
-        if proved_at - warmth.warm_from < self._span_s:
-            return False
-        warmth.needs_span = False
-        warmth.warm_from = None
-        return True
-
     def _meet(self, name: str, incarnation: int) -> _Warmth:
         """Return the record; a new or higher incarnation is unproven."""
         known = self._warmth_by_name.get(name)
         if known is None:
-            known = _Warmth(incarnation, _NEVER, _NEVER, UnprovenReason.NEW)
+            known = _Warmth(
+                incarnation,
+                _NEVER,
+                _NEVER,
+                UnprovenReason.NEW,
+                self.bound_s,
+            )
             self._warmth_by_name[name] = known
             return known
         if incarnation > known.incarnation:
             known.incarnation = incarnation
             known.proved_at = _NEVER
             known.doubted_at = _NEVER
-            known.reason = UnprovenReason.RESTARTED
             known.was_warm = False
             known.cold_since = None
-            known.needs_span = True
+            known.needs_span = known.reason is not UnprovenReason.NEW
+            known.reason = UnprovenReason.RESTARTED
             known.warm_from = None
         return known
+
+
+def _is_seen_long(warmth: _Warmth, latest_start: float, now: float) -> bool:
+    """Return whether warmth was seen from ``latest_start`` or before."""
+    if not warmth.needs_span:
+        return True
+    if warmth.warm_from is None:
+        # It may have turned warm as late as now.
+        warmth.warm_from = now
+    if warmth.warm_from > latest_start:
+        return False
+    warmth.needs_span = False
+    warmth.warm_from = None
+    return True
