--- a/damaskpoint/routing/core.py
+++ b/damaskpoint/routing/core.py
@@ -98,7 +98,10 @@
         self._sync(now)
         self.fleet.run_timers(now)
         for slate in self.fleet.slates_by_pool.values():
-            if now - slate.last_demand_at < defaults.CLAIM_WISH_S:
+            is_silent = not slate.pool.reports_load
+            # One that does not report can be proven warm by calls alone, so
+            # its permits are kept at hand.
+            if is_silent or now - slate.last_demand_at < defaults.CLAIM_WISH_S:
                 self._wish(slate, now)
             self.waiting.wake(slate.pool.name)
             self.waiting.review(slate, now)
@@ -175,9 +178,15 @@
     def _wish(self, slate: PoolSlate, now: float) -> None:
         """Wish for the leases of a pool's cold upstreams."""
         is_silent = not slate.pool.reports_load
-        for names in (slate.cold, slate.permitted):
-            for name in itertools.islice(names, _WISHES):
-                self.permits.want(name, now, is_silent=is_silent)
+        wished = [
+            *itertools.islice(slate.cold, _WISHES),
+            *itertools.islice(slate.permitted, _WISHES),
+        ]
+        for name in wished:
+            self.permits.want(name, now, is_silent=is_silent)
+            if self.permits.is_held(name, now):
+                # Time alone may have freed a permit.
+                self.fleet.refresh(slate.nodes_by_name[name], now)
 
     def _sweep(self, now: float) -> None:
         self.permits.sweep(now)
