--- a/features/proof_at_most_once.feature
+++ b/features/proof_at_most_once.feature
@@ -4,7 +4,7 @@
 
   Scenario: The check fails without the guard "journal"
     Given a trial of the promise "at most once"
-    And its entries run without the guard "journal"
+    And its processes run without the guard "journal"
     And these faults, one after the other
       | fault |
       | drop answers |
@@ -15,7 +15,7 @@
 
   Scenario: The check fails without the guard "doubt"
     Given a trial of the promise "at most once"
-    And its entries run without the guard "doubt"
+    And its processes run without the guard "doubt"
     And these faults, one after the other
       | fault |
       | drop answers |
--- a/features/proof_cold_start.feature
+++ b/features/proof_cold_start.feature
@@ -4,7 +4,7 @@
 
   Scenario: The check fails without the guard "permits"
     Given a trial of the promise "cold start"
-    And its entries run without the guard "permits"
+    And its processes run without the guard "permits"
     And these faults, one after the other
       | fault |
       | kill engine |
--- a/features/proof_configuration.feature
+++ b/features/proof_configuration.feature
@@ -4,7 +4,7 @@
 
   Scenario: The check fails without the guard "polls"
     Given a trial of the promise "accepted configuration"
-    And its entries run without the guard "polls"
+    And its processes run without the guard "polls"
     And these faults, one after the other
       | fault |
       | slow table |
--- a/features/proof_leaving.feature
+++ b/features/proof_leaving.feature
@@ -4,7 +4,7 @@
 
   Scenario: The check fails without the guard "leave marks"
     Given a trial of the promise "leaving upstream"
-    And its entries run without the guard "leave marks"
+    And its processes run without the guard "leave marks"
     And these faults, one after the other
       | fault |
       | fail calls |
--- /dev/null
+++ b/features/proof_orders.feature
@@ -0,0 +1,24 @@
+Feature: An engine never obeys an older holder after a newer one
+  The engines ignore fencing numbers. Sheet follows sheet, holders of the
+  lease are frozen past its end, the table is slow, down or loses answers.
+
+  Scenario: The check fails without the guard "lease"
+    Given a trial of the promise "orders to engines"
+    And its processes run without the guard "lease"
+    And these faults, one after the other
+      | fault        |
+      | freeze entry |
+      | freeze entry |
+      | freeze entry |
+      | freeze entry |
+    When the trial runs with the seed 1
+    Then the check "orders to engines" finds a violation
+
+  Scenario Outline: The promise holds under drawn faults, seed <seed>
+    Given a trial of the promise "orders to engines"
+    When the trial runs with the seed <seed>
+    Then no check finds a violation
+
+    Examples: Seeds
+      | seed |
+      | 1    |
--- a/features/proof_own_answers.feature
+++ b/features/proof_own_answers.feature
@@ -4,7 +4,7 @@
 
   Scenario: The check fails without the guard "identity"
     Given a trial of the promise "own answers"
-    And its entries run without the guard "identity"
+    And its processes run without the guard "identity"
     And these faults, one after the other
       | fault |
       | cross answers |
@@ -18,7 +18,7 @@
 
   Scenario: The check fails without the guard "end mark"
     Given a trial of the promise "own answers"
-    And its entries run without the guard "end mark"
+    And its processes run without the guard "end mark"
     And these faults, one after the other
       | fault |
       | cut streams |
--- a/features/proof_shutdown.feature
+++ b/features/proof_shutdown.feature
@@ -3,7 +3,7 @@
 
   Scenario: The check fails without the guard "drain"
     Given a trial of the promise "graceful shutdown"
-    And its entries run without the guard "drain"
+    And its processes run without the guard "drain"
     And these faults, one after the other
       | fault |
       | slow table |
--- a/features/proof_zone_out.feature
+++ b/features/proof_zone_out.feature
@@ -4,7 +4,7 @@
 
   Scenario: The check fails without the guard "zones"
     Given a trial of the promise "zone out"
-    And its entries run without the guard "zones"
+    And its processes run without the guard "zones"
     And these faults, one after the other
       | fault |
       | slow table |
--- a/features/steps/proof_steps.py
+++ b/features/steps/proof_steps.py
@@ -10,7 +10,7 @@
 
 from features.support.trials import TrialOptions, run_trial
 
-_UNGUARDED = 'features.support.unguarded_entry'
+_UNGUARDED = 'features.support.unguarded'
 
 
 @given('a trial of the promise "{promise}"')
@@ -19,13 +19,13 @@
     context.trial = TrialOptions(promise, 0)
 
 
-@given('its entries run without the guard "{guard}"')
+@given('its processes run without the guard "{guard}"')
 def drop_guard(context: Any, guard: str) -> None:
     """Run the entries with one guard taken out."""
     context.trial = replace(
         context.trial,
-        entry_module=_UNGUARDED,
-        entry_words=(f'--unguard={guard}',),
+        module=_UNGUARDED,
+        words=(f'--unguard={guard}',),
     )
 
 
--- a/features/support/checker.py
+++ b/features/support/checker.py
@@ -252,6 +252,23 @@
     return found
 
 
+def check_in_line(events: list[Event], _plan: Plan) -> list[str]:
+    """Every engine obeyed the order of the last sheet last."""
+    wanted = [event['number'] for event in _named(events, 'accepted')]
+    last_by_actor: dict[str, str] = {}
+    for event in events:
+        if event['event'] == 'incarnation' and event['pool'] == 'engines':
+            last_by_actor[event['actor']] = ''
+        if event['event'] == 'order_obeyed':
+            model = event['target']['models'][0]['model']
+            last_by_actor[event['actor']] = model
+    return [
+        f'{actor} has {model}, sheet {wanted[-1]} is accepted'
+        for actor, model in last_by_actor.items()
+        if model != f'model-{wanted[-1]}'
+    ]
+
+
 CHECKS: Final[dict[str, Check]] = {
     'at most once': check_at_most_once,
     'not run is true': check_not_run,
@@ -264,6 +281,7 @@
     'accepted configuration': check_versions,
     'graceful shutdown': check_shutdown,
     'orders to engines': check_orders,
+    'fleet in line': check_in_line,
 }
 
 
--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -12,7 +12,7 @@
 from features.support.caller import Caller
 from features.support.checker import read_histories
 from features.support.launcher import Launcher, fetch
-from features.support.sheets import ACCOUNT, SheetOptions, write_sheet
+from features.support.sheets import SheetOptions, write_sheet
 from standins.history import History
 
 if TYPE_CHECKING:
@@ -20,13 +20,13 @@
 
     from features.support.checker import Event
 
-__all__ = ('ACCOUNT', 'Cluster', 'Member')
+Sections = dict[str, dict[str, object]]
 
 ENTRY_MODULE: Final = 'damaskpoint.main.entry'
 _PLATFORM_PORT: Final = 7000
 _UPSTREAM_PORT: Final = 8000
 _CALLER_PORT: Final = 8080
-_OPERATOR_PORT: Final = 8081
+OPERATOR_PORT: Final = 8081
 _PEER_PORT: Final = 8082
 
 
@@ -54,7 +54,7 @@
     @property
     def operator_url(self) -> str:
         """Return the base URL of the operators' side of an entry."""
-        return f'http://{self.host}:{_OPERATOR_PORT}'
+        return f'http://{self.host}:{OPERATOR_PORT}'
 
     def listing(self) -> dict[str, object]:
         """Return the line of the instance list."""
@@ -72,7 +72,7 @@
     launcher: Launcher = field(default_factory=Launcher)
     members_by_name: dict[str, Member] = field(default_factory=dict)
     # Settings that all entries get, by section.
-    sections: dict[str, dict[str, object]] = field(default_factory=dict)
+    sections: Sections = field(default_factory=dict)
     entry_module: str = ENTRY_MODULE
     entry_words: tuple[str, ...] = ()
     platform_url: str = ''
@@ -214,7 +214,7 @@
 
 
 def _make_settings(
-    member: Member, platform_url: str, sections: dict[str, dict[str, object]]
+    member: Member, platform_url: str, sections: Sections
 ) -> dict[str, object]:
     settings: dict[str, dict[str, object]] = {
         'instance': {
@@ -222,7 +222,7 @@
             'zone': member.zone,
             'host': member.host,
             'port': member.port,
-            'operator_port': _OPERATOR_PORT,
+            'operator_port': OPERATOR_PORT,
             'peer_port': member.peer_port,
         },
         'platform': {
--- a/features/support/operators.py
+++ b/features/support/operators.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import itertools
+import time
 from typing import TYPE_CHECKING, Final
 
 from features.support import sheets
 from features.support.caller import CallerRequest
+from features.support.launcher import fetch
 
 if TYPE_CHECKING:
     import random
@@ -22,6 +24,9 @@
 _ACCEPTED_STATUSES: Final = frozenset((0, 7))
 _PROBE_GAP_S: Final = 0.2
 _SHEETS: Final = 3
+_ORDERED_SHEETS: Final = 6
+# Bound on bringing three engines into line, after the last fault (seconds).
+_IN_LINE_S: Final = 40.0
 _PATIENCE: Final = 20
 
 
@@ -92,10 +97,33 @@
             await cluster.wait_entry(name)
 
 
+async def order_sheets(
+    cluster: Cluster, traffic: Traffic, draw: random.Random
+) -> None:
+    """Apply sheet after sheet; at the end, wait for the engines."""
+    last = 1 + _ORDERED_SHEETS
+    for number in range(2, last + 1):
+        await asyncio.sleep(draw.uniform(0.3, 1.5))
+        await _apply(cluster, number, checks_fencing=False)
+    give_up_at = time.monotonic() + _IN_LINE_S
+    while time.monotonic() < give_up_at:
+        if await _are_in_line(cluster, f'model-{last}'):
+            return
+        await asyncio.sleep(_PROBE_GAP_S)
+
+
+async def _are_in_line(cluster: Cluster, model: str) -> bool:
+    for member in cluster.members_by_name.values():
+        if member.pool != sheets.MODEL_POOL:
+            continue
+        _status, said = await fetch(f'{member.url}/v1/state')
+        if f'"{model}"' not in said:
+            return False
+    return True
+
+
 async def _add_traffic(traffic: Traffic) -> None:
-    await traffic.run(
-        ('answer', 'stream'), _MORE_REQUESTS, _WATCHED_S / _MORE_REQUESTS
-    )
+    await traffic.run(('answer', 'stream'), _MORE_REQUESTS, _WATCHED_S)
 
 
 async def _change_zone(cluster: Cluster, state: str, zone: str) -> None:
@@ -106,8 +134,10 @@
     raise RuntimeError(f'zone {state} was never accepted')
 
 
-async def _apply(cluster: Cluster, number: int) -> None:
-    options = sheets.SheetOptions(number=number)
+async def _apply(
+    cluster: Cluster, number: int, *, checks_fencing: bool = True
+) -> None:
+    options = sheets.SheetOptions(number, checks_fencing=checks_fencing)
     for _ in range(_PATIENCE):
         status = await cluster.apply(options, '--wait-s=0')
         if status in _ACCEPTED_STATUSES:
--- a/features/support/sheets.py
+++ b/features/support/sheets.py
@@ -72,7 +72,7 @@
     lines += ['[bindings]', 'pipeline,account']
     lines += [f'answer,{ACCOUNT}', f'order,{ACCOUNT}']
     lines += ['[targets]', 'pool,model,version,adapters,role']
-    lines.append(f'{MODEL_POOL},model-{options.number},1,,mixed')
+    lines.append(f'{MODEL_POOL},model-{options.number},1,,any')
     return '\n'.join(lines) + '\n'
 
 
--- a/features/support/traffic.py
+++ b/features/support/traffic.py
@@ -55,13 +55,13 @@
         self._ready_names = ready
 
     async def run(
-        self, kinds: tuple[str, ...], count: int, gap_s: float
+        self, kinds: tuple[str, ...], count: int, within_s: float
     ) -> None:
-        """Start so many requests, one after each gap; wait for none."""
+        """Start so many requests within a time; wait for none."""
         for _ in range(count):
             kind = self._draw.choice(kinds)
             await self.start(kind)
-            await asyncio.sleep(self._draw.uniform(0, 2 * gap_s))
+            await asyncio.sleep(self._draw.uniform(0, 2 * within_s / count))
 
     async def start(self, kind: str) -> None:
         """Start one request of a kind: answer, stream, order or service."""
--- a/features/support/trials.py
+++ b/features/support/trials.py
@@ -4,12 +4,17 @@
 
 import asyncio
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 from features.support import operators, sheets
 from features.support.checker import check_all, count_codes
-from features.support.cluster import ENTRY_MODULE, Cluster
+from features.support.cluster import (
+    ENTRY_MODULE,
+    OPERATOR_PORT,
+    Cluster,
+    Sections,
+)
 from features.support.faults import draw_schedule, run_schedule, space_schedule
 from features.support.traffic import Traffic
 
@@ -25,7 +30,16 @@
 _TRAFFIC_S: Final = 5.0
 # Sheets up to this number can be applied.
 _MODELS: Final = tuple(f'--model=model-{number}:1' for number in range(1, 9))
-_SHUTDOWN: Final[dict[str, object]] = {'notice_s': 0.6}
+_ENTRY_SECTIONS: Final[Sections] = {'shutdown': {'notice_s': 0.6}}
+_RECONCILER_SECTIONS: Final[Sections] = {
+    'reconciler': {
+        'operator_port': OPERATOR_PORT,
+        'lease_s': 1.5,
+        'lease_margin_s': 0.2,
+        'order_timeout_s': 2,
+        'state_poll_s': 0.3,
+    }
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +55,10 @@
     engine_words: tuple[str, ...] = ('--starts=warm',)
     # What operators do during the traffic; None for nothing.
     operate: Operate | None = None
+    # What runs on the system's instances, and its settings.
+    module: str = ENTRY_MODULE
+    sections: Sections = field(default_factory=lambda: _ENTRY_SECTIONS)
+    has_models: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,8 +67,9 @@
 
     promise: str
     seed: int
-    entry_module: str = ENTRY_MODULE
-    entry_words: tuple[str, ...] = ()
+    # Module that runs in place of the promise's own; empty for none.
+    module: str = ''
+    words: tuple[str, ...] = ()
     # Faults to bring about instead of drawn ones, in this order.
     faults: tuple[str, ...] = ()
 
@@ -159,6 +178,25 @@
         engine_words=('--starts=warm', '--token-ms=40'),
         operate=operators.replace_entries,
     ),
+    'orders to engines': Promise(
+        ('orders to engines', 'fleet in line'),
+        (),
+        (
+            'freeze entry',
+            'freeze entry',
+            'kill entry',
+            'lose writes',
+            'slow table',
+            'stop table',
+        ),
+        requests=0,
+        fault_count=4,
+        engine_words=('--starts=warm', '--ignores-fencing', '--load-s=0.3'),
+        operate=operators.order_sheets,
+        module='damaskpoint.main.reconciler',
+        sections=_RECONCILER_SECTIONS,
+        has_models=False,
+    ),
 }
 
 
@@ -167,9 +205,9 @@
     promise = PROMISES[options.promise]
     draw = random.Random(f'{options.promise} {options.seed}')
     cluster = Cluster(
-        sections={'shutdown': _SHUTDOWN},
-        entry_module=options.entry_module,
-        entry_words=options.entry_words,
+        sections=promise.sections,
+        entry_module=options.module or promise.module,
+        entry_words=options.words,
     )
     try:
         return await asyncio.wait_for(
@@ -195,9 +233,7 @@
     if chosen:
         faults = space_schedule(chosen, _TRAFFIC_S)
     works = [
-        traffic.run(
-            promise.kinds, promise.requests, _TRAFFIC_S / promise.requests
-        ),
+        traffic.run(promise.kinds, promise.requests, _TRAFFIC_S),
         run_schedule(cluster, draw, faults),
     ]
     if promise.operate is not None:
@@ -221,7 +257,9 @@
     names = ('entry-1', 'entry-2', 'entry-3')[: draw.randint(2, 3)]
     for name, zone in zip(names, sheets.ZONES, strict=False):
         await cluster.add_entry(name, zone)
-    options = sheets.SheetOptions(cold_limit=promise.cold_limit)
+    options = sheets.SheetOptions(
+        cold_limit=promise.cold_limit, checks_fencing=promise.has_models
+    )
     status = await cluster.apply(options, '--wait-s=0')
     assert status in {0, 7}, cluster.events()[-1]
     cluster.operator.record('accepted', number=1)
@@ -236,7 +274,8 @@
     starting = []
     for number, zone in enumerate(sheets.ZONES, 1):
         place = (f'engine-{number}', sheets.MODEL_POOL, zone)
-        words = (limit, *_MODELS, *promise.engine_words)
+        models = _MODELS if promise.has_models else ()
+        words = (limit, *models, *promise.engine_words)
         starting.append(cluster.add_upstream('engine', *place, *words))
     for position, service_zone in enumerate(sheets.ZONES[:2], 1):
         place = (f'service-{position}', sheets.SERVICE_POOL, service_zone)
--- a/features/support/unguarded_entry.py
+++ b/features/support/unguarded.py
@@ -1,8 +1,9 @@
-"""Runs an entry with one guard taken out, to see the checks fail.
+"""Runs a process with one guard taken out, to see the checks fail.
 
-``python -m features.support.unguarded_entry --unguard NAME --settings FILE``
+``python -m features.support.unguarded --unguard NAME --settings FILE`` runs
+an entry, or a reconciler for the guard ``lease``.
 The product has no switch for this: the guards are replaced here, from
-outside, before the entry starts.
+outside, before the process starts.
 """
 
 from __future__ import annotations
@@ -17,10 +18,12 @@
 from damaskpoint.entry import runtime, wiring
 from damaskpoint.errors import Ran
 from damaskpoint.journal.guard import Guard
-from damaskpoint.main import entry
+from damaskpoint.main import entry, reconciler
 from damaskpoint.pipeline import service_caller, stage_runner
 from damaskpoint.pipeline.answer_check import CallIdentity
 from damaskpoint.pipeline.attempt import StageAttempt
+from damaskpoint.reconcile.lease import Lease
+from damaskpoint.reconcile.pool import PoolReconciler
 from damaskpoint.routing.directory import UpstreamDirectory
 from damaskpoint.routing.wiring import create_routing
 
@@ -29,12 +32,17 @@
     from typing import Any
 
 
+_RECONCILER_GUARD = 'lease'
+
+
 def main() -> int:
-    """Take the named guard out and run the entry."""
+    """Take the named guard out and run the process."""
     parser = argparse.ArgumentParser()
     parser.add_argument('--unguard', choices=tuple(GUARDS_BY_NAME))
     arguments, rest = parser.parse_known_args()
     GUARDS_BY_NAME[arguments.unguard]()
+    if arguments.unguard == _RECONCILER_GUARD:
+        return reconciler.main(rest)
     return entry.main(rest)
 
 
@@ -123,6 +131,19 @@
     _replace(runtime.EntryRuntime, 'begin_shutdown', begin_shutdown)
 
 
+def _drop_lease() -> None:
+    """Believe in a lease for good, once it was held."""
+
+    def is_held(lease: Any, _now: float) -> bool:
+        return bool(lease.fencing)
+
+    def may_order(pool: Any, _now: float) -> bool:
+        return pool._goal is not None and bool(pool._keeper.lease.fencing)
+
+    _replace(Lease, 'is_held', is_held)
+    _replace(PoolReconciler, 'may_order', may_order)
+
+
 def _say(*, value: object) -> Callable[..., object]:
     """Return a method that always returns the value."""
 
@@ -148,6 +169,7 @@
     'leave marks': _drop_leaving,
     'polls': _drop_polls,
     'drain': _drop_drain,
+    _RECONCILER_GUARD: _drop_lease,
 }
 
 if __name__ == '__main__':
--- a/standins/commands.py
+++ b/standins/commands.py
@@ -81,7 +81,7 @@
     parser.add_argument(
         '--role',
         dest='role_at_start',
-        default='mixed',
+        default='any',
         help='role at the start',
     )
     parser.add_argument(
--- a/standins/engine_orders.py
+++ b/standins/engine_orders.py
@@ -13,7 +13,7 @@
     from standins.history import History
 
 STAGE_KINDS: Final = ('encode', 'retrieve', 'rerank', 'generate')
-_MIXED_ROLE: Final = 'mixed'
+_ANY_ROLE: Final = 'any'
 _WEIGHTS_PAUSE_S: Final = 0.2
 _WEIGHTS_TRIES: Final = 25
 
@@ -31,7 +31,7 @@
 class OrderTarget(pydantic.BaseModel):
     """The state that an order asks for."""
 
-    role: str = _MIXED_ROLE
+    role: str = _ANY_ROLE
     models: list[LoadedModel] = []
 
 
