--- a/damaskpoint/entry/runtime.py
+++ b/damaskpoint/entry/runtime.py
@@ -21,6 +21,7 @@
     create_entry_parts,
     create_entry_routing,
     create_shared_parts,
+    create_sweeper,
 )
 from damaskpoint.observe.operator_app import Readiness, create_operator_app
 
@@ -73,6 +74,7 @@
                 EntryReadiness(parts), shared.registry, time.monotonic
             )
         )
+        self._sweeper = create_sweeper(shared)
         self._tasks: list[asyncio.Task[None]] = []
         self._signalled = asyncio.Event()
 
@@ -106,6 +108,7 @@
             self._shared.follower.run(time.monotonic),
             repeat(platform.instance_list_poll_s, poll),
             repeat(defaults.HOUSEKEEPING_S, self._close_idle),
+            repeat(defaults.SWEEP_INTERVAL_S, self._sweeper.sweep),
         ):
             self._tasks.append(asyncio.ensure_future(work))
         _LOG.info('listening on %s:%s', instance.host, instance.port)
@@ -129,15 +132,19 @@
             self._parts.in_flight.count,
             self._shared.background.count,
         )
+        self._shared.background.cut()
         self._routing.stop()
         self._peering.stop()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._cancel_tasks()
         self._operator_server.stop()
         await self._caller_server.close_all_connections()
         await self._operator_server.close_all_connections()
 
+    async def _cancel_tasks(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
 
 def create_runtime(options: Options) -> EntryRuntime:
     """Return an entry process; to be called inside its loop.
