Check the callers' border on a real entry, and the decisions of the request path

entry_border.feature: 21 kinds of bad input have their status, code and ran: no, and the entry goes on; a caller that leaves is seen by the engine; a key gives the same bytes again and another body is refused; an order whose caller left still has its answer; an idle entry stays under 128 MB. Found on the way: a CRLF cut between two chunks left the events unparsed.

--- a/damaskpoint/pipeline/events.py
+++ b/damaskpoint/pipeline/events.py
@@ -35,7 +35,7 @@
 
     def feed(self, chunk: bytes) -> list[Event] | Failure:
         """Return the events that this chunk completes."""
-        self._buffer += chunk.replace(b'\r\n', b'\n')
+        self._buffer = (self._buffer + chunk).replace(b'\r\n', b'\n')
         blocks = self._buffer.split(b'\n\n')
         self._buffer = blocks.pop()
         if len(self._buffer) > defaults.MAX_EVENT_BYTES:
--- /dev/null
+++ b/features/entry_border.feature
@@ -0,0 +1,48 @@
+Feature: The callers' border refuses what it must, and goes on
+
+  Background:
+    Given a site of one engine, one service and one entry
+
+  Scenario: Each bad input is a typed refusal, and the entry goes on
+    When these requests are sent to the entry
+      | case                  | status | code                |
+      | no credential         | 401    | credential_missing  |
+      | wrong credential      | 401    | credential_wrong    |
+      | unknown account       | 401    | unknown_account     |
+      | unknown pipeline      | 404    | unknown_pipeline    |
+      | unknown service       | 404    | unknown_service     |
+      | model pool as service | 404    | unknown_service     |
+      | unknown path          | 404    | unknown_path        |
+      | wrong method          | 404    | unknown_path        |
+      | malformed body        | 400    | body_malformed      |
+      | body is a list        | 400    | body_malformed      |
+      | unknown field         | 400    | body_malformed      |
+      | deep body             | 400    | body_malformed      |
+      | not a number          | 400    | body_malformed      |
+      | not UTF-8             | 400    | body_malformed      |
+      | large body            | 413    | body_too_large      |
+      | huge declared body    | 413    | body_too_large      |
+      | bad deadline          | 400    | header_malformed    |
+      | zero deadline         | 400    | header_malformed    |
+      | long key              | 400    | header_malformed    |
+      | key with a space      | 400    | header_malformed    |
+      | long request id       | 400    | header_malformed    |
+    Then each of them had its status and code, and "ran" said no
+    And the entry still answers a pipeline whole
+    And its counters show each of these codes
+
+  Scenario: A caller that leaves is noticed by the engine
+    When a caller leaves while its request is in a slow stage
+    Then the engine sees the call cancelled
+
+  Scenario: A key gives the same answer from its second request on
+    When the same order is sent twice with one key, and once with another body
+    Then the first two answers are the same bytes and the service ran it once
+    And the third is refused as "key_reused"
+
+  Scenario: A caller that leaves an order still finds its answer
+    When a caller leaves while its order is at the service
+    Then the same order with the same key gets the answer, and ran once
+
+  Scenario: An idle entry is small
+    Then the entry's resident memory is under 128 MB
--- /dev/null
+++ b/features/steps/entry_border_steps.py
@@ -0,0 +1,293 @@
+"""Steps that talk to one entry as callers do, well or badly behaved."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import pathlib
+import time
+from typing import Any, Final
+
+from behave import given, then, when
+from tornado import simple_httpclient
+
+from damaskpoint import defaults
+from features.support.cluster import Cluster
+from features.support.launcher import fetch
+from features.support.sheets import (
+    ACCOUNT,
+    ANSWER_PATH,
+    MODEL_POOL,
+    SERVICE_PATH,
+    SERVICE_POOL,
+    SheetOptions,
+)
+
+_GOOD: Final = b'{"input": {"question": "how much?"}}'
+_MB: Final = 1024
+_WAIT_S: Final = 20.0
+_HEADERS: Final = {
+    'X-Client-Account': ACCOUNT,
+    'Authorization': f'Bearer {ACCOUNT}-secret',
+}
+_PIPELINE: Final = '/v1/pipelines'
+_DEEP: Final = b'[' * 60 + b']' * 60
+
+# Path, body and headers of a case; a header of None is left out.
+_Case = tuple[str, bytes, dict[str, str | None]]
+_CASES: Final[dict[str, _Case]] = {
+    'no credential': (ANSWER_PATH, _GOOD, {'Authorization': None}),
+    'wrong credential': (ANSWER_PATH, _GOOD, {'Authorization': 'Bearer x'}),
+    'unknown account': (ANSWER_PATH, _GOOD, {'X-Client-Account': 'nobody'}),
+    'unknown pipeline': (f'{_PIPELINE}/none', _GOOD, {}),
+    'unknown service': ('/v1/services/none/path', b'', {}),
+    'model pool as service': (f'/v1/services/{MODEL_POOL}/path', b'', {}),
+    'unknown path': ('/v2/anything', b'', {}),
+    'malformed body': (ANSWER_PATH, b'{"input": ', {}),
+    'body is a list': (ANSWER_PATH, b'[1]', {}),
+    'unknown field': (ANSWER_PATH, b'{"input": 1, "more": 2}', {}),
+    'deep body': (ANSWER_PATH, b'{"input": ' + _DEEP + b'}', {}),
+    'not a number': (ANSWER_PATH, b'{"input": NaN}', {}),
+    'not UTF-8': (ANSWER_PATH, b'{"input": "\xff\xfe"}', {}),
+    'large body': (ANSWER_PATH, b' ' * (defaults.MAX_BODY_BYTES + 1), {}),
+    'bad deadline': (ANSWER_PATH, _GOOD, {'X-Deadline-Ms': 'soon'}),
+    'zero deadline': (ANSWER_PATH, _GOOD, {'X-Deadline-Ms': '0'}),
+    'long key': (ANSWER_PATH, _GOOD, {'Idempotency-Key': 'k' * 129}),
+    'key with a space': (ANSWER_PATH, _GOOD, {'Idempotency-Key': 'a b'}),
+    'long request id': (ANSWER_PATH, _GOOD, {'X-Request-Id': 'r' * 129}),
+}
+
+
+@given('a site of one engine, one service and one entry')
+def start_site(context: Any) -> None:
+    """Start it and wait until a pipeline is served."""
+    context.runner = asyncio.Runner()
+    context.add_cleanup(context.runner.close)
+    context.runner.run(_start(context))
+
+
+@when('these requests are sent to the entry')
+def send_cases(context: Any) -> None:
+    """Send every case, one after the other."""
+    context.answers = {}
+    context.cases = [row.as_dict() for row in context.table]
+    for row in context.cases:
+        context.answers[row['case']] = context.runner.run(
+            _send_case(context.url, row['case'])
+        )
+
+
+@then('each of them had its status and code, and "ran" said no')
+def check_cases(context: Any) -> None:
+    """List all that differ."""
+    wrong = []
+    for row in context.cases:
+        status, body = context.answers[row['case']]
+        problem = json.loads(body)
+        found = (str(status), problem['code'], problem['ran'])
+        if found != (row['status'], row['code'], 'no'):
+            wrong.append((row['case'], found))
+    assert not wrong, wrong
+
+
+@then('the entry still answers a pipeline whole')
+def check_still_serving(context: Any) -> None:
+    """Send a good request."""
+    status, body = context.runner.run(_post(context.url, ANSWER_PATH, _GOOD))
+    assert status == 200, body
+
+
+@then('its counters show each of these codes')
+def check_counters(context: Any) -> None:
+    """Look for each code among the final answers."""
+    member = context.cluster.members_by_name['entry-1']
+    _status, text = context.runner.run(fetch(f'{member.operator_url}/metrics'))
+    for row in context.cases:
+        assert f'code="{row["code"]}"' in text, row['code']
+
+
+@when('a caller leaves while its request is in a slow stage')
+def leave_pipeline(context: Any) -> None:
+    """Make the engine slow, ask, and leave once it has the call."""
+    context.runner.run(_leave(context, ANSWER_PATH, 'engine-1'))
+
+
+@then('the engine sees the call cancelled')
+def check_cancelled(context: Any) -> None:
+    """Wait for the engine's own word."""
+    context.runner.run(_wait_event(context, 'engine-1', 'cancelled'))
+
+
+@when('the same order is sent twice with one key, and once with another body')
+def send_orders(context: Any) -> None:
+    """Send three requests in a row."""
+    headers = {'Idempotency-Key': 'order-1'}
+    context.orders = []
+    for body in (b'two bottles', b'two bottles', b'three bottles'):
+        context.orders.append(
+            context.runner.run(_post(context.url, SERVICE_PATH, body, headers))
+        )
+
+
+@then('the first two answers are the same bytes and the service ran it once')
+def check_same_order(context: Any) -> None:
+    """Compare, and count at the service."""
+    first, second, _third = context.orders
+    assert first[0] == 200, first
+    assert first == second
+    assert _count_started(context, 'service-1') == 1
+
+
+@then('the third is refused as "{code}"')
+def check_third(context: Any, code: str) -> None:
+    """Read the problem's code."""
+    assert json.loads(context.orders[2][1])['code'] == code
+
+
+@when('a caller leaves while its order is at the service')
+def leave_order(context: Any) -> None:
+    """Leave once the service has the call."""
+    context.runner.run(_leave(context, SERVICE_PATH, 'service-1', 'order-2'))
+
+
+@then('the same order with the same key gets the answer, and ran once')
+def check_left_order(context: Any) -> None:
+    """Ask until the first run has its outcome."""
+    headers = {'Idempotency-Key': 'order-2'}
+    give_up_at = time.monotonic() + _WAIT_S
+    status = 0
+    body = ''
+    while status != 200 and time.monotonic() < give_up_at:
+        status, body = context.runner.run(
+            _post(context.url, SERVICE_PATH, _GOOD, headers)
+        )
+    assert status == 200, body
+    assert _count_started(context, 'service-1') == 1
+
+
+@then("the entry's resident memory is under {bound:d} MB")
+def check_memory(context: Any, bound: int) -> None:
+    """Read what the system says of the process."""
+    pid = context.cluster.launcher.find_pid('entry-1')
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    line = next(one for one in status.split('\n') if one.startswith('VmRSS'))
+    used_mb = int(line.split()[1]) / _MB
+    assert used_mb < bound, f'{used_mb:.1f} MB'
+
+
+async def _start(context: Any) -> None:
+    cluster = Cluster()
+    context.cluster = cluster
+    context.add_cleanup(cluster.close)
+    await _start_upstreams(cluster)
+    entry = await cluster.add_entry('entry-1', 'zone-a')
+    context.url = entry.url
+    assert await cluster.apply(SheetOptions()) == 0
+    await cluster.wait_entry('entry-1')
+    await _wait_served(entry.url)
+
+
+async def _start_upstreams(cluster: Cluster) -> None:
+    await cluster.start_platform()
+    words = ('--model=model-1:1', '--starts=warm')
+    await cluster.add_upstream(
+        'engine', 'engine-1', MODEL_POOL, 'zone-a', *words
+    )
+    await cluster.add_upstream(
+        'service', 'service-1', SERVICE_POOL, 'zone-a', '--starts=warm'
+    )
+
+
+async def _wait_served(url: str) -> None:
+    """Wait until routing knows of a warm engine."""
+    give_up_at = time.monotonic() + _WAIT_S
+    status = 0
+    while status != 200 and time.monotonic() < give_up_at:
+        status, body = await _post(url, ANSWER_PATH, _GOOD)
+        await asyncio.sleep(0.1)
+    assert status == 200, body
+
+
+async def _send_case(url: str, case: str) -> tuple[int, str]:
+    if case == 'wrong method':
+        return await fetch(f'{url}{ANSWER_PATH}')
+    if case == 'huge declared body':
+        return await _declare_huge(url)
+    path, body, headers = _CASES[case]
+    return await _post(url, path, body, headers)
+
+
+async def _post(
+    url: str,
+    path: str,
+    body: bytes,
+    headers: dict[str, str | None] | dict[str, str] | None = None,
+) -> tuple[int, str]:
+    sent = {**_HEADERS, **(headers or {})}
+    kept = {name: value for name, value in sent.items() if value is not None}
+    client = simple_httpclient.SimpleAsyncHTTPClient(force_instance=True)
+    try:
+        answer = await client.fetch(
+            f'{url}{path}',
+            method='POST',
+            headers=kept,
+            body=body,
+            raise_error=False,
+        )
+    finally:
+        client.close()
+    return answer.code, answer.body.decode(errors='replace')
+
+
+async def _declare_huge(url: str) -> tuple[int, str]:
+    """Declare a body that never comes: the refusal must not wait for it."""
+    reader, writer = await _connect(url)
+    head = f'POST {ANSWER_PATH} HTTP/1.1\r\nHost: x\r\n'
+    writer.write(f'{head}Content-Length: 99999999999\r\n\r\n'.encode())
+    raw = (await reader.read()).decode()
+    writer.close()
+    start, _gap, body = raw.partition('\r\n\r\n')
+    return int(start.split()[1]), body
+
+
+async def _connect(
+    url: str,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, port = url.removeprefix('http://').split(':')
+    return await asyncio.open_connection(host, int(port))
+
+
+async def _leave(
+    context: Any, path: str, upstream: str, key: str = 'none'
+) -> None:
+    await context.cluster.control(upstream, slow_factor=20)
+    headers = {**_HEADERS, 'Idempotency-Key': key}
+    lines = [f'POST {path} HTTP/1.1', 'Host: x']
+    lines += [f'{name}: {value}' for name, value in headers.items()]
+    lines += [f'Content-Length: {len(_GOOD)}', '', '']
+    before = _count_started(context, upstream)
+    _reader, writer = await _connect(context.url)
+    writer.write('\r\n'.join(lines).encode() + _GOOD)
+    while _count_started(context, upstream) == before:
+        await asyncio.sleep(0.05)
+    writer.close()
+
+
+async def _wait_event(context: Any, actor: str, event: str) -> None:
+    give_up_at = time.monotonic() + _WAIT_S
+    while time.monotonic() < give_up_at:
+        if _count_events(context, actor, event):
+            return
+        await asyncio.sleep(0.05)
+    raise TimeoutError(f'{actor} never saw {event}')
+
+
+def _count_started(context: Any, actor: str) -> int:
+    return _count_events(context, actor, 'started')
+
+
+def _count_events(context: Any, actor: str, event: str) -> int:
+    path = context.cluster.launcher.folder / f'{actor}.jsonl'
+    lines = path.read_text().splitlines() if path.exists() else []
+    found = [json.loads(line) for line in lines]
+    return sum(1 for one in found if one.get('event') == event)
--- a/features/support/launcher.py
+++ b/features/support/launcher.py
@@ -96,6 +96,10 @@
             await asyncio.sleep(_PAUSE_S)
         return process.returncode
 
+    def find_pid(self, name: str) -> int:
+        """Return the process id."""
+        return self._processes_by_name[name].pid
+
     def is_running(self, name: str) -> bool:
         """Tell whether a process runs."""
         return self._processes_by_name[name].poll() is None
