Keep the totals whole when standard output is a file

Cause: behave opened /dev/stdout anew, with an offset of its own, so the totals that the runner writes afterwards landed over the first lines of a redirected log. Seen as a log without 'N passed, N failed'. Now only the JSON report has a file.

--- a/features/run_all.py
+++ b/features/run_all.py
@@ -22,8 +22,9 @@
     with tempfile.TemporaryDirectory() as folder:
         report = pathlib.Path(folder) / 'report.json'
         command = [sys.executable, '-m', 'behave', '--no-capture']
-        command += ['--format', 'progress3', '--format', 'json']
-        command += ['--outfile', '/dev/stdout', '--outfile', str(report)]
+        # A format without a file of its own goes to standard output.
+        command += ['--format', 'json', '--outfile', str(report)]
+        command += ['--format', 'progress3']
         command += sys.argv[1:]
         status = subprocess.run(command, cwd=_ROOT, check=False).returncode
         statuses_by_name = _read_statuses(report)
