Prove leases and orders: one holder at a time, paced, never backward

The planner never orders the last engine that serves, and a holder whose sheet is older than what the lease's row tells of orders nothing.

--- /dev/null
+++ b/features/steps/order_steps.py
@@ -0,0 +1,262 @@
+"""Steps on a pool that is brought into line, and on sending orders."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from typing import TYPE_CHECKING, Any
+
+from behave import given, then, when
+from tornado import httpserver, testing, web
+from tornado.httpclient import AsyncHTTPClient
+
+from damaskpoint.reconcile.engine_client import (
+    EngineClient,
+    EngineReport,
+    Order,
+    create_engine_client,
+)
+from damaskpoint.reconcile.lease import LeaseOptions
+from damaskpoint.reconcile.lease_keeper import create_lease_keeper
+from damaskpoint.reconcile.planner import (
+    EngineModel,
+    EngineTarget,
+    OrderPlanner,
+    PacingOptions,
+)
+from damaskpoint.reconcile.pool import PoolGoal, PoolReconciler
+from damaskpoint.reconcile.progress import locate_lease
+from damaskpoint.settings import ReconcilerOptions
+from features.support.memory_platform import ScriptedTable, list_instance
+from standins.table import WriteBody
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from damaskpoint.errors import Failure
+    from damaskpoint.platform.base import ListedInstance
+
+_NEW = EngineTarget('any', frozenset((EngineModel('m', '2', frozenset()),)))
+_OLD = EngineTarget('any', frozenset((EngineModel('m', '1', frozenset()),)))
+_ORDER_S = 1.0
+_TURN_S = 0.5
+
+
+@dataclasses.dataclass
+class FakePool(EngineClient):
+    """Engines in memory under a clock that only the test moves."""
+
+    now: float = 100
+    states_by_name: dict[str, EngineTarget] = dataclasses.field(
+        default_factory=dict
+    )
+    orders: list[str] = dataclasses.field(default_factory=list)
+    busy: int = 0
+    most_busy: int = 0
+    failure: Failure | None = None
+
+    def clock(self) -> float:
+        return self.now
+
+    async def read_state(
+        self, engine: ListedInstance
+    ) -> EngineReport | Failure:
+        return EngineReport(1, self.states_by_name[engine.name])
+
+    async def send(
+        self, engine: ListedInstance, order: Order, guard: Callable[[], bool]
+    ) -> Failure | None:
+        assert guard()
+        self.orders.append(engine.name)
+        self.busy += 1
+        self.most_busy = max(self.most_busy, self.busy)
+        end = self.now + _ORDER_S
+        while self.now < end:
+            await asyncio.sleep(0)
+        self.states_by_name[engine.name] = order.target
+        self.busy -= 1
+        return self.failure
+
+
+@given('a pool of {count:d} engines that hold the old models')
+def make_pool(context: Any, count: int) -> None:
+    """Build a reconciler of one pool."""
+    _make_pool(context, count, checks_fencing=True)
+
+
+@given(
+    'a pool of {count:d} engines that hold the old models '
+    'and do not check fencing'
+)
+def make_unfenced_pool(context: Any, count: int) -> None:
+    """Build a reconciler of a pool whose engines obey anyone."""
+    _make_pool(context, count, checks_fencing=False)
+
+
+@given('an earlier holder has ordered version {version:d}')
+def note_version(context: Any, version: int) -> None:
+    """Leave the row of a holder that went in peace."""
+    _leave_row(context, is_released=True, version=version)
+
+
+@given('an earlier holder has crashed with the lease')
+def leave_lease(context: Any) -> None:
+    """Leave the row of a holder that went without a word."""
+    _leave_row(context, is_released=False, version=1)
+
+
+@when('its holder works for {seconds:d} seconds')
+def work(context: Any, seconds: int) -> None:
+    """Run turns under the test's clock."""
+    asyncio.run(_work(context, seconds))
+
+
+@then('all engines hold the target')
+def check_done(context: Any) -> None:
+    """Look at the engines."""
+    states = set(context.engines.states_by_name.values())
+    assert states == {_NEW}, states
+
+
+@then('at most {count:d} engines were ordered at once')
+def check_at_once(context: Any, count: int) -> None:
+    """Look at the most that were in work."""
+    assert 1 <= context.engines.most_busy <= count
+
+
+@then('each engine had 1 order')
+def check_single(context: Any) -> None:
+    """Look at the orders."""
+    orders = context.engines.orders
+    assert sorted(orders) == sorted(context.engines.states_by_name), orders
+
+
+@then('no engine had an order')
+def check_no_order(context: Any) -> None:
+    """Look at the orders."""
+    assert not context.engines.orders
+
+
+@given('an engine on a real port')
+def serve_engine(context: Any) -> None:
+    """Remember how to serve; the step that sends starts it."""
+    context.read_orders = []
+
+
+@when('an order is sent whose lease ends while it connects')
+def send_late(context: Any) -> None:
+    """Let the guard say no once it is asked."""
+    context.failure = asyncio.run(_send(context, 200, _refuse))
+
+
+@when('it refuses an order as old')
+def send_old(context: Any) -> None:
+    """Let the engine answer 409."""
+    context.failure = asyncio.run(_send(context, 409, _agree))
+    assert len(context.read_orders) == 1
+
+
+@then('the order ends as {code}')
+def check_end(context: Any, code: str) -> None:
+    """Compare the failure."""
+    assert context.failure.code.value == code, context.failure
+
+
+@then('the engine has read no order')
+def check_unread(context: Any) -> None:
+    """Look at what the engine's handler saw."""
+    assert not context.read_orders
+
+
+def _make_pool(context: Any, count: int, checks_fencing: bool) -> None:
+    engines = FakePool()
+    listed = {f'e{one}': list_instance(f'e{one}', 'p') for one in range(count)}
+    for name in listed:
+        engines.states_by_name[name] = _OLD
+    options = ReconcilerOptions()
+    context.engines = engines
+    context.lease_table = ScriptedTable()
+    keeper = create_lease_keeper(
+        LeaseOptions(
+            locate_lease('p'), 'me', options.lease_s, options.lease_margin_s
+        ),
+        context.lease_table,
+        engines.clock,
+    )
+    planner = OrderPlanner(PacingOptions(options.max_orders))
+    context.pool = PoolReconciler(
+        keeper, engines, planner, options, engines.clock
+    )
+    context.goal = PoolGoal(
+        pool='p',
+        version=3,
+        target=_NEW,
+        checks_fencing=checks_fencing,
+        engines_by_name=listed,
+        zones_out=frozenset(),
+        is_candidate=True,
+    )
+    context.pool.hear_goal(context.goal)
+
+
+def _leave_row(context: Any, is_released: bool, version: int) -> None:
+    row_key = locate_lease('p')
+    body = WriteBody(
+        table=row_key.table,
+        key=row_key.key,
+        data={
+            'owner': 'other',
+            'fencing': 7,
+            'write_id': 'other/1',
+            'is_released': is_released,
+            'note': {'highest_version': version},
+        },
+    )
+    context.lease_table.rows.apply([body])
+
+
+async def _work(context: Any, seconds: int) -> None:
+    end = context.engines.now + seconds
+    while context.engines.now < end:
+        await context.pool.turn(context.goal)
+        for _ in range(20):
+            await asyncio.sleep(0)
+        context.engines.now += _TURN_S
+
+
+class _OrderHandler(web.RequestHandler):
+    """Reads orders and answers with one status."""
+
+    def initialize(self, read_orders: list[bytes], status: int) -> None:
+        self._read_orders = read_orders
+        self._status = status
+
+    def post(self) -> None:
+        self._read_orders.append(self.request.body)
+        self.set_status(self._status)
+
+
+def _agree() -> bool:
+    return True
+
+
+def _refuse() -> bool:
+    return False
+
+
+async def _send(
+    context: Any, status: int, guard: Callable[[], bool]
+) -> Failure | None:
+    shared = {'read_orders': context.read_orders, 'status': status}
+    server = httpserver.HTTPServer(
+        web.Application([('/.*', _OrderHandler, shared)])
+    )
+    socket, port = testing.bind_unused_port()
+    server.add_socket(socket)
+    engine = dataclasses.replace(list_instance('e', 'p'), port=port)
+    client = AsyncHTTPClient(force_instance=True)
+    sender = create_engine_client(client, 5, 5)
+    failure = await sender.send(engine, Order('o', 1, _NEW), guard)
+    server.stop()
+    await server.close_all_connections()
+    return failure
--- a/features/support/memory_platform.py
+++ b/features/support/memory_platform.py
@@ -7,7 +7,7 @@
 
 import enum
 from collections import deque
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from damaskpoint.errors import Code, Failure, Ran
 from damaskpoint.platform.base import (
@@ -25,11 +25,14 @@
 from standins.table import MemoryTable, WriteBody
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Sequence
+    from collections.abc import Awaitable, Callable, Coroutine, Sequence
 
     RivalWrite = Callable[[], Awaitable[None]]
 
 
+_Answer = TypeVar('_Answer')
+
+
 class WriteFault(enum.Enum):
     """What befalls one write."""
 
@@ -54,6 +57,8 @@
         self.reads = 0
         # Run before a write, as if another wrote in between.
         self.before_write: deque[RivalWrite] = deque()
+        # Run after a write took effect, while its answer is on the way.
+        self.after_write: deque[RivalWrite] = deque()
 
     async def read(
         self, row_keys: Sequence[RowKey]
@@ -93,6 +98,8 @@
         if self.is_down or fault is WriteFault.REQUEST_LOST:
             return Failure(Code.PLATFORM_UNAVAILABLE, 'lost', Ran.UNKNOWN)
         outcome = self._apply(writes)
+        if self.after_write:
+            await self.after_write.popleft()()
         if fault is WriteFault.ANSWER_LOST:
             return Failure(Code.PLATFORM_UNAVAILABLE, 'lost', Ran.UNKNOWN)
         return outcome
@@ -150,6 +157,16 @@
         return self.listed
 
 
+def run_now(work: Coroutine[None, None, _Answer]) -> _Answer:
+    """Run work that waits for nothing, without a loop."""
+    try:
+        work.send(None)
+    except StopIteration as stop:
+        answer: _Answer = stop.value
+        return answer
+    raise AssertionError('the work waits for something')
+
+
 def list_instance(
     name: str, pool: str, zone: str = 'ikeja', presence: str = 'live'
 ) -> ListedInstance:
