--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -126,12 +126,25 @@
 CLAIM_RANK_DELAY_S: Final = 1.0
 # Longest time for which an upstream may work on a call (seconds).
 LONGEST_CALL_S: Final = 600.0
+# Upstreams that do not report their load: age past which an answer's word of
+# warmth proves nothing, and time after which a call that was broken off
+# counts as stopped (seconds).
+SILENT_PROOF_S: Final = 30.0
+SILENT_CALL_S: Final = 10.0
 # A loop that stood still longer than this has old messages in its sockets.
 PAUSE_BOUND_S: Final = 1.0
 ROUTING_TICK_S: Final = 0.1
 
 # Admission.
 QUEUE_LIMIT: Final = 256
+SHARE_HOLD_S: Final = 1.0
+SHARE_REFRESH_S: Final = 0.25
+ADMISSION_TICK_S: Final = 0.1
+CAPACITY_FILL: Final = 1.25
+MIN_RETRY_AFTER_S: Final = 1.0
+MAX_RETRY_AFTER_S: Final = 60.0
+SERVICE_TIME_KEEP_S: Final = 5.0
+UNKNOWN_SERVICE_S: Final = 0.1
 
 # Dump of the state: entries shown of one collection.
 MAX_DUMP_ITEMS: Final = 200
@@ -172,8 +185,8 @@
 JOURNAL_GRACE_S: Final = 5.0
 # Sweep of rows past their time: rows read a round, time between rounds and
 # length of the sweeper's lease (seconds).
-SWEEP_ROWS: Final = 100
-SWEEP_INTERVAL_S: Final = 5.0
+SWEEP_ROWS: Final = 500
+SWEEP_INTERVAL_S: Final = 2.0
 SWEEP_LEASE_S: Final = 60.0
 
 # Shutdown.
--- a/damaskpoint/entry/runtime.py
+++ b/damaskpoint/entry/runtime.py
@@ -10,18 +10,24 @@
 from tornado import httpserver
 
 from damaskpoint import defaults
+from damaskpoint.admission.backoff import CapacityBackoff
 from damaskpoint.entry.caller_app import create_caller_server
 from damaskpoint.entry.periodic import repeat
 from damaskpoint.entry.shutdown import DrainView, Phase
+from damaskpoint.entry.capacity import ObservedRouter
+from damaskpoint.entry.peering import create_entry_membership, create_peering
 from damaskpoint.entry.wiring import (
+    create_entry_admission,
     create_entry_parts,
     create_entry_routing,
     create_shared_parts,
+    create_sweeper,
 )
 from damaskpoint.observe.operator_app import Readiness, create_operator_app
 
 if TYPE_CHECKING:
     from damaskpoint.entry.parts import EntryParts
+    from damaskpoint.entry.peering import Peering
     from damaskpoint.entry.wiring import SharedParts
     from damaskpoint.errors import Failure
     from damaskpoint.routing.wiring import Routing
@@ -51,9 +57,14 @@
     """A whole entry process."""
 
     def __init__(
-        self, shared: SharedParts, routing: Routing, parts: EntryParts
+        self,
+        shared: SharedParts,
+        routing: Routing,
+        parts: EntryParts,
+        peering: Peering,
     ) -> None:
         """Keep the parts; nothing listens yet."""
+        self._peering = peering
         self._shared = shared
         self._routing = routing
         self._parts = parts
@@ -63,12 +74,14 @@
                 EntryReadiness(parts), shared.registry, time.monotonic
             )
         )
+        self._sweeper = create_sweeper(shared)
         self._tasks: list[asyncio.Task[None]] = []
         self._signalled = asyncio.Event()
 
     def begin_shutdown(self) -> None:
         """Begin to shut down; a second call changes nothing."""
         self._parts.shutdown.begin(time.monotonic())
+        self._peering.begin_leaving()
         self._signalled.set()
 
     async def run(self) -> None:
@@ -89,11 +102,13 @@
         self._operator_server.listen(instance.operator_port, instance.host)
         self._caller_server.listen(instance.port, instance.host)
         self._routing.start()
+        self._peering.start()
         for work in (
             self._routing.permit_client.run(),
             self._shared.follower.run(time.monotonic),
             repeat(platform.instance_list_poll_s, poll),
             repeat(defaults.HOUSEKEEPING_S, self._close_idle),
+            repeat(defaults.SWEEP_INTERVAL_S, self._sweeper.sweep),
         ):
             self._tasks.append(asyncio.ensure_future(work))
         _LOG.info('listening on %s:%s', instance.host, instance.port)
@@ -117,18 +132,31 @@
             self._parts.in_flight.count,
             self._shared.background.count,
         )
+        self._shared.background.cut()
         self._routing.stop()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._peering.stop()
+        await self._cancel_tasks()
         self._operator_server.stop()
         await self._caller_server.close_all_connections()
         await self._operator_server.close_all_connections()
 
+    async def _cancel_tasks(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
 
 def create_runtime(options: Options) -> EntryRuntime:
-    """Return an entry process; to be called inside its loop."""
+    """Return an entry process; to be called inside its loop.
+
+    Raises ``FailureError`` for settings that cannot be used.
+    """
     shared = create_shared_parts(options)
     routing = create_entry_routing(shared)
-    parts = create_entry_parts(shared, routing)
-    return EntryRuntime(shared, routing, parts)
+    backoff = CapacityBackoff()
+    router = ObservedRouter(routing.router, backoff, time.monotonic)
+    membership = create_entry_membership(shared)
+    admission = create_entry_admission(shared, membership, routing, backoff)
+    parts = create_entry_parts(shared, router, admission)
+    peering = create_peering(shared, membership, routing, admission)
+    return EntryRuntime(shared, routing, parts, peering)
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -124,8 +124,6 @@
     def _apply_sheet(self) -> None:
         words = [
             'apply',
-            '--wait-s',
-            '0',
             str(_SHEET),
             '--table-url',
             self._platform_url(),
