--- a/damaskpoint/pipeline/attempt.py
+++ b/damaskpoint/pipeline/attempt.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import hashlib
 import json
 import time
@@ -25,6 +24,8 @@
 from damaskpoint.routing.base import CallEnd, RouteQuery, Ticket
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from damaskpoint.pipeline.background import BackgroundTasks
     from damaskpoint.pipeline.call import UpstreamAnswer, UpstreamHead
     from damaskpoint.pipeline.upstream_client import UpstreamClient
@@ -55,8 +56,8 @@
         """Prepare a try that has no upstream yet."""
         # Name of the upstream; empty until one is chosen.
         self.upstream = ''
-        # Set once the call is on its way.
-        self.sent = asyncio.Event()
+        # Called whenever a call is on its way.
+        self.on_sent: Callable[[], None] | None = None
         self._job = job
         self._parts = parts
         self._receiver: TokenReceiver | None = None
@@ -124,7 +125,8 @@
         """Send on a ticket and give the ticket back, whatever happens."""
         self._identity = self._make_identity()
         self._sent_at = time.monotonic()
-        self.sent.set()
+        if self.on_sent is not None:
+            self.on_sent()
         try:
             outcome, head = await self._converse(ticket)
         except BaseException:
--- a/damaskpoint/pipeline/stage_runner.py
+++ b/damaskpoint/pipeline/stage_runner.py
@@ -137,13 +137,21 @@
         The time for an upstream to be chosen does not count: a second try
         would only wait beside the first.
         """
+        timer = _SlowTimer(slow_s)
+        first.on_sent = timer.start
         running = [asyncio.ensure_future(first.run(used))]
         try:
-            is_slow = await _outlasts(running[0], first.sent, slow_s)
+            await asyncio.wait(
+                (running[0], timer.fired), return_when=asyncio.FIRST_COMPLETED
+            )
         except asyncio.CancelledError:
+            timer.stop()
             await _cancel(running)
             raise
-        if is_slow and self._budget.spend():
+        timer.stop()
+        if running[0].done():
+            return running[0].result()
+        if self._budget.spend():
             second = StageAttempt(job, self._parts)
             excluded = used | {first.upstream}
             running.append(asyncio.ensure_future(second.run(excluded)))
@@ -159,20 +167,29 @@
         return self._times.find(job.request.pipeline.name, job.stage.name)
 
 
-async def _outlasts(
-    task: asyncio.Task[Outcome], sent: asyncio.Event, limit_s: float
-) -> bool:
-    """Return whether a try still runs so long after it was sent."""
-    sending = asyncio.ensure_future(sent.wait())
-    try:
-        await asyncio.wait((task, sending), return_when=asyncio.FIRST_COMPLETED)
-    except asyncio.CancelledError:
-        sending.cancel()
-        raise
-    sending.cancel()
-    if not task.done():
-        await asyncio.wait((task,), timeout=limit_s)
-    return not task.done()
+@final
+class _SlowTimer:
+    """Tells when a call takes longer than it should."""
+
+    def __init__(self, limit_s: float) -> None:
+        """Wait for the call to be sent."""
+        self._loop = asyncio.get_running_loop()
+        self._limit_s = limit_s
+        self._timer: asyncio.TimerHandle | None = None
+        self.fired: asyncio.Future[None] = self._loop.create_future()
+
+    def start(self) -> None:
+        """Begin to count, at the first send."""
+        if self._timer is None:
+            self._timer = self._loop.call_later(self._limit_s, self._fire)
+
+    def stop(self) -> None:
+        """Stop to count."""
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def _fire(self) -> None:
+        self.fired.set_result(None)
 
 
 async def _take_first(running: list[asyncio.Task[Outcome]]) -> Outcome:
