Count calls above a cold limit, not restarts

Cause: the stand-in writes the event 'broke' also when a zone stops: 7 upstreams of the zone, 7 'breaks'. Overshoots are now counted where a call starts above the limit of a cold upstream.

--- a/standins/bench/cost.py
+++ b/standins/bench/cost.py
@@ -37,8 +37,8 @@
     stages_by_name: dict[str, StageCost] = field(
         default_factory=lambda: collections.defaultdict(StageCost)
     )
-    # Cold upstreams that were given more than they bear.
-    breaks: int = 0
+    # Calls that reached a cold upstream above what it bears.
+    cold_overshoots: int = 0
     # Non-idempotent requests that ran more than once.
     doubled: int = 0
 
@@ -55,7 +55,7 @@
             }
         return {
             'stages': stages,
-            'cold_breaks': self.breaks,
+            'cold_overshoots': self.cold_overshoots,
             'doubled': self.doubled,
         }
 
@@ -67,8 +67,8 @@
     ended_by_key: collections.Counter[str] = collections.Counter()
     for event in _read_events(folder):
         name = str(event.get('event'))
-        if name == 'broke':
-            cost.breaks += 1
+        if _is_overshoot(event):
+            cost.cold_overshoots += 1
         if 'request_id' not in event:
             continue
         stage = cost.stages_by_name[str(event.get('stage') or 'service')]
@@ -105,6 +105,12 @@
         stage.wasted -= 1
 
 
+def _is_overshoot(event: dict[str, object]) -> bool:
+    if event.get('event') != 'started' or not event.get('is_cold'):
+        return False
+    return int(str(event['in_flight'])) > int(str(event['limit']))
+
+
 def _read_events(folder: pathlib.Path) -> Iterator[dict[str, object]]:
     for path in sorted(folder.glob('*.jsonl')):
         with path.open(encoding='utf-8') as lines:
