--- a/damaskpoint/config/current.py
+++ b/damaskpoint/config/current.py
@@ -11,11 +11,12 @@
 from typing import TYPE_CHECKING, Final, final
 
 from damaskpoint import defaults
-from damaskpoint.config import metrics
+from damaskpoint.config import document, metrics
 from damaskpoint.config.confirmation import (
     ConfirmationBounds,
     ConfirmationTracker,
 )
+from damaskpoint.config.fetch import Fetched
 from damaskpoint.config.versions import (
     ClaimVerdict,
     VersionClaim,
@@ -27,7 +28,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from damaskpoint.config.fetch import Fetched
     from damaskpoint.config.model import Configuration
 
 _LOG: Final = logging.getLogger(__name__)
@@ -102,6 +102,29 @@
         if verdict is ClaimVerdict.NEWER:
             self._wake.set()
 
+    def take(
+        self, claim: VersionClaim, body: bytes, age_s: float, now: float
+    ) -> Failure | None:
+        """Take an accepted version that was handed over whole.
+
+        ``CONFIGURATION_CORRUPT`` if the bytes do not match, or if another
+        digest of the version is known; a lower version changes nothing.
+        """
+        decoded = document.decode(body, claim.version, claim.digest)
+        if isinstance(decoded, Failure):
+            metrics.FETCHES.inc({'source': 'operator', 'end': 'corrupt'})
+            return decoded
+        verdict = self._versions.note_claim(claim)
+        metrics.CLAIMS.inc({'source': 'operator', 'verdict': verdict.value})
+        if verdict is ClaimVerdict.CONFLICTING:
+            return Failure(
+                Code.CONFIGURATION_CORRUPT, 'another digest is known'
+            )
+        if verdict is not ClaimVerdict.OLD:
+            self._confirmations.confirm_through_peer(claim.version, age_s, now)
+        self._install(Fetched(decoded, body))
+        return None
+
     def claim(self, now: float) -> OwnClaim | None:
         """Return what to tell peers, None without a configuration."""
         current = self.current
--- a/damaskpoint/entry/peering.py
+++ b/damaskpoint/entry/peering.py
@@ -2,23 +2,27 @@
 
 from __future__ import annotations
 
+import ipaddress
 import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, final
 
+from damaskpoint.config.versions import VersionClaim
 from damaskpoint.entry.gossip_listener import GossipListener
 from damaskpoint.errors import Failure, FailureError
 from damaskpoint.membership import facts
 from damaskpoint.membership.peer_objects import PeerObjects
 from damaskpoint.membership.service import create_membership
 from damaskpoint.wire.peer_client import create_peer_client
+from damaskpoint.wire.held import HeldConfiguration
 from damaskpoint.wire.peer_server import (
-    HeldConfiguration,
     PeerService,
     create_peer_server,
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from tornado import httpserver
 
     from damaskpoint.admission.controller import AdmissionController
@@ -33,8 +37,13 @@
 class _EntryService(PeerService):
     """Answers peers out of the follower."""
 
-    def __init__(self, follower: ConfigurationFollower) -> None:
+    def __init__(
+        self, follower: ConfigurationFollower, operator_networks: Iterable[str]
+    ) -> None:
         self._follower = follower
+        self._operator_networks = [
+            ipaddress.ip_network(text) for text in operator_networks
+        ]
 
     def find_configuration(self) -> HeldConfiguration | None:
         """Return what is in force, or None before the first version."""
@@ -45,6 +54,20 @@
             current.version, current.digest, self._follower.object_body
         )
 
+    def take_configuration(
+        self, accepted: HeldConfiguration, age_s: float
+    ) -> Failure | None:
+        """Put an accepted version in force, if it is higher and whole."""
+        claim = VersionClaim(accepted.version, accepted.digest)
+        return self._follower.take(
+            claim, accepted.body, age_s, time.monotonic()
+        )
+
+    def is_operator_host(self, host: str) -> bool:
+        """Return whether operators may hand over versions from here."""
+        number = ipaddress.ip_address(host)
+        return any(number in network for network in self._operator_networks)
+
 
 @final
 @dataclass(frozen=True, slots=True)
@@ -105,7 +128,9 @@
     shared.follower.add_listener(listener.note_configuration)
     shared.instances.add_listener(listener.note_instances)
     server = create_peer_server(
-        _EntryService(shared.follower),
+        _EntryService(
+            shared.follower, shared.options.membership.operator_networks
+        ),
         shared.options.instance.name,
         membership.is_peer_host,
     )
--- a/damaskpoint/settings.py
+++ b/damaskpoint/settings.py
@@ -78,6 +78,8 @@
     """Peers to start from, as HOST:PORT, while the list is down."""
     networks: tuple[str, ...] = ()
     """Networks that unlisted peers may speak from, as ADDRESS/BITS."""
+    operator_networks: tuple[str, ...] = defaults.OPERATOR_NETWORKS
+    """Networks that damaskpoint-sheet may hand over versions from."""
     gossip_interval_s: float = pydantic.Field(defaults.GOSSIP_INTERVAL_S, gt=0)
     """Time between two rounds of gossip (seconds)."""
     peer_timeout_s: float = pydantic.Field(defaults.PEER_TIMEOUT_S, gt=0)
@@ -96,7 +98,7 @@
                 raise ValueError(f'{text}: port out of range')
         return peers
 
-    @pydantic.field_validator('networks')
+    @pydantic.field_validator('networks', 'operator_networks')
     @classmethod
     def check_networks(cls, networks: tuple[str, ...]) -> tuple[str, ...]:
         """Refuse a network that is not an address and a number of bits."""
--- a/damaskpoint/sheet_tool/changes.py
+++ b/damaskpoint/sheet_tool/changes.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import uuid
 from typing import TYPE_CHECKING
 
 from damaskpoint.config.diff import Change, compare
@@ -10,7 +9,11 @@
 from damaskpoint.config.sheet import read_sheet
 from damaskpoint.errors import Failure
 from damaskpoint.sheet_tool.acceptance import Accepted, Overtaken
-from damaskpoint.sheet_tool.in_force import ApplyOptions, finish_change
+from damaskpoint.sheet_tool.in_force import (
+    ApplyOptions,
+    finish_change,
+    report_spread,
+)
 from damaskpoint.sheet_tool.report import (
     ExitCode,
     Report,
@@ -19,6 +22,7 @@
     report_faults,
     tabulate_changes,
 )
+from damaskpoint.sheet_tool.spread import accept_and_spread
 
 if TYPE_CHECKING:
     from damaskpoint.sheet_tool.tool import Tool
@@ -67,23 +71,20 @@
         return refusal
     changes = compare(base.configuration, configuration)
     if base.configuration and not changes:
-        return await _finish('unchanged', tool, base.version, (), options)
-    outcome = await tool.acceptor.accept(
-        base, configuration, uuid.uuid4().hex, patience
-    )
+        report = _report_accepted('unchanged', base.version, changes)
+        return await finish_change(tool, base.version, options, report)
+    outcome = await accept_and_spread(tool, base, configuration, patience)
     if isinstance(outcome, Failure):
         return report_failure(outcome)
     if isinstance(outcome, Overtaken):
         return _report_overtaken(base, outcome)
-    return await _finish('applied', tool, outcome.version, changes, options)
+    report = _report_accepted('applied', outcome.version, changes)
+    report_spread(report, outcome)
+    return await finish_change(tool, outcome.version, options, report)
 
 
-async def _finish(
-    result: str,
-    tool: Tool,
-    version: int,
-    changes: tuple[Change, ...],
-    options: ApplyOptions,
+def _report_accepted(
+    result: str, version: int, changes: tuple[Change, ...]
 ) -> Report:
     report = Report(ExitCode.DONE, tabulate_changes(changes))
     report.lines.append(f'Version {version} is accepted.')
@@ -92,7 +93,7 @@
         'version': version,
         'changes': list_changes(changes),
     }
-    return await finish_change(tool, version, options, report)
+    return report
 
 
 def _refuse(
--- a/damaskpoint/sheet_tool/in_force.py
+++ b/damaskpoint/sheet_tool/in_force.py
@@ -12,6 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from damaskpoint.sheet_tool.spread import Spread
     from damaskpoint.sheet_tool.tool import Tool
 
 
@@ -30,6 +31,24 @@
     show_progress: Callable[[Progress], None]
 
 
+def report_spread(report: Report, spread: Spread) -> None:
+    """Tell how many entries have the version from the tool itself.
+
+    With none of them, an outage of the platform from now on would keep the
+    version from all: that is no success, also without waiting.
+    """
+    report.content['handed_over'] = spread.held_count
+    if not spread.listed_count:
+        return
+    if spread.held_count:
+        report.lines.append(
+            f'{spread.held_count} entries have it from this command.'
+        )
+        return
+    report.exit_code = ExitCode.NOT_IN_FORCE
+    report.lines.append('No entry has taken it from this command.')
+
+
 async def finish_change(
     tool: Tool, version: int, options: ApplyOptions, report: Report
 ) -> Report:
@@ -44,6 +63,8 @@
     )
     report.content['in_force'] = progress.in_force_count
     report.content['entries'] = len(progress.answers)
+    if progress.is_everywhere:
+        report.exit_code = ExitCode.DONE
     if progress.is_everywhere and not progress.answers:
         report.lines.append('No live entry is listed.')
         return report
--- a/damaskpoint/sheet_tool/probe.py
+++ b/damaskpoint/sheet_tool/probe.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     from damaskpoint.platform.base import ListedInstance
+    from damaskpoint.wire.held import HeldConfiguration
 
 
 @final
@@ -30,6 +31,12 @@
     async def ask(self, entry: ListedInstance) -> EntryVersion | Failure:
         """Return the version in force; ``PEER_UNREACHABLE`` if silent."""
 
+    @abc.abstractmethod
+    async def hand_over(
+        self, entry: ListedInstance, accepted: HeldConfiguration, age_s: float
+    ) -> Failure | None:
+        """Let an entry put an accepted version in force."""
+
 
 @final
 class PeerEntryProbe(EntryProbe):
@@ -47,6 +54,13 @@
             return answer
         return EntryVersion(answer.version, answer.digest)
 
+    async def hand_over(
+        self, entry: ListedInstance, accepted: HeldConfiguration, age_s: float
+    ) -> Failure | None:
+        """Let an entry put an accepted version in force."""
+        address = Address(entry.host, entry.peer_port)
+        return await self._client.hold_configuration(address, accepted, age_s)
+
 
 def create_entry_probe(timeout_s: float) -> EntryProbe:
     """Return a probe that calls entries; each call has a bound of time."""
--- a/damaskpoint/sheet_tool/waiting.py
+++ b/damaskpoint/sheet_tool/waiting.py
@@ -78,7 +78,7 @@
     listed = await tool.instances.fetch()
     if isinstance(listed, Failure):
         return Progress(version, failure=listed)
-    entries = _choose_entries(listed)
+    entries = choose_entries(listed)
     answers = await asyncio.gather(*(tool.probe.ask(one) for one in entries))
     paired = []
     for entry, answer in zip(entries, answers, strict=True):
@@ -86,9 +86,10 @@
     return Progress(version, tuple(paired))
 
 
-def _choose_entries(
+def choose_entries(
     listed: Sequence[ListedInstance],
 ) -> list[ListedInstance]:
+    """Return the live entries of a list of instances."""
     entries = []
     for instance in listed:
         if instance.pool != defaults.ENTRY_POOL:
--- a/damaskpoint/sheet_tool/zone.py
+++ b/damaskpoint/sheet_tool/zone.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
-import uuid
 from typing import TYPE_CHECKING, Final
 
 from damaskpoint.config import document
 from damaskpoint.errors import Code, Failure
 from damaskpoint.sheet_tool.acceptance import Accepted, Overtaken, Receipt
-from damaskpoint.sheet_tool.in_force import ApplyOptions, finish_change
+from damaskpoint.sheet_tool.in_force import (
+    ApplyOptions,
+    finish_change,
+    report_spread,
+)
 from damaskpoint.sheet_tool.report import ExitCode, Report, report_failure
+from damaskpoint.sheet_tool.spread import Spread, accept_and_spread
 
 if TYPE_CHECKING:
     from damaskpoint.config.model import Configuration, Zone
@@ -27,7 +31,7 @@
         if isinstance(base, Failure):
             return report_failure(base)
         outcome = await _try_zone(tool, base, zone, patience)
-        if isinstance(outcome, Receipt):
+        if isinstance(outcome, (Receipt, Spread)):
             return await _finish(tool, zone, outcome, options)
         if not isinstance(outcome, Overtaken):
             return outcome
@@ -41,7 +45,7 @@
 
 async def _try_zone(
     tool: Tool, base: Accepted, zone: Zone, patience: Patience
-) -> Receipt | Overtaken | Report:
+) -> Receipt | Spread | Overtaken | Report:
     current = base.configuration
     if current is None or zone.name not in current.zones_by_name:
         return _report_unknown(zone, current)
@@ -50,29 +54,29 @@
     changed = document.stamp(
         document.replace_zone(current, zone), base.version + 1
     )
-    outcome = await tool.acceptor.accept(
-        base, changed, uuid.uuid4().hex, patience
-    )
+    outcome = await accept_and_spread(tool, base, changed, patience)
     if isinstance(outcome, Failure):
         return report_failure(outcome)
     return outcome
 
 
 async def _finish(
-    tool: Tool, zone: Zone, receipt: Receipt, options: ApplyOptions
+    tool: Tool, zone: Zone, accepted: Receipt | Spread, options: ApplyOptions
 ) -> Report:
     state = 'out' if zone.is_out else 'in'
     report = Report(ExitCode.DONE)
     report.lines.append(
-        f'Zone {zone.name} is {state} in version {receipt.version}.'
+        f'Zone {zone.name} is {state} in version {accepted.version}.'
     )
     report.content = {
         'result': 'applied',
         'zone': zone.name,
         'state': state,
-        'version': receipt.version,
+        'version': accepted.version,
     }
-    return await finish_change(tool, receipt.version, options, report)
+    if isinstance(accepted, Spread):
+        report_spread(report, accepted)
+    return await finish_change(tool, accepted.version, options, report)
 
 
 def _report_unknown(zone: Zone, current: Configuration | None) -> Report:
--- a/damaskpoint/wire/peer.thrift
+++ b/damaskpoint/wire/peer.thrift
@@ -118,6 +118,9 @@
   // Open to any caller.
   void ping()
   InForce get_in_force() throws (1: Refused refused)
+  // Open to peers and to operators' hosts: puts an accepted version in force.
+  // Its age counts from before it was accepted.
+  void hold_configuration(1: ConfigurationBody accepted, 2: i64 age_ms) throws (1: Refused refused)
   // Open to peers.
   ConfigurationBody get_configuration(1: i64 version) throws (1: Refused refused)
 }
--- a/damaskpoint/wire/peer_client.py
+++ b/damaskpoint/wire/peer_client.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import http
-from typing import TYPE_CHECKING, TypeVar, final
+import math
+from typing import TYPE_CHECKING, Final, TypeVar, final
 
 from thrift.transport import TTransport
 from tornado import httpclient, simple_httpclient
@@ -17,8 +18,10 @@
     from collections.abc import Callable
 
     from damaskpoint.membership.facts import Address
+    from damaskpoint.wire.held import HeldConfiguration
 
 _Answer = TypeVar('_Answer')
+_MS_PER_S: Final = 1_000
 
 
 def create_peer_client(
@@ -64,6 +67,28 @@
         )
         return _count('get_in_force', answer)
 
+    async def hold_configuration(
+        self, address: Address, accepted: HeldConfiguration, age_s: float
+    ) -> Failure | None:
+        """Let a process put an accepted version in force.
+
+        ``age_s`` counts from before the version was accepted.
+        """
+        message = ttypes.ConfigurationBody(
+            accepted.version, accepted.digest, accepted.body
+        )
+        age_ms = math.ceil(age_s * _MS_PER_S)
+        request = _encode_call(
+            lambda stub: stub.send_hold_configuration(message, age_ms)
+        )
+        body = await self._post(address, request)
+        if isinstance(body, Failure):
+            return _count('hold_configuration', body)
+        answer: Failure | None = _decode_answer(
+            body, lambda stub: stub.recv_hold_configuration()
+        )
+        return _count('hold_configuration', answer)
+
     async def get_configuration(
         self, address: Address, version: int
     ) -> ttypes.ConfigurationBody | Failure:
--- a/damaskpoint/wire/peer_server.py
+++ b/damaskpoint/wire/peer_server.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import abc
-from dataclasses import dataclass
-from typing import TYPE_CHECKING, final
+from typing import TYPE_CHECKING, Final, final
 
 from thrift.transport import TTransport
 from tornado import httpserver, web
@@ -13,21 +12,12 @@
 from damaskpoint.errors import Code, Failure
 from damaskpoint.wire import codec, metrics
 from damaskpoint.wire.generated.peer import Peer, ttypes
+from damaskpoint.wire.held import HeldConfiguration
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-
-@final
-@dataclass(frozen=True, slots=True)
-class HeldConfiguration:
-    """The version that a process has in force."""
-
-    version: int
-    # Hexadecimal.
-    digest: str
-    # The object, as it stands in the object store.
-    body: bytes
+_MS_PER_S: Final = 1_000
 
 
 class PeerService(abc.ABC):
@@ -37,6 +27,16 @@
     def find_configuration(self) -> HeldConfiguration | None:
         """Return what is in force, or None before the first version."""
 
+    @abc.abstractmethod
+    def take_configuration(
+        self, accepted: HeldConfiguration, age_s: float
+    ) -> Failure | None:
+        """Put an accepted version in force, if it is higher and whole."""
+
+    @abc.abstractmethod
+    def is_operator_host(self, host: str) -> bool:
+        """Return whether operators may hand over versions from here."""
+
 
 def create_peer_server(
     service: PeerService, name: str, is_peer_host: Callable[[str], bool]
@@ -77,7 +77,8 @@
         self, service: PeerService, name: str, is_peer: Callable[[str], bool]
     ) -> None:
         host = self.request.remote_ip or ''
-        self._calls = _Calls(service, name, is_peer(host))
+        is_operator = service.is_operator_host(host)
+        self._calls = _Calls(service, name, is_peer(host), is_operator)
 
     def post(self) -> None:
         answer = process_call(self._calls, self.request.body)
@@ -97,11 +98,16 @@
     """Answers the calls of one request."""
 
     def __init__(
-        self, service: PeerService, name: str, is_from_peer: bool
+        self,
+        service: PeerService,
+        name: str,
+        is_from_peer: bool,
+        is_from_operator: bool,
     ) -> None:
         self._service = service
         self._name = name
         self._is_from_peer = is_from_peer
+        self._is_from_operator = is_from_operator
 
     def ping(self) -> None:
         """Answer that the process lives."""
@@ -111,6 +117,20 @@
         held = self._find_held()
         return ttypes.InForce(self._name, held.version, held.digest)
 
+    def hold_configuration(
+        self, accepted: ttypes.ConfigurationBody, age_ms: int
+    ) -> None:
+        """Put an accepted version in force."""
+        if not (self._is_from_peer or self._is_from_operator):
+            raise _refuse(Code.PEER_UNKNOWN, 'only peers and operators may')
+        held = HeldConfiguration(
+            accepted.version, accepted.digest, accepted.body
+        )
+        age_s = max(age_ms or 0, 0) / _MS_PER_S
+        failure = self._service.take_configuration(held, age_s)
+        if failure:
+            raise _refuse(failure.code, failure.detail)
+
     def get_configuration(self, version: int) -> ttypes.ConfigurationBody:
         """Return the object of this version or a higher one."""
         if not self._is_from_peer:
--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -31,6 +31,20 @@
     When a peer offers version 2 confirmed 0.5 seconds ago
     Then version 2 is in force
 
+  Scenario: An accepted version that an operator hands over is in force at once
+    Given a follower with version 1 in force
+    And version 2 is accepted, but the platform is down
+    When an operator hands over version 2
+    Then version 2 is in force
+    And it is ready
+
+  Scenario: A version that is handed over late or damaged changes nothing
+    Given a follower with version 3 in force
+    When an operator hands over version 2
+    Then version 3 is in force
+    When an operator hands over version 4 with other bytes
+    Then version 3 is in force
+
   Scenario: A corrupt object is refused and counted
     Given a follower with version 1 in force
     And version 2 is accepted, but the object store corrupts it
--- a/features/sheet_tool.feature
+++ b/features/sheet_tool.feature
@@ -102,6 +102,25 @@
       | one behind      | 2       | 1          | 7    |
       | one silent      | 2       | silent     | 7    |
 
+  Scenario: A version whose platform goes down at once is handed to entries
+    Given the entries answer
+      | entry   | presence | versions |
+      | entry-1 | live     | 2        |
+      | entry-2 | live     | 2        |
+      | entry-3 | leaving  | 1        |
+    And the platform goes down once the write has taken effect
+    When an operator applies the sheet with "writer,3" as "writer,4"
+    Then the command ends with exit code 7
+    And the command has handed over entry-1 2, entry-2 2
+
+  Scenario: A version that no entry takes is told, also without waiting
+    Given the entries answer
+      | entry   | presence | versions |
+      | entry-1 | live     | silent   |
+    When an operator takes zone apapa out without waiting
+    Then the command ends with exit code 7
+    And its report says "No entry has taken it"
+
   Scenario: Status shows each entry and the orders
     Given the entries answer
       | entry   | presence | versions |
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -120,6 +120,22 @@
     asyncio.run(context.follower.fetch_wanted())
 
 
+@when('an operator hands over version {version:d}')
+def hand_over(context: Any, version: int) -> None:
+    """Hand the object over."""
+    configuration = _configure(version)
+    claim = VersionClaim(version, configuration.digest)
+    body = document.encode(configuration)
+    assert context.follower.take(claim, body, 0.2, context.now) is None
+
+
+@when('an operator hands over version {version:d} with other bytes')
+def hand_over_other(context: Any, version: int) -> None:
+    """Hand over bytes that do not match the digest."""
+    claim = VersionClaim(version, _configure(version).digest)
+    assert context.follower.take(claim, b'{}', 0.2, context.now)
+
+
 @when('it polls the platform')
 def poll(context: Any) -> None:
     """Poll once."""
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,207 @@
+"""Steps on the platform's adapters, against servers on real ports."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from typing import TYPE_CHECKING, Any
+
+from behave import then
+from tornado import httpserver, testing, web
+from tornado.httpclient import AsyncHTTPClient
+
+from damaskpoint.errors import Failure
+from damaskpoint.platform.base import (
+    Committed,
+    Conflicted,
+    Row,
+    RowKey,
+    Write,
+)
+from damaskpoint.platform.http_instances import create_http_instance_list
+from damaskpoint.platform.http_objects import create_http_object_store
+from damaskpoint.platform.http_table import create_http_table
+from damaskpoint.settings import PlatformOptions
+from standins.history import create_history
+from standins.platform import InstanceLog, Platform, create_platform_app
+from standins.platform_faults import PlatformControl, TableFault
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+_TIMEOUT_S = 0.4
+_ROW_KEY = RowKey('t', 'key/1')
+_INSTANCE = {
+    'name': 'entry-1',
+    'pool': 'entry',
+    'zone': 'ikeja',
+    'host': '127.0.0.1',
+    'port': 1,
+    'peer_port': 2,
+    'incarnation': 3,
+    'presence': 'leaving',
+}
+
+
+class Adapters:
+    """The three adapters on one base URL."""
+
+    def __init__(self, url: str) -> None:
+        options = PlatformOptions(
+            table_url=url,
+            objects_url=url,
+            instances_url=url,
+            timeout_s=_TIMEOUT_S,
+        )
+        client = AsyncHTTPClient(force_instance=True)
+        self.table = create_http_table(options, client)
+        self.object_store = create_http_object_store(options, client)
+        self.instances = create_http_instance_list(options, client)
+
+    async def call(self, name: str) -> object:
+        """Make one call of the name in the feature's tables."""
+        if name == 'table read':
+            return await self.table.read((_ROW_KEY,))
+        if name == 'table write':
+            return await self.table.transact((Write(_ROW_KEY, None, {}),))
+        if name == 'object put':
+            return await self.object_store.put('a/b', b'x')
+        if name == 'object get':
+            return await self.object_store.get('a/b')
+        return await self.instances.fetch()
+
+
+class FaultyHandler(web.RequestHandler):
+    """Answers every call with one fault."""
+
+    def initialize(self, fault: str, retry_after: str) -> None:
+        self._fault = fault
+        self._retry_after = retry_after
+
+    async def prepare(self) -> None:
+        if self._fault == 'answers too late':
+            await asyncio.sleep(_TIMEOUT_S * 2)
+        if self._fault == 'breaks the connection':
+            self.request.connection.stream.close()  # type: ignore[union-attr]
+            raise web.Finish
+        if self._retry_after:
+            self.set_header('Retry-After', self._retry_after)
+        statuses = {'answers 503': 503, 'answers 429': 429, 'answers 400': 400}
+        self.set_status(statuses.get(self._fault, 200))
+        if self._fault == 'has no such object':
+            self.set_status(404)
+        body = '[1, "nonsense"]'
+        if self._fault == 'answers too few rows':
+            body = json.dumps({'rows': [], 'versions': []})
+        self.finish(body)
+
+
+@then('the adapters read back what they wrote')
+def check_round_trip(context: Any) -> None:
+    """Run the adapters against the stand-in."""
+    for check in (_check_rows, _check_objects):
+        asyncio.run(_serve(_create_standin(TableFault()), check))
+
+
+@then(
+    'a {call} of the platform that loses the answer ends as {code}, ran {ran}'
+)
+def check_lost(context: Any, call: str, code: str, ran: str) -> None:
+    """Lose an answer behind the write, and see that it took effect."""
+
+    async def check(adapters: Adapters) -> None:
+        _check_failure(await adapters.call(call), code, ran)
+        rows = await adapters.table.read((_ROW_KEY,))
+        assert isinstance(rows, tuple), rows
+        assert rows[0]
+        assert rows[0].version == 1
+
+    asyncio.run(_serve(_create_standin(TableFault(lose_next=1)), check))
+
+
+@then('a {call} of the platform that {fault} ends as {code}, ran {ran}')
+def check_fault(
+    context: Any, call: str, fault: str, code: str, ran: str
+) -> None:
+    """Make one call against one fault."""
+
+    async def check(adapters: Adapters) -> None:
+        _check_failure(await adapters.call(call), code, ran)
+
+    if fault == 'does not listen':
+        socket, port = testing.bind_unused_port()
+        socket.close()
+        asyncio.run(check(Adapters(f'http://127.0.0.1:{port}')))
+        return
+    asyncio.run(_serve(_create_faulty(fault, ''), check))
+
+
+@then('a 429 with Retry-After "{header}" says to come back after {seconds}')
+def check_retry_after(context: Any, header: str, seconds: str) -> None:
+    """Read the time to come back."""
+    _check_retry_after(header, seconds)
+
+
+@then('a 429 with Retry-After "" says to come back after {seconds}')
+def check_no_retry_after(context: Any, seconds: str) -> None:
+    """Do without the header."""
+    _check_retry_after('', seconds)
+
+
+def _check_retry_after(header: str, seconds: str) -> None:
+    async def check(adapters: Adapters) -> None:
+        failure = await adapters.call('table write')
+        assert isinstance(failure, Failure)
+        assert str(failure.retry_after_s) == seconds, failure
+
+    asyncio.run(_serve(_create_faulty('answers 429', header), check))
+
+
+async def _check_rows(adapters: Adapters) -> None:
+    table = adapters.table
+    first = await table.transact((Write(_ROW_KEY, 0, {'a': [1, None]}),))
+    assert first == Committed((1,)), first
+    assert await table.transact((Write(_ROW_KEY, 0, {}),)) == Conflicted((0,))
+    rows = await table.read((RowKey('t', 'none'), _ROW_KEY))
+    assert isinstance(rows, tuple)
+    assert rows == (None, Row(_ROW_KEY, 1, {'a': [1, None]}))
+    assert await table.scan('t', 'key/', '', 10) == rows[1:]
+
+
+async def _check_objects(adapters: Adapters) -> None:
+    body = bytes(range(256))
+    assert await adapters.object_store.put('config/ä b', body) is None
+    assert await adapters.object_store.get('config/ä b') == body
+    listed = await adapters.instances.fetch()
+    assert isinstance(listed, tuple)
+    assert [line.presence.value for line in listed] == ['leaving']
+
+
+def _check_failure(failure: object, code: str, ran: str) -> None:
+    assert isinstance(failure, Failure), failure
+    assert failure.code.value == code, failure
+    assert failure.ran.value == ran, failure
+
+
+def _create_standin(fault: TableFault) -> web.Application:
+    log = InstanceLog([dict(_INSTANCE)], time.monotonic())
+    platform = Platform(create_history('platform', ''), log)
+    platform.faults.apply(PlatformControl(table=fault), time.monotonic())
+    return create_platform_app(platform)
+
+
+def _create_faulty(fault: str, retry_after: str) -> web.Application:
+    shared = {'fault': fault, 'retry_after': retry_after}
+    return web.Application([('/.*', FaultyHandler, shared)])
+
+
+async def _serve(
+    app: web.Application, check: Callable[[Adapters], Awaitable[None]]
+) -> None:
+    server = httpserver.HTTPServer(app)
+    socket, port = testing.bind_unused_port()
+    server.add_socket(socket)
+    await check(Adapters(f'http://127.0.0.1:{port}'))
+    server.stop()
+    await server.close_all_connections()
--- a/features/steps/sheet_tool_steps.py
+++ b/features/steps/sheet_tool_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import pathlib
 import time
 from typing import TYPE_CHECKING, Any
@@ -42,6 +43,7 @@
 
 if TYPE_CHECKING:
     from damaskpoint.platform.base import ListedInstance
+    from damaskpoint.wire.held import HeldConfiguration
 
 _SAMPLE = pathlib.Path(__file__).resolve().parents[2] / 'samples' / 'lagos.csv'
 _PLATFORM_S = 1.5
@@ -52,6 +54,7 @@
 
     def __init__(self) -> None:
         self.versions_by_name: dict[str, list[str]] = {}
+        self.handed: list[str] = []
 
     async def ask(self, entry: ListedInstance) -> EntryVersion | Failure:
         versions = self.versions_by_name[entry.name]
@@ -60,6 +63,14 @@
             return Failure(Code.PEER_UNREACHABLE, entry.name)
         return EntryVersion(int(answer), '')
 
+    async def hand_over(
+        self, entry: ListedInstance, accepted: HeldConfiguration, age_s: float
+    ) -> Failure | None:
+        if 'silent' in self.versions_by_name[entry.name]:
+            return Failure(Code.PEER_UNREACHABLE, entry.name)
+        self.handed.append(f'{entry.name} {accepted.version}')
+        return None
+
 
 @given('a platform on which lagos.csv is accepted')
 def make_platform(context: Any) -> None:
@@ -122,6 +133,17 @@
     context.platform_table.before_write.append(go_down)
 
 
+@given('the platform goes down once the write has taken effect')
+def go_down_after(context: Any) -> None:
+    """Take the table and the list down behind the write's effect."""
+
+    async def go_down() -> None:
+        context.platform_table.is_down = True
+        context.instances.is_down = True
+
+    context.platform_table.after_write.append(go_down)
+
+
 @given('the object store corrupts what it holds from the next write on')
 def corrupt_store(context: Any) -> None:
     """Corrupt only objects written from now on."""
@@ -204,12 +226,21 @@
     )
 
 
-@when('an operator takes zone {zone} out')
+@when('an operator takes zone {zone:w} out')
 def take_out(context: Any, zone: str) -> None:
     """Take a zone out."""
     _take_out(context, zone)
 
 
+@when('an operator takes zone {zone:w} out without waiting')
+def take_out_at_once(context: Any, zone: str) -> None:
+    """Take a zone out and do not wait until it is in force."""
+    options = dataclasses.replace(_options(), wait_s=0)
+    context.report = asyncio.run(
+        change_zone(context.tool, Zone(zone, is_out=True), options)
+    )
+
+
 @when('an operator asks for the status')
 def ask_status(context: Any) -> None:
     """Run the status command."""
@@ -231,6 +262,12 @@
     assert report.exit_code == code, (report.exit_code, report.lines)
 
 
+@then('the command has handed over {handed}')
+def check_handed(context: Any, handed: str) -> None:
+    """Compare which entries were given which version."""
+    assert ', '.join(sorted(context.probe.handed)) == handed
+
+
 @then('its report says "{text}"')
 def check_report(context: Any, text: str) -> None:
     """Find a text in the report's lines."""
