Test the choice of upstream, and mend a timer that could stop the loop

The new feature hung: a proof that ran out at exactly the present moment was neither valid for the timer nor run out for the book, so the timer was set for the same moment for ever. Now the timers that are due are taken out first, and validity and expiry compare the same sum. Also, a proof that is merely old is no sign of cold: the next valid one counts at once, where before it had to be a lag younger than the expiry.

--- a/damaskpoint/routing/fleet.py
+++ b/damaskpoint/routing/fleet.py
@@ -81,8 +81,11 @@
 
     def run_timers(self, now: float) -> None:
         """Look again at each upstream whose time has come."""
+        due: list[tuple[float, str]] = []
         while self._timers and self._timers[0][0] <= now:
-            timer_at, name = heapq.heappop(self._timers)
+            due.append(heapq.heappop(self._timers))
+        # A timer that is set anew for now is left to the next run.
+        for timer_at, name in due:
             node = self.nodes_by_name.get(name)
             if node is None or node.timer_at != timer_at:
                 continue
--- a/damaskpoint/routing/warmth.py
+++ b/damaskpoint/routing/warmth.py
@@ -108,7 +108,7 @@
         if not _is_seen_long(warmth, proved_at - self._span_s, now):
             return False
         warmth.proved_at = max(warmth.proved_at, proved_at)
-        if now - warmth.proved_at > warmth.bound_s:
+        if now >= warmth.proved_at + warmth.bound_s:
             return False
         was_warm = warmth.was_warm
         warmth.cold_since = None
@@ -156,17 +156,17 @@
         warmth.cold_seen_at = max(warmth.cold_seen_at, asked_at)
 
     def expire(self, name: str, now: float) -> bool:
-        """Let a proof that is too old go."""
+        """Let a proof that is too old go.
+
+        Age is no sign of cold, so the next valid proof counts at once.
+        """
         warmth = self._warmth_by_name.get(name)
         if warmth is None or not warmth.was_warm:
             return False
-        if now - warmth.proved_at <= warmth.bound_s:
+        if now < warmth.proved_at + warmth.bound_s:
             return False
         warmth.was_warm = False
         warmth.reason = UnprovenReason.STALE
-        warmth.doubted_at = max(
-            warmth.doubted_at, warmth.proved_at + warmth.bound_s
-        )
         return True
 
     def forget(self, name: str) -> None:
@@ -180,7 +180,7 @@
         warmth = self._warmth_by_name.get(name)
         if warmth is None or not warmth.was_warm:
             return False
-        return now - warmth.proved_at <= warmth.bound_s
+        return now < warmth.proved_at + warmth.bound_s
 
     def is_proved_after(self, name: str, moment: float) -> bool:
         """Return whether the proof held speaks of a later moment."""
--- /dev/null
+++ b/features/steps/routing_steps.py
@@ -0,0 +1,522 @@
+"""Steps on the directory and the choice of upstreams."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import random
+from typing import TYPE_CHECKING, Any
+
+from behave import given, then, when
+from hypothesis import given as draw
+from hypothesis import seed, settings
+from hypothesis import strategies as st
+
+from damaskpoint.config.model import Configuration, Pool, PoolKind, Zone
+from damaskpoint.errors import Code, Failure
+from damaskpoint.platform.base import Committed, ListedInstance, Presence
+from damaskpoint.routing.base import CallEnd, CallReport, RouteQuery, Ticket
+from damaskpoint.routing.choice import TwoChoices
+from damaskpoint.routing.directory import UpstreamDirectory, ZoneMark
+from damaskpoint.routing.ranks import EntryRanks
+from damaskpoint.routing.report import LoadReport
+from damaskpoint.routing.router import create_router
+from damaskpoint.routing.wiring import Identity, create_core, create_warmth
+from damaskpoint.settings import RoutingOptions
+
+if TYPE_CHECKING:
+    from damaskpoint.routing.nodes import Node
+
+_ZONES = ('z0', 'z1', 'z2', 'z3')
+_POOL = Pool('p', PoolKind.MODEL, 2, 8, True, True)
+
+
+def _configure(pool: Pool, version: int = 1, out: str = '') -> Configuration:
+    zones = {name: Zone(name, name == out) for name in _ZONES}
+    return Configuration(version, 'd', zones, {}, {pool.name: pool})
+
+
+def _line(
+    name: str, zone: str, incarnation: int, presence: str
+) -> ListedInstance:
+    return ListedInstance(
+        name, 'p', zone, '127.0.0.1', 1, 0, incarnation, Presence(presence)
+    )
+
+
+class Bench:
+    """A routing core under a clock that the steps move."""
+
+    def __init__(self, size: int, pool: Pool) -> None:
+        """Start with upstreams that have said nothing yet."""
+        self.now = 100.0
+        self.pool = pool
+        options = RoutingOptions()
+        self.directory = UpstreamDirectory()
+        self.core = create_core(
+            Identity('e', 'z0', '1'),
+            options,
+            self.directory,
+            EntryRanks('e'),
+            create_warmth(options),
+            TwoChoices('z0', random.Random(4)),
+        )
+        self.directory.apply_configuration(_configure(pool), self.now)
+        self.names = [f'u{number}' for number in range(size)]
+        lines = [
+            _line(name, _ZONES[number % 4], 1, 'live')
+            for number, name in enumerate(self.names)
+        ]
+        self.directory.hear_list(lines, self.now)
+        self.core.tick(self.now)
+        self.tickets: list[Ticket] = []
+
+    def report(self) -> None:
+        """Let every upstream report that it is warm."""
+        limit = self.pool.warm_limit
+        for name in self.names:
+            report = LoadReport(1, True, 0, limit)
+            self.core.evidence.note_report(name, report, self.now, self.now)
+
+    def query(
+        self, prefix: bytes = b'', left_s: float = 30, to: str = ''
+    ) -> RouteQuery:
+        """Return a call's query; ``to`` excludes all upstreams but one."""
+        others = [name for name in self.names if to and name != to]
+        excluded = frozenset(others)
+        deadline = self.now + left_s
+        return RouteQuery('r', 'p', '', '', prefix, excluded, deadline)
+
+    def start(self, prefix: bytes = b'', to: str = '') -> Ticket | None:
+        """Start a call, if it gets an upstream at once."""
+        query = self.query(prefix, to=to)
+        ticket = self.core.try_acquire(query, self.now)
+        if ticket is not None:
+            self.tickets.append(ticket)
+        return ticket
+
+    def end(self, ticket: Ticket, report: CallReport) -> None:
+        """End a call."""
+        self.core.release(ticket, report, self.now)
+
+    def nodes(self) -> dict[str, Node]:
+        """Return the upstreams as the choice sees them."""
+        return self.core.fleet.nodes_by_name
+
+    def in_flight(self) -> list[int]:
+        """Return the calls in flight of each upstream."""
+        return [self.nodes()[name].load.own for name in self.names]
+
+
+_DONE = CallReport(CallEnd.SUCCEEDED, 0.05, 1, is_warm=True)
+_EVENT = st.one_of(
+    st.tuples(
+        st.just('list'),
+        st.lists(
+            st.tuples(
+                st.sampled_from(('u1', 'u2', 'u3')),
+                st.integers(1, 3),
+                st.sampled_from(('live', 'leaving')),
+            ),
+            max_size=4,
+        ),
+    ),
+    st.tuples(
+        st.just('mark'),
+        st.tuples(st.sampled_from(('u1', 'u2', 'u3')), st.integers(1, 3)),
+    ),
+    st.tuples(
+        st.just('zone'),
+        st.tuples(
+            st.sampled_from(_ZONES[:2]), st.integers(1, 5), st.booleans()
+        ),
+    ),
+)
+
+
+class _Oracle:
+    """What must hold, written down apart from the product."""
+
+    def __init__(self) -> None:
+        self.marks: dict[str, int] = {}
+        self.highest: dict[str, int] = {}
+        self.zones: dict[str, tuple[int, bool]] = {}
+
+    def note(self, kind: str, event: Any, directory: UpstreamDirectory) -> None:
+        if kind == 'list':
+            lines = []
+            for name, incarnation, presence in event:
+                zone = _ZONES[int(name[1]) % 2]
+                lines.append(_line(name, zone, incarnation, presence))
+                self.highest[name] = max(self.highest.get(name, 0), incarnation)
+                if presence == 'leaving':
+                    self._mark(name, incarnation)
+            directory.hear_list(lines, 1)
+        elif kind == 'mark':
+            self._mark(*event)
+            directory.hear_leaving(event[0], event[1], 1)
+        else:
+            zone, version, is_out = event
+            if version >= self.zones.get(zone, (0, False))[0]:
+                self.zones[zone] = (version, is_out)
+            directory.hear_zone(zone, ZoneMark(version, is_out), 1)
+
+    def check(self, directory: UpstreamDirectory) -> None:
+        for name, incarnation in self.highest.items():
+            is_open = directory.is_open(name, 2)
+            is_out = self.zones.get(_ZONES[int(name[1]) % 2], (0, False))[1]
+            is_leaving = self.marks.get(name, 0) >= incarnation
+            assert is_open == (not is_out and not is_leaving), name
+
+    def _mark(self, name: str, incarnation: int) -> None:
+        self.marks[name] = max(self.marks.get(name, 0), incarnation)
+
+
+@then(
+    'in {count:d} drawn directory histories no removed upstream is a candidate'
+)
+def check_histories(context: Any, count: int) -> None:
+    """Draw late, backward and repeated events in any order."""
+
+    @seed(7)
+    @settings(max_examples=count, database=None, deadline=None)
+    @draw(st.lists(_EVENT, max_size=30))
+    def run_history(events: list[Any]) -> None:
+        directory = UpstreamDirectory()
+        plain = Configuration(0, 'd', {}, {}, {'p': _POOL})
+        directory.apply_configuration(plain, 0)
+        oracle = _Oracle()
+        for kind, event in events:
+            oracle.note(kind, event, directory)
+            oracle.check(directory)
+
+    run_history()
+
+
+@given('a routing directory with the lines')
+def make_directory(context: Any) -> None:
+    """Make a directory from a first list."""
+    context.routing_now = 0
+    context.directory = UpstreamDirectory()
+    context.directory.apply_configuration(_configure(_POOL), 0)
+    show_list(context)
+
+
+@when('the routing list shows')
+def show_list(context: Any) -> None:
+    """Hear a list."""
+    lines = [
+        _line(
+            row['name'], row['zone'], int(row['incarnation']), row['presence']
+        )
+        for row in context.table
+    ]
+    context.directory.hear_list(lines, context.routing_now)
+
+
+@when('{seconds:d} routing seconds pass')
+def pass_time(context: Any, seconds: int) -> None:
+    """Move the directory's clock."""
+    context.routing_now += seconds
+
+
+@then('the upstream {name} is open to new work')
+def check_open(context: Any, name: str) -> None:
+    """Expect a candidate."""
+    assert context.directory.is_open(name, context.routing_now)
+
+
+@then('the upstream {name} is not open to new work')
+def check_closed(context: Any, name: str) -> None:
+    """Expect no candidate."""
+    assert not context.directory.is_open(name, context.routing_now)
+
+
+@given(
+    'a routing core with {size:d} warm upstreams that bear {limit:d} calls each'
+)
+def make_warm(context: Any, size: int, limit: int) -> None:
+    """Make a core whose upstreams have proved warm."""
+    pool = dataclasses.replace(_POOL, warm_limit=limit)
+    context.bench = Bench(size, pool)
+    context.bench.report()
+
+
+@given('a routing core with {size:d} cold upstreams that do not report')
+def make_silent(context: Any, size: int) -> None:
+    """Make a core over a plain service."""
+    pool = dataclasses.replace(_POOL, reports_load=False)
+    context.bench = Bench(size, pool)
+
+
+@when('its leases are granted and {seconds:d} routing seconds pass')
+def grant_leases(context: Any, seconds: int) -> None:
+    """Serve the table's side of the claims."""
+    bench = context.bench
+    claims = bench.core.permits.claims
+    for _ in range(seconds * 10):
+        bench.now += 0.1
+        bench.core.tick(bench.now)
+        claims.note_read(dict.fromkeys(claims.plan_reads(bench.now)), bench.now)
+        writes = claims.plan_writes(bench.now)
+        versions = tuple(write.expected_version + 1 for write in writes)
+        claims.note_written(writes, Committed(versions), bench.now)
+
+
+@when('{count:d} routed calls start and none ends')
+def start_many(context: Any, count: int) -> None:
+    """Start calls that stay."""
+    for _ in range(count):
+        assert context.bench.start() is not None
+
+
+@when('{count:d} routed calls of one prefix start and none ends')
+def start_alike(context: Any, count: int) -> None:
+    """Start calls of one prefix that stay."""
+    for _ in range(count):
+        assert context.bench.start(b'contract') is not None
+
+
+@when('{count:d} routed calls of one prefix run one after the other')
+def run_alike(context: Any, count: int) -> None:
+    """Run calls of one prefix."""
+    _run_in_turn(context.bench, count, b'contract')
+
+
+@when('{count:d} routed calls run one after the other')
+def run_plain(context: Any, count: int) -> None:
+    """Run calls without a prefix."""
+    _run_in_turn(context.bench, count, b'')
+
+
+@then('no upstream has more than {most:d} routed calls in flight')
+def check_most(context: Any, most: int) -> None:
+    """Expect an even load."""
+    assert max(context.bench.in_flight()) <= most, context.bench.in_flight()
+
+
+@then('they all went to one upstream')
+def check_alike(context: Any) -> None:
+    """Expect affinity."""
+    assert len({one.upstream.name for one in context.bench.tickets}) == 1
+
+
+@then('at least {least:d} routed calls went to the own availability zone')
+def check_zone(context: Any, least: int) -> None:
+    """Expect the own zone's upstreams."""
+    near = [one for one in context.bench.tickets if one.upstream.zone == 'z0']
+    assert len(near) >= least, len(near)
+
+
+@when('one upstream of {size:d} leaves between {count:d} routed prefixes')
+def lose_one(context: Any, size: int, count: int) -> None:
+    """Route prefixes before and after one upstream leaves."""
+    bench = context.bench
+    chosen: list[list[str]] = []
+    for _ in range(2):
+        row = []
+        for number in range(count):
+            ticket = bench.start(str(number).encode())
+            row.append(ticket.upstream.name)
+            bench.end(ticket, _DONE)
+        chosen.append(row)
+        bench.directory.hear_leaving('u3', 1, bench.now)
+    context.moved = [
+        before for before, after in zip(*chosen, strict=True) if before != after
+    ]
+
+
+@then('at most {most:d} of the routed prefixes moved')
+def check_moved(context: Any, most: int) -> None:
+    """Expect that those of others stayed."""
+    assert 0 < len(context.moved) <= most, len(context.moved)
+
+
+@when('the upstream {name} ends {count:d} routed calls as {end}')
+def end_badly(context: Any, name: str, count: int, end: str) -> None:
+    """End calls of one upstream, whatever others get."""
+    bench = context.bench
+    for _ in range(count):
+        # The end before may have left the upstream unproven.
+        bench.now += 2
+        bench.core.tick(bench.now)
+        bench.report()
+        ticket = bench.start(to=name)
+        bench.end(ticket, CallReport(CallEnd(end), 0.05))
+
+
+@then('the breaker of {name} is {state}')
+def check_breaker(context: Any, name: str, state: str) -> None:
+    """Compare a breaker's state."""
+    breaker = context.bench.nodes()[name].breaker
+    assert breaker.state.value == state, breaker
+
+
+@then(
+    'a routed call is refused with a time to come back of at most'
+    ' {seconds:g} seconds'
+)
+def check_refused(context: Any, seconds: float) -> None:
+    """Expect an honest time to come back."""
+    bench = context.bench
+    assert bench.start() is None
+    failure = bench.core.waiting.judge(bench.query(left_s=0.2), 0, bench.now)
+    assert failure is not None
+    assert failure.code is Code.NO_UPSTREAM
+    assert 0 < failure.retry_after_s <= seconds, failure
+
+
+@when('{seconds:g} routing seconds pass with reports')
+def pass_with_reports(context: Any, seconds: float) -> None:
+    """Move the clock, and prove the upstreams warm."""
+    bench = context.bench
+    bench.now += seconds
+    bench.report()
+    bench.core.tick(bench.now)
+
+
+@then('exactly {started:d} of {count:d} routed calls starts')
+def check_started(context: Any, started: int, count: int) -> None:
+    """Count the calls that get an upstream at once."""
+    bench = context.bench
+    bench.tickets.clear()
+    for _ in range(count):
+        bench.start()
+    assert len(bench.tickets) == started, len(bench.tickets)
+
+
+@when('the started routed calls end as succeeded')
+@when('the started routed calls end as warm')
+def end_started(context: Any) -> None:
+    """End them with a whole answer."""
+    for ticket in context.bench.tickets:
+        context.bench.end(ticket, _DONE)
+    context.bench.tickets.clear()
+
+
+@when(
+    '{slow:d} of the upstreams answer 10 times as slowly over {count:d}'
+    ' routed calls'
+)
+def answer_slowly(context: Any, slow: int, count: int) -> None:
+    """Run calls, slow on the first upstreams."""
+    bench = context.bench
+    slow_names = set(bench.names[:slow])
+    for _ in range(count):
+        bench.now += 0.01
+        bench.report()
+        ticket = bench.start()
+        is_slow = ticket.upstream.name in slow_names
+        duration = 0.5 if is_slow else 0.05
+        bench.end(ticket, CallReport(CallEnd.SUCCEEDED, duration, 1, True))
+
+
+@then('{count:d} upstreams count as slow')
+def check_slow(context: Any, count: int) -> None:
+    """Expect no more than the share."""
+    nodes = context.bench.nodes().values()
+    slow = [node for node in nodes if node.load.is_outlier]
+    assert len(slow) == count, len(slow)
+
+
+@when('routed calls of 1 second fill it')
+def fill(context: Any) -> None:
+    """Measure the service time, then take every place."""
+    bench = context.bench
+    for _ in range(30):
+        ticket = bench.start()
+        bench.end(ticket, CallReport(CallEnd.SUCCEEDED, 1, 1, True))
+    for _ in range(bench.pool.warm_limit):
+        assert bench.start() is not None
+    assert bench.start() is None
+
+
+@then('a routed call with {left:g} seconds left is refused at once')
+def check_no_wait(context: Any, left: float) -> None:
+    """Expect a failure with a time to come back."""
+    bench = context.bench
+    failure = bench.core.waiting.judge(bench.query(left_s=left), 0, bench.now)
+    assert failure is not None
+    assert failure.retry_after_s > 0
+
+
+@then('a routed call with {left:g} seconds left may wait')
+def check_wait(context: Any, left: float) -> None:
+    """Expect no failure."""
+    bench = context.bench
+    query = bench.query(left_s=left)
+    assert bench.core.waiting.judge(query, 0, bench.now) is None
+
+
+@when('{count:d} routed calls wait behind {running:d} that run')
+def wait_behind(context: Any, count: int, running: int) -> None:
+    """Let calls wait in the router on the scenario's loop."""
+    bench = context.bench
+    context.router = create_router(bench.core, lambda: bench.now)
+    for _ in range(running):
+        assert bench.start() is not None
+    context.answers = []
+
+    async def ask(number: int) -> None:
+        answer = await context.router.acquire(bench.query())
+        context.answers.append((number, answer))
+
+    async def begin() -> list[asyncio.Task[None]]:
+        tasks = [asyncio.ensure_future(ask(one)) for one in range(count)]
+        await asyncio.sleep(0)
+        return tasks
+
+    context.asked = context.loop.run_until_complete(begin())
+
+
+@then('they start in their order as places become free')
+def check_order(context: Any) -> None:
+    """End one call after the other."""
+    bench = context.bench
+    for count in range(1, len(context.asked) + 1):
+        ticket = bench.tickets.pop(0)
+        context.router.release(ticket, _DONE)
+        _turn(context, count)
+        number, answer = context.answers[-1]
+        assert number == count - 1, context.answers
+        assert isinstance(answer, Ticket)
+        bench.tickets.append(answer)
+
+
+@when('the zone of all routed upstreams is taken out')
+def take_out(context: Any) -> None:
+    """Hear of it from a peer."""
+    bench = context.bench
+    for zone in _ZONES:
+        mark = ZoneMark(2, is_out=True)
+        bench.directory.hear_zone(zone, mark, bench.now)
+    bench.core.tick(bench.now)
+
+
+@then('all routed calls that wait are refused at once')
+def check_told(context: Any) -> None:
+    """Expect a failure for each, without any time passing."""
+    _turn(context, len(context.asked))
+    for _, answer in context.answers:
+        assert isinstance(answer, Failure)
+        assert answer.code is Code.NO_UPSTREAM
+
+
+def _turn(context: Any, wanted: int) -> None:
+    """Run the loop until so many calls have their answer."""
+
+    async def turn() -> None:
+        for _ in range(50):
+            if len(context.answers) >= wanted:
+                return
+            await asyncio.sleep(0)
+
+    context.loop.run_until_complete(turn())
+    assert len(context.answers) >= wanted, context.answers
+
+
+def _run_in_turn(bench: Bench, count: int, prefix: bytes) -> None:
+    for _ in range(count):
+        ticket = bench.start(prefix)
+        assert ticket is not None
+        bench.end(ticket, _DONE)
