--- a/damaskpoint/load/slopes_gossip.py
+++ b/damaskpoint/load/slopes_gossip.py
@@ -20,6 +20,7 @@
 
 from damaskpoint import defaults
 from damaskpoint.errors import Failure
+from damaskpoint.load.slope import SizeRow
 from damaskpoint.membership import facts, sizes
 from damaskpoint.membership.addresses import AddressBook
 from damaskpoint.membership.gossiper import create_gossiper
@@ -30,6 +31,10 @@
 
     from damaskpoint.membership.gossiper import Gossiper, Outgoing
 
+SIZES: Final = (8, 32, 128, 690)
+
+_US_PER_S: Final = 1_000_000
+_BYTES_PER_KB: Final = 1_000
 _LATENCY_S: Final = 0.0015
 _PORT: Final = 7_000
 _UPSTREAMS: Final = 10
@@ -47,29 +52,6 @@
 _PERCENTILE: Final = 0.99
 
 
-@final
-@dataclass(frozen=True, slots=True)
-class GossipRow:
-    """What was seen with one number of peers."""
-
-    peers: int
-    # Per peer, with what UDP and IP add.
-    sent_bytes_per_s: float
-    max_bytes_in_a_second: int
-    datagrams_per_s: float
-    held_back_per_s: float
-    # From the telling of a mark, or a version, to its last hearer.
-    mark_spread_s: float
-    configuration_spread_s: float
-    # Time since a live peer was last heard of, over all pairs.
-    silence_p99_s: float
-    silence_max_s: float
-    not_live_pairs: int
-    # Processor time of one peer for a second of gossip.
-    processor_s_per_s: float
-    memory_bytes: int
-
-
 @final
 class _Fleet:
     """All peers, and the datagrams between them, under virtual time."""
@@ -143,8 +125,13 @@
         heapq.heappush(self._events, (at, next(self._numbers), index, datagram))
 
 
-def measure(peer_counts: Sequence[int], seed: int = 1) -> list[GossipRow]:
-    """Return a row for each number of peers."""
+def measure(peer_counts: Sequence[int] = SIZES, seed: int = 1) -> list[SizeRow]:
+    """Return bytes, spread, silence and cost of a peer, by peers.
+
+    Spread is the time from the telling of a mark, or of a version, to its
+    last hearer. Silence is the time since a live peer was last heard of,
+    over all pairs.
+    """
     return [_measure_one(count, seed) for count in peer_counts]
 
 
@@ -169,7 +156,7 @@
     configuration_s: float
 
 
-def _measure_one(count: int, seed: int) -> GossipRow:
+def _measure_one(count: int, seed: int) -> SizeRow:
     memory_before = _read_memory_bytes()
     fleet = _Fleet(count, seed)
     fleet.run_until(
@@ -180,22 +167,26 @@
     after = _sum_counts(fleet)
     seconds = after.at - before.at
     silences = _collect_silences(fleet)
-    return GossipRow(
-        peers=count,
-        sent_bytes_per_s=(after.sent_bytes - before.sent_bytes) / seconds,
-        max_bytes_in_a_second=max(
+    figures: dict[str, float] = {
+        'sent_bytes_per_s': (after.sent_bytes - before.sent_bytes) / seconds,
+        'max_bytes_in_a_second': max(
             max(by_second.values()) for by_second in fleet.sent_in_second
         ),
-        datagrams_per_s=(after.sent - before.sent) / seconds,
-        held_back_per_s=(after.held_back - before.held_back) / seconds,
-        mark_spread_s=spread.mark_s,
-        configuration_spread_s=spread.configuration_s,
-        silence_p99_s=silences[int(len(silences) * _PERCENTILE)],
-        silence_max_s=silences[-1],
-        not_live_pairs=count * (count - 1) - len(silences),
-        processor_s_per_s=(after.processor_s - before.processor_s) / seconds,
-        memory_bytes=(_read_memory_bytes() - memory_before) // count,
-    )
+        'datagrams_per_s': (after.sent - before.sent) / seconds,
+        'held_back_per_s': (after.held_back - before.held_back) / seconds,
+        'mark_spread_s': spread.mark_s,
+        'configuration_spread_s': spread.configuration_s,
+        'silence_p99_s': silences[int(len(silences) * _PERCENTILE)],
+        'silence_max_s': silences[-1],
+        'not_live_pairs': count * (count - 1) - len(silences),
+        'processor_us_per_s': (after.processor_s - before.processor_s)
+        / seconds
+        * _US_PER_S,
+        'memory_kb': (_read_memory_bytes() - memory_before)
+        / count
+        / _BYTES_PER_KB,
+    }
+    return SizeRow(count, figures)
 
 
 def _measure_spread(fleet: _Fleet) -> _Spread:
@@ -311,7 +302,7 @@
 
 def main() -> None:
     """Print a row of JSON for each number of peers of the command line."""
-    counts = [int(text) for text in sys.argv[1:]] or [8, 32, 128]
+    counts = [int(text) for text in sys.argv[1:]] or SIZES
     for row in measure(counts):
         sys.stdout.write(f'{json.dumps(asdict(row))}\n')
         sys.stdout.flush()
--- a/damaskpoint/membership/addresses.py
+++ b/damaskpoint/membership/addresses.py
@@ -5,7 +5,7 @@
 import ipaddress
 from typing import TYPE_CHECKING, Final, final
 
-from damaskpoint.membership.facts import Address, Phase
+from damaskpoint.membership.facts import Address
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -58,14 +58,13 @@
         number = ipaddress.ip_address(host)
         return any(number in network for network in self._networks)
 
-    def silent(self, peers: PeerTable, now: float) -> tuple[Address, ...]:
+    def silent(
+        self, peers: PeerTable, live: Iterable[Address]
+    ) -> tuple[Address, ...]:
         """Return where a peer may be that is not heard of."""
         found = set(self._seeds)
         found.update(self._listed_by_name.values())
-        for name in peers.names():
-            fact = peers.find(name)
-            if fact is not None and fact.phase is not Phase.GONE:
-                found.add(fact.address)
-        found.difference_update(fact.address for fact in peers.live(now))
+        found.update(peers.known_addresses())
+        found.difference_update(live)
         found.discard(self._own)
         return tuple(sorted(found))
--- a/damaskpoint/membership/gossiper.py
+++ b/damaskpoint/membership/gossiper.py
@@ -83,6 +83,8 @@
         # Taken from the view and the address book in each round.
         self._live: tuple[Address, ...] = ()
         self._hosts = addresses.hosts()
+        # Whether peers have come, gone or moved since.
+        self._is_outdated = False
 
     def apply_instances(
         self, lines: Sequence[ListedInstance], now: float
@@ -94,14 +96,16 @@
 
     def is_peer_host(self, host: str) -> bool:
         """Return whether a peer may speak from this IP number."""
-        return host in self._hosts or self.addresses.is_in_networks(host)
+        if host in self._hosts or self.addresses.is_in_networks(host):
+            return True
+        return self._is_outdated and host in self._collect_hosts()
 
     def start_round(self, now: float) -> tuple[Outgoing, ...]:
         """Begin a round and return its datagrams."""
         self.view.beat(now)
         self._refresh(now)
         plan = self._chooser.plan_round(
-            self._live, self.addresses.silent(self.view.peers, now)
+            self._live, self.addresses.silent(self.view.peers, self._live)
         )
         if plan.is_shared:
             message = packing.pack_round(self.view, now, plan.datagram_bytes)
@@ -124,6 +128,8 @@
     def send_news(self, now: float) -> tuple[Outgoing, ...]:
         """Return the datagrams that tell what is new."""
         self._has_news = False
+        if self._is_outdated:
+            self._refresh(now)
         message = packing.pack_news(self.view, now, defaults.MAX_DATAGRAM_BYTES)
         addresses = self._chooser.choose_for_news(self._live)
         return self._send(message, addresses, now)
@@ -140,16 +146,21 @@
             return message
         news = self.view.merge(message, now)
         if news.changed_peers:
-            self._refresh(now)
+            self._is_outdated = True
         # Among few peers the one who tells tells all.
         if news.marks and len(self._live) > defaults.FULL_MESH_PEERS:
             self._has_news = True
         return news
 
     def _refresh(self, now: float) -> None:
+        self._is_outdated = False
         peers = self.view.peers
-        self._live = tuple(fact.address for fact in peers.live(now))
-        self._hosts = self.addresses.hosts() | peers.hosts()
+        self._live = peers.live_addresses(now)
+        self._hosts = self.addresses.hosts() | self._collect_hosts()
+
+    def _collect_hosts(self) -> frozenset[str]:
+        known = self.view.peers.known_addresses()
+        return frozenset(address.host for address in known)
 
     def _send(
         self,
--- a/damaskpoint/membership/peers.py
+++ b/damaskpoint/membership/peers.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Final, final
+from typing import TYPE_CHECKING, Final, final
 
 import xxhash
 
@@ -16,6 +16,9 @@
 from damaskpoint.membership import facts
 from damaskpoint.membership.rotation import Rotation
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 _SIGN_BIT: Final = 2_147_483_648
 _WRAP: Final = 4_294_967_296
 
@@ -41,6 +44,8 @@
 
     fact: facts.PeerFact
     heard_at: float
+    # Kept, since rounds ask for the addresses of all peers.
+    address: facts.Address
 
 
 @final
@@ -71,6 +76,7 @@
             return False
         record.fact = fact
         record.heard_at = now
+        record.address = fact.address
         is_changed = fact.start != previous.start
         if is_changed:
             old_id = compute_beat_id(previous.name, previous.start)
@@ -117,30 +123,27 @@
 
     def live(self, now: float) -> tuple[facts.PeerFact, ...]:
         """Return the peers heard of lately that have not ended."""
-        found = []
-        for record in self._records_by_name.values():
-            if self._is_live(record, now):
-                found.append(record.fact)
-        return tuple(found)
+        return tuple(record.fact for record in self._iterate_live(now))
+
+    def live_addresses(self, now: float) -> tuple[facts.Address, ...]:
+        """Return where the live peers are."""
+        return tuple(record.address for record in self._iterate_live(now))
+
+    def known_addresses(self) -> tuple[facts.Address, ...]:
+        """Return where all peers are that have not ended."""
+        return tuple(
+            record.address
+            for record in self._records_by_name.values()
+            if record.fact.phase is not facts.Phase.GONE
+        )
 
     def find_live(self, name: str, now: float) -> facts.PeerFact | None:
         """Return a live peer, or None."""
         record = self._records_by_name.get(name)
-        if record is None or not self._is_live(record, now):
+        if record is None or record.fact.phase is facts.Phase.GONE:
             return None
-        return record.fact
-
-    def reach(self, now: float) -> facts.Reach:
-        """Return how many of the peers last known are heard of."""
-        reachable = 0
-        known = 0
-        for record in self._records_by_name.values():
-            if record.fact.phase is facts.Phase.GONE:
-                continue
-            known += 1
-            if self._is_live(record, now):
-                reachable += 1
-        return facts.Reach(reachable, known)
+        timeout_s = compute_timeout_s(self._timeout_s, len(self))
+        return record.fact if now - record.heard_at <= timeout_s else None
 
     def find(self, name: str) -> facts.PeerFact | None:
         """Return the newest fact of a name, or None."""
@@ -155,22 +158,17 @@
         """Return when a known name was last heard of."""
         return self._records_by_name[name].heard_at
 
-    def hosts(self) -> frozenset[str]:
-        """Return the IP numbers of all peers that are known."""
-        return frozenset(
-            record.fact.host for record in self._records_by_name.values()
-        )
-
     def __len__(self) -> int:
         """Return how many names are known."""
         return len(self._records_by_name)
 
-    def _is_live(self, record: _Record, now: float) -> bool:
-        if record.fact.phase is facts.Phase.GONE:
-            return False
-        return now - record.heard_at <= compute_timeout_s(
-            self._timeout_s, len(self._records_by_name)
-        )
+    def _iterate_live(self, now: float) -> Iterator[_Record]:
+        oldest = now - compute_timeout_s(self._timeout_s, len(self))
+        for record in self._records_by_name.values():
+            if record.heard_at < oldest:
+                continue
+            if record.fact.phase is not facts.Phase.GONE:
+                yield record
 
     def _add(self, fact: facts.PeerFact, now: float, tells: int) -> bool:
         if len(self._records_by_name) >= defaults.MAX_PEERS:
@@ -178,7 +176,7 @@
             if self.find_live(oldest_name, now) is not None:
                 return False
             self._drop(oldest_name)
-        self._records_by_name[fact.name] = _Record(fact, now)
+        self._records_by_name[fact.name] = _Record(fact, now, fact.address)
         self._names_by_beat_id[compute_beat_id(fact.name, fact.start)] = (
             fact.name
         )
--- a/damaskpoint/membership/view.py
+++ b/damaskpoint/membership/view.py
@@ -172,7 +172,10 @@
 
     def reach(self, now: float) -> Reach:
         """Return how many of the peers last known are heard of."""
-        return self.peers.reach(now)
+        return Reach(
+            len(self.peers.live_addresses(now)),
+            len(self.peers.known_addresses()),
+        )
 
     def count_tells(self) -> int:
         """Return in how many datagrams something new is told."""
--- a/damaskpoint/wire/peer_client.py
+++ b/damaskpoint/wire/peer_client.py
@@ -23,10 +23,13 @@
 
 def create_peer_client(
     timeout_s: float = defaults.PEER_CALL_TIMEOUT_S,
+    own_host: str | None = None,
 ) -> PeerClient:
     """Return a client with an HTTP client of its own.
 
     ``timeout_s`` bounds each call, from its start to its whole answer.
+    ``own_host`` is the IP number that peers know the caller by; an operator
+    needs none.
     """
     client = simple_httpclient.SimpleAsyncHTTPClient(
         force_instance=True,
@@ -34,7 +37,7 @@
         max_body_size=defaults.MAX_PEER_BODY_BYTES,
         max_buffer_size=defaults.MAX_PEER_BODY_BYTES,
     )
-    return PeerClient(client, timeout_s)
+    return PeerClient(client, timeout_s, own_host)
 
 
 @final
@@ -47,10 +50,14 @@
     """
 
     def __init__(
-        self, client: httpclient.AsyncHTTPClient, timeout_s: float
+        self,
+        client: httpclient.AsyncHTTPClient,
+        timeout_s: float,
+        own_host: str | None,
     ) -> None:
-        """Call through this HTTP client."""
+        """Call through this HTTP client, from this IP number if given."""
         self._client = client
+        self._own_host = own_host
         self._timeout_s = timeout_s
 
     async def get_in_force(self, address: Address) -> ttypes.InForce | Failure:
@@ -88,6 +95,7 @@
             connect_timeout=self._timeout_s,
             request_timeout=self._timeout_s,
             follow_redirects=False,
+            network_interface=self._own_host,
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
--- a/damaskpoint/wire/peer_server.py
+++ b/damaskpoint/wire/peer_server.py
@@ -77,7 +77,7 @@
         self, service: PeerService, name: str, is_peer: Callable[[str], bool]
     ) -> None:
         host = self.request.remote_ip or ''
-        self._calls = _Calls(service, name, is_peer(host))
+        self._calls = create_calls(service, name, is_from_peer=is_peer(host))
 
     def post(self) -> None:
         answer = process_call(self._calls, self.request.body)
@@ -131,6 +131,13 @@
     return ttypes.Refused(code.value, detail)
 
 
+def create_calls(
+    service: PeerService, name: str, *, is_from_peer: bool = True
+) -> Peer.Iface:
+    """Return the answers to one caller; ``name`` is the instance's."""
+    return _Calls(service, name, is_from_peer)
+
+
 def process_call(calls: Peer.Iface, body: bytes) -> bytes | Failure:
     """Return the answer's bytes, or ``MESSAGE_MALFORMED``."""
     received = codec.create_protocol(
--- /dev/null
+++ b/features/steps/gossip_steps.py
@@ -0,0 +1,342 @@
+"""Steps on gossip and peer calls over real sockets and processes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import time
+from typing import Any
+
+from behave import given, then, when
+
+from damaskpoint import defaults, protocol
+from damaskpoint.errors import Code, Failure
+from damaskpoint.membership import facts
+from damaskpoint.membership.service import create_membership
+from damaskpoint.settings import InstanceOptions, MembershipOptions
+from damaskpoint.wire.peer_client import create_peer_client
+from damaskpoint.wire.peer_server import create_peer_server
+from features.steps.membership_bench import HeldVersion
+from features.support.cluster import Cluster
+from features.support.launcher import Launcher, fetch
+from features.support.relay import Relay
+from features.support.sheets import SheetOptions
+
+_PORT = 8082
+_LEAVING = facts.MarkKind.LEAVING
+_PATIENCE_S = 20.0
+
+
+@given('two entries that gossip in the loop')
+def create_two(context: Any) -> None:
+    """Start two memberships that know each other from their settings."""
+    launcher = Launcher()
+    context.closers.append(launcher.stop_all)
+    context.hosts = [launcher.next_host(), launcher.next_host()]
+    context.stranger = launcher.next_host()
+    context.jump_s = float(0)
+    peers = tuple(f'{host}:{_PORT}' for host in context.hosts)
+    context.entries = []
+    for number, host in enumerate(context.hosts):
+        membership = create_membership(
+            MembershipOptions(peers=peers),
+            InstanceOptions(
+                name=f'entry-{number}',
+                zone='zone-a',
+                host=host,
+                port=1,
+                operator_port=2,
+                peer_port=_PORT,
+            ),
+            _create_clock(context, number),
+        )
+        assert not isinstance(membership, Failure)
+        context.entries.append(membership)
+
+    async def start() -> None:
+        for membership in context.entries:
+            membership.start()
+            context.closers.append(membership.stop)
+        await _wait_for(lambda: _count_live(context) == [1, 1])
+
+    context.loop.run_until_complete(start())
+
+
+@when("{count:d} malformed datagrams come from a peer's address")
+def send_malformed(context: Any, count: int) -> None:
+    """Send from the second entry's IP number."""
+    _send_datagrams(context.hosts[1], context.hosts[0], count)
+
+
+@when("{count:d} datagrams come from an address that is no peer's")
+def send_strange(context: Any, count: int) -> None:
+    """Send from an IP number that nobody knows."""
+    _send_datagrams(context.stranger, context.hosts[0], count)
+
+
+@then(
+    'the first entry has counted {malformed:d} malformed and {unknown:d} unknown'
+)
+def check_counts(context: Any, malformed: int, unknown: int) -> None:
+    """Wait for the counts in the dump."""
+
+    def is_counted() -> bool:
+        state = context.entries[0].dump_state(time.monotonic())
+        counts = state['datagrams']
+        found = (counts['malformed'], counts['unknown_senders'])
+        return bool(found == (malformed, unknown))
+
+    context.loop.run_until_complete(_wait_for(is_counted))
+
+
+@then('a mark of the second entry reaches the first')
+def check_mark_passes(context: Any) -> None:
+    """Tell a mark and wait for it."""
+    context.entries[1].tell_mark(_LEAVING, 'engine-1', 1)
+    marks = context.entries[0].view.marks
+    context.loop.run_until_complete(_wait_for(lambda: len(marks) == 1))
+
+
+@when("the first entry's clock has jumped by {seconds:d} seconds")
+def jump(context: Any, seconds: int) -> None:
+    """Move the first clock on, as if the process had been frozen."""
+    context.jump_s = float(seconds)
+
+
+@when("the second entry sends gossip before the first entry's next round")
+def send_before_round(context: Any) -> None:
+    """Send, and read in the same turn of the loop."""
+    context.taken = context.entries[0].dump_state(0)['datagrams']['received']
+    context.entries[1].tell_mark(_LEAVING, 'engine-9', 1)
+
+    async def turn() -> None:
+        await asyncio.sleep(0)
+        await asyncio.sleep(0.01)
+
+    context.loop.run_until_complete(turn())
+
+
+@then('the first entry takes nothing of it')
+def check_not_taken(context: Any) -> None:
+    """Compare the count of datagrams that were read as gossip."""
+    state = context.entries[0].dump_state(0)
+    assert state['datagrams']['received'] == context.taken
+    assert not len(context.entries[0].view.marks)
+
+
+@given('a peer server with version {version:d} in force')
+def create_server(context: Any, version: int) -> None:
+    """Serve peer calls; one of two addresses counts as a peer's."""
+    launcher = Launcher()
+    context.closers.append(launcher.stop_all)
+    context.address = facts.Address(launcher.next_host(), _PORT)
+    context.peer_hosts = {context.address.host}
+    context.client = create_peer_client(5.0, context.address.host)
+    context.stranger = create_peer_client(5.0)
+
+    async def start() -> None:
+        server = create_peer_server(
+            HeldVersion(version),
+            'entry-0',
+            lambda host: host in context.peer_hosts,
+        )
+        server.listen(context.address.port, context.address.host)
+        context.closers.append(server.stop)
+
+    context.loop.run_until_complete(start())
+
+
+@then('its version in force can be asked for from anywhere')
+def check_in_force(context: Any) -> None:
+    """Ask as a stranger."""
+    answer = _run(context, context.stranger.get_in_force(context.address))
+    assert (answer.version, answer.digest) == (7, 'ab' * 32)
+
+
+@then('the object of the version is given to peers alone')
+def check_object(context: Any) -> None:
+    """Ask as a stranger, then as a peer."""
+    refused = _run(
+        context, context.client.get_configuration(context.address, 7)
+    )
+    assert refused.code is Code.PEER_UNKNOWN, refused
+    given_object = _run(
+        context, context.client.get_configuration(context.address, 7)
+    )
+    assert given_object.body == b'the object'
+
+
+@then('a body that is no call is refused with status {status:d}')
+def check_garbage(context: Any, status: int) -> None:
+    """Post bytes that are no message."""
+    url = f'http://{context.address.host}:{_PORT}{protocol.PATH_PEER}'
+    seen, said = _run(context, fetch(url, 'no call at all'))
+    assert seen == status, (seen, said)
+    assert json.loads(said)['code'] == Code.MESSAGE_MALFORMED.value
+
+
+@then('a body above the bound is refused')
+def check_large(context: Any) -> None:
+    """Post more than the bound, and see the server go on."""
+    url = f'http://{context.address.host}:{_PORT}{protocol.PATH_PEER}'
+    body = 'x' * (2 * defaults.MAX_PEER_REQUEST_BYTES)
+    seen, _ = _run(context, fetch(url, body))
+    assert seen in {0, 400, 413}, seen
+    check_in_force(context)
+
+
+@then('the object of version {version:d} is refused as "{code}"')
+def check_higher(context: Any, version: int, code: str) -> None:
+    """Ask for more than is there."""
+    call = context.client.get_configuration(context.address, version)
+    assert _run(context, call).code is Code(code)
+
+
+@given('three entries, two of which the platform no longer reaches')
+def create_cluster(context: Any) -> None:
+    """Start an engine and entries, two of them behind a relay."""
+    context.cluster = Cluster()
+    context.closers.append(context.cluster.close)
+    context.loop.run_until_complete(_create_cluster(context))
+
+
+async def _create_cluster(context: Any) -> None:
+    cluster = context.cluster
+    await cluster.start_platform()
+    await cluster.add_upstream('engine', 'engine-1', 'model-pool', 'zone-a')
+    platform_host, _, platform_port = cluster.platform_url[7:].partition(':')
+    context.relay = Relay(platform_host, int(platform_port))
+    relay_host = cluster.launcher.next_host()
+    await context.relay.start(relay_host, 7000)
+    relay_url = f'http://{relay_host}:7000'
+    # Peers of the settings serve a start while the list is down.
+    hosts = [cluster.launcher.next_host() for _ in range(3)]
+    cluster.sections['membership'] = {
+        'peers': [f'{host}:{_PORT}' for host in hosts]
+    }
+    context.names = ['entry-1', 'entry-2', 'entry-3']
+    hosts_left = iter(hosts)
+    cluster.launcher.next_host = lambda: next(hosts_left)
+    assert await cluster.apply(SheetOptions(), '--wait-s=0') in {0, 7}
+    for name, url in zip(
+        context.names, ('', relay_url, relay_url), strict=True
+    ):
+        await cluster.add_entry(name, 'zone-a', url)
+    for name in context.names:
+        await cluster.wait_entry(name)
+    context.relay.silence()
+    context.relay.close_links()
+
+
+@when('the list shows an engine as leaving')
+def list_leaving(context: Any) -> None:
+    """Change the line of the engine."""
+    cluster = context.cluster
+    cluster.members_by_name['engine-1'].presence = 'leaving'
+    context.loop.run_until_complete(cluster.publish())
+
+
+@then('the other two mark it within 1 s of the first')
+def check_marked(context: Any) -> None:
+    """Watch the dumps of all entries."""
+    spread_s = _run(context, _watch(context, _holds_leave_mark))
+    assert spread_s <= 1, spread_s
+
+
+@when('a zone is taken out')
+def take_zone_out(context: Any) -> None:
+    """Let the operator's tool do it, at the platform."""
+    status = _run(
+        context,
+        context.cluster.run_sheet_tool('zone', 'out', 'zone-a', '--wait-s=0'),
+    )
+    assert status in {0, 7}, context.cluster.events()[-1]
+
+
+@then('the other two have the zone out within 1 s of the first')
+def check_zone(context: Any) -> None:
+    """Watch the zones that routing sends nothing to."""
+    spread_s = _run(context, _watch(context, _has_zone_out))
+    assert spread_s <= 1, spread_s
+
+
+@when('one of the two is killed and started again')
+def restart_entry(context: Any) -> None:
+    """Kill it, and start it with the same settings."""
+    _run(context, _watch(context, _holds_leave_mark))
+    _run(context, context.cluster.kill_entry('entry-3'))
+    context.cluster.start_entry('entry-3')
+
+
+@then('it becomes ready with the version of its peers')
+def check_ready(context: Any) -> None:
+    """Wait for its operators' port."""
+    _run(context, context.cluster.wait_entry('entry-3'))
+
+
+@then('it marks the engine as leaving')
+def check_restarted_mark(context: Any) -> None:
+    """Watch its dump."""
+    _run(context, _watch(context, _holds_leave_mark))
+
+
+def _holds_leave_mark(state: Any) -> bool:
+    marks = state['membership']['marks']
+    return any(
+        mark['kind'] == 'leaving' and mark['subject'] == 'engine-1'
+        for mark in marks
+    )
+
+
+def _has_zone_out(state: Any) -> bool:
+    return 'zone-a' in state['routing']['marks']['zones_out']
+
+
+async def _watch(context: Any, holds: Any) -> float:
+    """Return the time from the first entry's dump to the last one's."""
+    seen_at: dict[str, float] = {}
+    give_up_at = time.monotonic() + _PATIENCE_S
+    while len(seen_at) < len(context.names):
+        assert time.monotonic() < give_up_at, seen_at
+        for name in context.names:
+            member = context.cluster.members_by_name[name]
+            status, said = await fetch(f'{member.operator_url}/state')
+            if status == 200 and holds(json.loads(said)):
+                seen_at.setdefault(name, time.monotonic())
+        await asyncio.sleep(0.02)
+    return max(seen_at.values()) - min(seen_at.values())
+
+
+async def _wait_for(is_done: Any) -> None:
+    give_up_at = time.monotonic() + _PATIENCE_S
+    while not is_done():
+        assert time.monotonic() < give_up_at
+        await asyncio.sleep(0.02)
+
+
+def _run(context: Any, call: Any) -> Any:
+    return context.loop.run_until_complete(call)
+
+
+def _create_clock(context: Any, number: int) -> Any:
+    def read_clock() -> float:
+        if number:
+            return time.monotonic()
+        return time.monotonic() + context.jump_s
+
+    return read_clock
+
+
+def _count_live(context: Any) -> list[int]:
+    return [
+        len(membership.live_peers(time.monotonic()))
+        for membership in context.entries
+    ]
+
+
+def _send_datagrams(source: str, target: str, count: int) -> None:
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+        sender.bind((source, 0))
+        for _ in range(count):
+            sender.sendto(b'\xfcno gossip', (target, _PORT))
--- /dev/null
+++ b/features/steps/membership_bench.py
@@ -0,0 +1,144 @@
+"""Views, messages and strategies for the steps on membership."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from hypothesis import strategies as st
+from thrift.transport.TTransport import TMemoryBuffer
+
+from damaskpoint.membership import facts
+from damaskpoint.membership.addresses import AddressBook
+from damaskpoint.membership.gossiper import create_gossiper
+from damaskpoint.membership.view import View
+from damaskpoint.wire import codec
+from damaskpoint.wire.generated.peer import Peer
+from damaskpoint.wire.peer_server import HeldConfiguration, PeerService
+
+if TYPE_CHECKING:
+    from damaskpoint.membership.gossiper import Gossiper
+
+HOST = '10.0.0.1'
+PORT = 7000
+NOW = 1000.0
+
+
+def create_peer(
+    name: str, start: int = 1, heartbeat: int = 0, phase: int = 2
+) -> facts.PeerFact:
+    """Return a peer's fact with an address of its own."""
+    return facts.PeerFact(
+        name,
+        'zone-a',
+        HOST,
+        PORT + sum(name.encode()) % 1000,
+        start,
+        heartbeat,
+        facts.Phase(phase),
+    )
+
+
+def create_view(name: str = 'entry-0', start: int = 20) -> View:
+    """Return a view that knows only itself."""
+    return View(create_peer(name, start), 3.0)
+
+
+def create_gossip(view: View, bytes_per_s: int = 7000) -> Gossiper:
+    """Return a gossiper that knows the view's peers alone."""
+    book = AddressBook(view.own.address, (), ())
+    return create_gossiper(view, book, bytes_per_s, 0.5, 1)
+
+
+names = st.sampled_from(['entry-1', 'entry-2', 'entry-3', 'entry-4'])
+numbers = st.integers(0, 2**40)
+peers = st.builds(
+    create_peer,
+    names,
+    st.integers(1, 4),
+    st.integers(0, 6),
+    st.integers(1, 4),
+)
+marks = st.builds(
+    facts.Mark,
+    st.sampled_from([facts.MarkKind.LEAVING, facts.MarkKind.ZONE_OUT]),
+    st.sampled_from(['engine-1', 'engine-2', 'zone-a']),
+    st.integers(1, 5),
+    st.floats(NOW - 5, NOW),
+) | st.builds(
+    facts.Mark,
+    st.just(facts.MarkKind.UNPROVEN),
+    st.sampled_from(['engine-1', 'engine-2']),
+    st.integers(1, 5),
+    st.floats(NOW - 5, NOW),
+    names,
+    st.integers(1, 9),
+)
+loads = st.builds(
+    facts.LoadFact,
+    st.sampled_from(['engine-1', 'engine-2']),
+    st.integers(1, 3),
+    st.integers(0, 500),
+    st.integers(0, 500),
+    st.booleans(),
+    st.floats(NOW - 2, NOW),
+)
+shares = st.builds(facts.ShareFact, names, st.integers(0, 5000))
+demands = st.builds(
+    facts.DemandFact, names, st.integers(0, 10**6), st.integers(0, 10**6)
+)
+configurations = st.none() | st.builds(
+    facts.ConfigurationFact,
+    st.integers(1, 10**6),
+    st.binary(min_size=1, max_size=32).map(bytes.hex),
+    st.none() | st.floats(NOW - 5, NOW),
+)
+beats = st.builds(facts.BeatFact, st.integers(-(2**31), 2**31 - 1), numbers)
+
+
+def tuples(items: Any, most: int) -> Any:
+    """Return a strategy of tuples."""
+    return st.lists(items, max_size=most).map(tuple)
+
+
+messages = st.builds(
+    facts.GossipMessage,
+    peers,
+    configurations,
+    tuples(peers, 4),
+    tuples(beats, 4),
+    tuples(marks, 4),
+    tuples(loads, 3),
+    tuples(shares, 3),
+    tuples(demands, 3),
+)
+
+
+def describe(view: View) -> object:
+    """Return what merges must agree on."""
+    peer_facts = sorted(
+        (view.peers.find(name) or view.own).order + (name,)
+        for name in view.peers.names()
+    )
+    held_marks = sorted(
+        (mark.identity, mark.order) for mark in view.marks.iterate()
+    )
+    return peer_facts, held_marks
+
+
+class HeldVersion(PeerService):
+    """A process with one version in force."""
+
+    def __init__(self, version: int) -> None:
+        self._version = version
+
+    def find_configuration(self) -> HeldConfiguration | None:
+        return HeldConfiguration(self._version, 'ab' * 32, b'the object')
+
+
+def encode_configuration_call(version: int) -> bytes:
+    """Return the body of a call for a version's object."""
+    buffer = TMemoryBuffer()
+    protocol = codec.create_protocol(buffer, 10_000)
+    Peer.Client(protocol).send_get_configuration(version)
+    encoded: bytes = buffer.getvalue()
+    return encoded
