--- a/features/steps/gossip_steps.py
+++ b/features/steps/gossip_steps.py
@@ -131,15 +131,15 @@
     launcher = Launcher()
     context.closers.append(launcher.stop_all)
     context.address = facts.Address(launcher.next_host(), _PORT)
-    context.peer_hosts = {context.address.host}
-    context.client = create_peer_client(5.0, context.address.host)
+    peer_host = launcher.next_host()
+    context.client = create_peer_client(5.0, peer_host)
     context.stranger = create_peer_client(5.0)
 
     async def start() -> None:
         server = create_peer_server(
             HeldVersion(version),
             'entry-0',
-            lambda host: host in context.peer_hosts,
+            lambda host: host == peer_host,
         )
         server.listen(context.address.port, context.address.host)
         context.closers.append(server.stop)
@@ -157,9 +157,8 @@
 @then('the object of the version is given to peers alone')
 def check_object(context: Any) -> None:
     """Ask as a stranger, then as a peer."""
-    refused = _run(
-        context, context.client.get_configuration(context.address, 7)
-    )
+    asked = context.stranger.get_configuration(context.address, 7)
+    refused = _run(context, asked)
     assert refused.code is Code.PEER_UNKNOWN, refused
     given_object = _run(
         context, context.client.get_configuration(context.address, 7)
@@ -293,7 +292,7 @@
     return 'zone-a' in state['routing']['marks']['zones_out']
 
 
-async def _watch(context: Any, holds: Any) -> float:
+async def _watch(context: Any, holds: Any) -> Any:
     """Return the time from the first entry's dump to the last one's."""
     seen_at: dict[str, float] = {}
     give_up_at = time.monotonic() + _PATIENCE_S
@@ -305,7 +304,8 @@
             if status == 200 and holds(json.loads(said)):
                 seen_at.setdefault(name, time.monotonic())
         await asyncio.sleep(0.02)
-    return max(seen_at.values()) - min(seen_at.values())
+    spread_s: float = max(seen_at.values()) - min(seen_at.values())
+    return spread_s
 
 
 async def _wait_for(is_done: Any) -> None:
@@ -321,9 +321,8 @@
 
 def _create_clock(context: Any, number: int) -> Any:
     def read_clock() -> float:
-        if number:
-            return time.monotonic()
-        return time.monotonic() + context.jump_s
+        jump_s = 0 if number else float(context.jump_s)
+        return time.monotonic() + jump_s
 
     return read_clock
 
