--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -30,6 +30,8 @@
 CONFIGURATION_POLL_S: Final = 1.0
 INSTANCE_LIST_POLL_S: Final = 1.0
 CONFIRMATION_BOUND_S: Final = 4.0
+# Silence of the object store after which a peer is asked as well.
+PEER_FETCH_AFTER_S: Final = 0.3
 # Silence of the loop past which what it reads may have waited long.
 LOOP_STALL_S: Final = 1.5
 # Age that stands for never.
@@ -124,6 +126,11 @@
 CLAIM_RANK_DELAY_S: Final = 1.0
 # Longest time for which an upstream may work on a call (seconds).
 LONGEST_CALL_S: Final = 600.0
+# Upstreams that do not report their load: age past which an answer's word of
+# warmth proves nothing, and time after which a call that was broken off
+# counts as stopped (seconds).
+SILENT_PROOF_S: Final = 30.0
+SILENT_CALL_S: Final = 10.0
 # A loop that stood still longer than this has old messages in its sockets.
 PAUSE_BOUND_S: Final = 1.0
 ROUTING_TICK_S: Final = 0.1
@@ -150,6 +157,8 @@
 # an upstream count apart.
 MAX_TRIES: Final = 3
 MAX_UNSENT_TRIES: Final = 6
+# A call is hedged once it takes this many times the slow runs of its stage.
+HEDGE_FACTOR: Final = 1.5
 # Longest time between the choice of an upstream and the send (seconds).
 SEND_BOUND_S: Final = 0.5
 # Connections kept to one upstream, and how long an idle one is kept.
@@ -178,8 +187,8 @@
 JOURNAL_GRACE_S: Final = 5.0
 # Sweep of rows past their time: rows read a round, time between rounds and
 # length of the sweeper's lease (seconds).
-SWEEP_ROWS: Final = 100
-SWEEP_INTERVAL_S: Final = 5.0
+SWEEP_ROWS: Final = 500
+SWEEP_INTERVAL_S: Final = 2.0
 SWEEP_LEASE_S: Final = 60.0
 
 # Shutdown.
--- a/features/support/checker.py
+++ b/features/support/checker.py
@@ -64,15 +64,14 @@
     for event in _named(events, 'answered'):
         if event['ran'] == 'no' and event['request_id'] in started:
             found.append(f'{event["request_id"]} ran, said {event["code"]}')
-    # What a caller was told last of a key holds for all its tries.
-    last_by_key: dict[str, Event] = {}
+    # Of a key whose every try was refused so, nothing ever ran.
+    refused_by_key: dict[str, list[bool]] = collections.defaultdict(list)
     for event in _ends(events):
-        if event['key']:
-            last_by_key[event['key']] = event
+        refused_by_key[event['key']].append(event.get('ran') == 'no')
     effects = {_key_of(start) for start in _effects(events, plan)}
-    for key, last in last_by_key.items():
-        if last.get('ran') == 'no' and key in effects:
-            found.append(f'{key} ran, its last answer said {last["code"]}')
+    for key, refusals in refused_by_key.items():
+        if key and all(refusals) and key in effects:
+            found.append(f'{key} ran, though every try was refused')
     return found
 
 
@@ -252,6 +251,23 @@
     return found
 
 
+def check_in_line(events: list[Event], _plan: Plan) -> list[str]:
+    """Every engine obeyed the order of the last sheet last."""
+    wanted = [event['number'] for event in _named(events, 'accepted')]
+    last_by_actor: dict[str, str] = {}
+    for event in events:
+        if event['event'] == 'incarnation' and event['pool'] == 'engines':
+            last_by_actor[event['actor']] = ''
+        if event['event'] == 'order_obeyed':
+            model = event['target']['models'][0]['model']
+            last_by_actor[event['actor']] = model
+    return [
+        f'{actor} has {model}, sheet {wanted[-1]} is accepted'
+        for actor, model in last_by_actor.items()
+        if model != f'model-{wanted[-1]}'
+    ]
+
+
 CHECKS: Final[dict[str, Check]] = {
     'at most once': check_at_most_once,
     'not run is true': check_not_run,
@@ -264,6 +280,7 @@
     'accepted configuration': check_versions,
     'graceful shutdown': check_shutdown,
     'orders to engines': check_orders,
+    'fleet in line': check_in_line,
 }
 
 
--- a/features/support/traffic.py
+++ b/features/support/traffic.py
@@ -19,13 +19,18 @@
 _BACKOFF_S: Final = 0.3
 _ORDER_TRIES: Final = 4
 _MAX_TOKENS: Final = 40
+# One in so many callers takes any entry.
+_STUBBORN_SHARE: Final = 8
 
 
 class Traffic:
     """Sends requests to the entries that say they are ready."""
 
-    def __init__(self, cluster: Cluster, draw: random.Random) -> None:
+    def __init__(
+        self, cluster: Cluster, draw: random.Random, heeds_readiness: bool
+    ) -> None:
         """Keep the deployment; all choices come from the given numbers."""
+        self._heeds_readiness = heeds_readiness
         self._cluster = cluster
         self._draw = draw
         self._numbers = itertools.count(1)
@@ -55,13 +60,13 @@
         self._ready_names = ready
 
     async def run(
-        self, kinds: tuple[str, ...], count: int, gap_s: float
+        self, kinds: tuple[str, ...], count: int, within_s: float
     ) -> None:
-        """Start so many requests, one after each gap; wait for none."""
+        """Start so many requests within a time; wait for none."""
         for _ in range(count):
             kind = self._draw.choice(kinds)
             await self.start(kind)
-            await asyncio.sleep(self._draw.uniform(0, 2 * gap_s))
+            await asyncio.sleep(self._draw.uniform(0, 2 * within_s / count))
 
     async def start(self, kind: str) -> None:
         """Start one request of a kind: answer, stream, order or service."""
@@ -121,9 +126,13 @@
         return [member for member in members if member.pool == 'entry']
 
     def _choose(self) -> str:
-        """Return the name of an entry, a ready one if there is one."""
+        """Return the name of an entry, mostly a ready one.
+
+        Unless callers heed readiness, some go to whichever entry they know.
+        """
         names = self._ready_names
-        if not names:
+        is_stubborn = self._draw.randrange(_STUBBORN_SHARE) == 0
+        if not names or (is_stubborn and not self._heeds_readiness):
             names = [entry.name for entry in self._entries()]
         return self._draw.choice(names)
 
--- a/features/support/trials.py
+++ b/features/support/trials.py
@@ -4,12 +4,17 @@
 
 import asyncio
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
 from features.support import operators, sheets
-from features.support.checker import check_all, count_codes
-from features.support.cluster import ENTRY_MODULE, Cluster
+from features.support.checker import check_all, count_codes, read_histories
+from features.support.cluster import (
+    ENTRY_MODULE,
+    OPERATOR_PORT,
+    Cluster,
+    Sections,
+)
 from features.support.faults import draw_schedule, run_schedule, space_schedule
 from features.support.traffic import Traffic
 
@@ -25,7 +30,16 @@
 _TRAFFIC_S: Final = 5.0
 # Sheets up to this number can be applied.
 _MODELS: Final = tuple(f'--model=model-{number}:1' for number in range(1, 9))
-_SHUTDOWN: Final[dict[str, object]] = {'notice_s': 0.6}
+_ENTRY_SECTIONS: Final[Sections] = {'shutdown': {'notice_s': 0.6}}
+_RECONCILER_SECTIONS: Final[Sections] = {
+    'reconciler': {
+        'operator_port': OPERATOR_PORT,
+        'lease_s': 1.5,
+        'lease_margin_s': 0.2,
+        'order_timeout_s': 2,
+        'state_poll_s': 0.3,
+    }
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +55,14 @@
     engine_words: tuple[str, ...] = ('--starts=warm',)
     # What operators do during the traffic; None for nothing.
     operate: Operate | None = None
+    # What runs on the system's instances, and its settings.
+    module: str = ENTRY_MODULE
+    sections: Sections = field(default_factory=lambda: _ENTRY_SECTIONS)
+    has_models: bool = True
+    # Whether relays stand in front of the engines.
+    has_relays: bool = False
+    # Whether callers go only to entries that say they are ready.
+    heeds_readiness: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,8 +71,9 @@
 
     promise: str
     seed: int
-    entry_module: str = ENTRY_MODULE
-    entry_words: tuple[str, ...] = ()
+    # Module that runs in place of the promise's own; empty for none.
+    module: str = ''
+    words: tuple[str, ...] = ()
     # Faults to bring about instead of drawn ones, in this order.
     faults: tuple[str, ...] = ()
 
@@ -90,6 +113,7 @@
             'kill engine',
             'drop answers',
             'fail calls',
+            'part entry',
         ),
     ),
     'own answers': Promise(
@@ -104,8 +128,11 @@
             'kill engine',
             'kill entry',
             'freeze upstream',
+            'cut wire',
+            'cross wires',
         ),
         fault_count=5,
+        has_relays=True,
     ),
     'cold start': Promise(
         ('cold start',),
@@ -118,6 +145,7 @@
             'stop table',
             'kill engine',
             'kill entry',
+            'part entry',
         ),
         requests=80,
         engine_words=('--starts=cold', '--warm-after-s=4'),
@@ -132,6 +160,7 @@
             'cut streams',
             'fail calls',
             'stop platform',
+            'part entry',
         ),
         requests=100,
         operate=operators.take_zone_out,
@@ -139,14 +168,26 @@
     'leaving upstream': Promise(
         ('zone out and leaving', 'own answer'),
         ('answer', 'stream'),
-        ('freeze entry', 'kill entry', 'cut streams', 'fail calls'),
+        (
+            'freeze entry',
+            'kill entry',
+            'cut streams',
+            'fail calls',
+            'part entry',
+        ),
         requests=100,
         operate=operators.let_upstream_leave,
     ),
     'accepted configuration': Promise(
         ('accepted configuration',),
         ('answer',),
-        ('lose writes', 'slow table', 'freeze entry', 'kill entry'),
+        (
+            'lose writes',
+            'slow table',
+            'freeze entry',
+            'kill entry',
+            'part entry',
+        ),
         requests=20,
         operate=operators.apply_sheets,
     ),
@@ -158,6 +199,26 @@
         fault_count=2,
         engine_words=('--starts=warm', '--token-ms=40'),
         operate=operators.replace_entries,
+        heeds_readiness=True,
+    ),
+    'orders to engines': Promise(
+        ('orders to engines', 'fleet in line'),
+        (),
+        (
+            'freeze entry',
+            'freeze entry',
+            'kill entry',
+            'lose writes',
+            'slow table',
+            'stop table',
+        ),
+        requests=0,
+        fault_count=4,
+        engine_words=('--starts=warm', '--ignores-fencing', '--load-s=0.3'),
+        operate=operators.order_sheets,
+        module='damaskpoint.main.reconciler',
+        sections=_RECONCILER_SECTIONS,
+        has_models=False,
     ),
 }
 
@@ -167,9 +228,9 @@
     promise = PROMISES[options.promise]
     draw = random.Random(f'{options.promise} {options.seed}')
     cluster = Cluster(
-        sections={'shutdown': _SHUTDOWN},
-        entry_module=options.entry_module,
-        entry_words=options.entry_words,
+        sections=promise.sections,
+        entry_module=options.module or promise.module,
+        entry_words=options.words,
     )
     try:
         return await asyncio.wait_for(
@@ -186,7 +247,7 @@
     chosen: tuple[str, ...],
 ) -> TrialResult:
     await start_deployment(cluster, draw, promise)
-    traffic = Traffic(cluster, draw)
+    traffic = Traffic(cluster, draw, promise.heeds_readiness)
     await traffic.look()
     watching = asyncio.ensure_future(traffic.watch())
     faults = draw_schedule(
@@ -195,9 +256,7 @@
     if chosen:
         faults = space_schedule(chosen, _TRAFFIC_S)
     works = [
-        traffic.run(
-            promise.kinds, promise.requests, _TRAFFIC_S / promise.requests
-        ),
+        traffic.run(promise.kinds, promise.requests, _TRAFFIC_S),
         run_schedule(cluster, draw, faults),
     ]
     if promise.operate is not None:
@@ -205,7 +264,7 @@
     await asyncio.gather(*works)
     await traffic.finish()
     watching.cancel()
-    events = cluster.events()
+    events = read_histories(cluster.launcher.folder)
     found = check_all(events, sheets.PLAN, promise.checks)
     return TrialResult(
         traffic.sent, traffic.whole, faults, found, count_codes(events)
@@ -218,14 +277,21 @@
     """Start three engines, two services and two or three entries."""
     await cluster.start_platform()
     await asyncio.gather(*_start_upstreams(cluster, promise))
+    if promise.has_relays:
+        for member in list(cluster.members_by_name.values()):
+            member.listed_host = await cluster.add_relay(
+                member.name, member.host, member.port
+            )
     names = ('entry-1', 'entry-2', 'entry-3')[: draw.randint(2, 3)]
-    for name, zone in zip(names, sheets.ZONES, strict=False):
-        await cluster.add_entry(name, zone)
-    options = sheets.SheetOptions(cold_limit=promise.cold_limit)
+    for entry, zone in zip(names, sheets.ZONES, strict=False):
+        await cluster.add_entry(entry, zone)
+    options = sheets.SheetOptions(
+        cold_limit=promise.cold_limit, checks_fencing=promise.has_models
+    )
     status = await cluster.apply(options, '--wait-s=0')
-    assert status in {0, 7}, cluster.events()[-1]
+    assert status in {0, 7}, status
     cluster.operator.record('accepted', number=1)
-    waiting = [cluster.wait_entry(entry) for entry in names]
+    waiting = [cluster.wait_entry(waited) for waited in names]
     await asyncio.gather(*waiting)
 
 
@@ -236,7 +302,8 @@
     starting = []
     for number, zone in enumerate(sheets.ZONES, 1):
         place = (f'engine-{number}', sheets.MODEL_POOL, zone)
-        words = (limit, *_MODELS, *promise.engine_words)
+        models = _MODELS if promise.has_models else ()
+        words = (limit, *models, *promise.engine_words)
         starting.append(cluster.add_upstream('engine', *place, *words))
     for position, service_zone in enumerate(sheets.ZONES[:2], 1):
         place = (f'service-{position}', sheets.SERVICE_POOL, service_zone)
