--- a/damaskpoint/pipeline/pipeline_runner.py
+++ b/damaskpoint/pipeline/pipeline_runner.py
@@ -43,7 +43,11 @@
         return stages[position].name
 
     async def run_until(self, end: int) -> Failure | None:
-        """Run the stages up to a position; return what stopped them."""
+        """Run the stages up to a position; return what stopped them.
+
+        The failure speaks of the stage that it ended; ``describe`` makes it
+        speak of the whole request.
+        """
         stages = self.request.pipeline.stages
         for position in range(len(self._results), end):
             now = time.monotonic()
@@ -52,7 +56,7 @@
                 remaining, self.request.deadline, now
             )
             if too_late is not None:
-                return self._add_ran(too_late)
+                return too_late
             is_last = position == len(stages) - 1
             job = StageJob(
                 self.request,
@@ -65,7 +69,7 @@
             )
             result = await self._runner.run(job)
             if isinstance(result, Failure):
-                return self._add_ran(result)
+                return result
             self._results.append(result)
             self._payload = result.output
         return None
@@ -78,14 +82,7 @@
             tuple(self._results),
         )
 
-    def _estimates(self, position: int) -> list[StageEstimate]:
-        pipeline = self.request.pipeline
-        return [
-            self._times.find(pipeline.name, stage.name)
-            for stage in pipeline.stages[position:]
-        ]
-
-    def _add_ran(self, failure: Failure) -> Failure:
+    def describe(self, failure: Failure) -> Failure:
         """Say what is true of the whole request, not of one stage.
 
         Once an upstream has run a stage, "not run" is not the whole truth.
@@ -99,3 +96,10 @@
             detail = f'{failure.detail}; the side effect has not happened'
             return replace(failure, ran=Ran.UNKNOWN, detail=detail)
         return replace(failure, ran=Ran.YES)
+
+    def _estimates(self, position: int) -> list[StageEstimate]:
+        pipeline = self.request.pipeline
+        return [
+            self._times.find(pipeline.name, stage.name)
+            for stage in pipeline.stages[position:]
+        ]
--- a/damaskpoint/pipeline/pipeline_service.py
+++ b/damaskpoint/pipeline/pipeline_service.py
@@ -48,6 +48,13 @@
         request earlier. The stages before the effect are idempotent, so the
         journal's intent is opened right before the effect.
         """
+        outcome = await self._run(run)
+        return (
+            run.describe(outcome) if isinstance(outcome, Failure) else outcome
+        )
+
+    async def _run(self, run: PipelineRun) -> StoredAnswer | Failure:
+        """Run to the end; a failure speaks of the stage that it ended."""
         request = run.request
         position = find_effect(request)
         if position is None:
@@ -86,11 +93,16 @@
     """Run the effect and what follows it.
 
     The failure of a stage behind the effect is the final answer: the effect
-    has happened, and the same key must never run it again.
+    has happened, and the same key must never run it again. The failure of
+    the effect itself goes back as it is: the journal's intent is closed if
+    the effect certainly has not happened.
     """
     outcome = await _run_rest(run)
-    if not isinstance(outcome, Failure) or outcome.ran is not Ran.YES:
+    if not isinstance(outcome, Failure):
+        return outcome
+    final = run.describe(outcome)
+    if final.ran is not Ran.YES:
         return outcome
-    body = problem.encode_problem(outcome, run.request.request_id).encode()
-    headers = tuple(problem.render_headers(outcome).items())
-    return StoredAnswer(outcome.kind.status, headers, body)
+    body = problem.encode_problem(final, run.request.request_id).encode()
+    headers = tuple(problem.render_headers(final).items())
+    return StoredAnswer(final.kind.status, headers, body)
