--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -39,6 +39,8 @@
     host: str
     port: int
     peer_port: int = 0
+    # Where an entry finds the platform.
+    platform_url: str = ''
     # Host that the list shows; empty for the member's own.
     listed_host: str = ''
     incarnation: int = 1
@@ -143,11 +145,10 @@
         host = self.launcher.next_host()
         member = Member(name, 'entry', zone, host, _CALLER_PORT, _PEER_PORT)
         member.module = self.entry_module
-        path = self.launcher.folder / f'{name}.json5'
         platform_host = self.platform_url.split('/')[2].split(':')[0]
         relay_host = await self.add_relay(name, platform_host, _PLATFORM_PORT)
-        url = f'http://{relay_host}:{_PLATFORM_PORT}'
-        path.write_text(json.dumps(_make_settings(member, url, self.sections)))
+        member.platform_url = f'http://{relay_host}:{_PLATFORM_PORT}'
+        path = self.launcher.folder / f'{name}.json5'
         member.words = ('--settings', str(path), *self.entry_words)
         self.members_by_name[name] = member
         await self.publish()
@@ -155,8 +156,16 @@
         return member
 
     def start_entry(self, name: str) -> None:
-        """Start the process of an entry."""
+        """Start the process of an entry, with the others as its peers."""
         member = self.members_by_name[name]
+        peers = [
+            f'{other.host}:{other.peer_port}'
+            for other in self.members_by_name.values()
+            if other.pool == 'entry' and other is not member
+        ]
+        settings = _make_settings(member, peers, self.sections)
+        path = self.launcher.folder / f'{name}.json5'
+        path.write_text(json.dumps(settings))
         self.launcher.start(name, member.module, *member.words)
         self.operator.record('started_entry', entry=name)
 
@@ -227,7 +236,7 @@
 
 
 def _make_settings(
-    member: Member, platform_url: str, sections: Sections
+    member: Member, peers: list[str], sections: Sections
 ) -> dict[str, object]:
     settings: dict[str, dict[str, object]] = {
         'instance': {
@@ -239,10 +248,11 @@
             'peer_port': member.peer_port,
         },
         'platform': {
-            'table_url': platform_url,
-            'objects_url': platform_url,
-            'instances_url': platform_url,
+            'table_url': member.platform_url,
+            'objects_url': member.platform_url,
+            'instances_url': member.platform_url,
         },
+        'membership': {'peers': peers},
     }
     for name, section in sections.items():
         settings[name] = {**settings.get(name, {}), **section}
