Ask for the configuration's confirmation before each call, not only at arrival

A request's later stages, retries and resumes are new work: an entry that lost its confirmation after the arrival went on sending them. Also, a failure behind a side effect that has happened always says that the request ran.

--- a/damaskpoint/entry/caller_handler.py
+++ b/damaskpoint/entry/caller_handler.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import uuid
 from typing import TYPE_CHECKING, Final
 
@@ -149,7 +150,7 @@
 
     def _find_configuration(self) -> Configuration:
         """Return the configuration in force; raise why there is none."""
-        not_ready = self.parts.follower.check_ready(self.arrived_at)
+        not_ready = self.parts.follower.check_ready(time.monotonic())
         if not_ready is not None:
             raise FailureError(not_ready)
         configuration = self.parts.follower.current
--- a/damaskpoint/entry/runtime.py
+++ b/damaskpoint/entry/runtime.py
@@ -15,6 +15,7 @@
 from damaskpoint.entry.periodic import repeat
 from damaskpoint.entry.shutdown import DrainView, Phase
 from damaskpoint.entry.capacity import ObservedRouter
+from damaskpoint.entry.confirmed_router import ConfirmedRouter
 from damaskpoint.entry.peering import create_entry_membership, create_peering
 from damaskpoint.entry.wiring import (
     create_entry_admission,
@@ -154,7 +155,8 @@
     shared = create_shared_parts(options)
     routing = create_entry_routing(shared)
     backoff = CapacityBackoff()
-    router = ObservedRouter(routing.router, backoff, time.monotonic)
+    observed = ObservedRouter(routing.router, backoff, time.monotonic)
+    router = ConfirmedRouter(observed, shared.follower)
     membership = create_entry_membership(shared)
     admission = create_entry_admission(shared, membership, routing, backoff)
     parts = create_entry_parts(shared, router, admission)
--- a/damaskpoint/pipeline/pipeline_runner.py
+++ b/damaskpoint/pipeline/pipeline_runner.py
@@ -88,8 +88,11 @@
 
         Once an upstream has run a stage, "not run" is not the whole truth.
         While the stage with the side effect has not run, "yes" is not
-        either: the caller may take it for the effect.
+        either: the caller may take it for the effect. Once it has run, what
+        became of a later stage does not matter.
         """
+        if self._has_effect():
+            return replace(failure, ran=Ran.YES)
         if failure.ran is not Ran.NO or not self._results:
             return failure
         later = self.request.pipeline.stages[len(self._results) :]
@@ -98,6 +101,11 @@
             return replace(failure, ran=Ran.UNKNOWN, detail=detail)
         return replace(failure, ran=Ran.YES)
 
+    def _has_effect(self) -> bool:
+        """Return whether the stage with the side effect has run."""
+        done = self.request.pipeline.stages[: len(self._results)]
+        return any(stage.has_side_effect for stage in done)
+
     def _estimates(self, position: int) -> list[StageEstimate]:
         pipeline = self.request.pipeline
         return [
