Keep a request in flight until its caller has the whole answer

A shutdown closed connections whose answer still waited in the entry for a slow caller. entry_border.feature, without the wait: JSONDecodeError: Unterminated string starting at: line 1 column 111 and with it the 7 MB answer is whole and the entry ends with 0.

--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -15,6 +15,8 @@
 # arrive (seconds).
 IDLE_CALLER_S: Final = 75.0
 BODY_TIMEOUT_S: Final = 30.0
+# How long a final answer may wait for its caller to read it (seconds).
+WRITE_WAIT_S: Final = 30.0
 MAX_HEADER_BYTES: Final = 16_384
 MAX_JSON_DEPTH: Final = 32
 MAX_KEY_CHARACTERS: Final = 128
--- a/damaskpoint/entry/answering_handler.py
+++ b/damaskpoint/entry/answering_handler.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import http
 import time
 from typing import TYPE_CHECKING, Final
@@ -38,6 +39,8 @@
         self.request_id = ''
         # Monotonic time in seconds.
         self.arrived_at = time.monotonic()
+        # Done once the final answer has left this process.
+        self.written: asyncio.Future[None] | None = None
         self._is_counted = False
 
     def fail(self, failure: Failure) -> None:
@@ -47,7 +50,8 @@
         self.set_status(failure.kind.status)
         for name, value in problem.render_headers(failure).items():
             self.set_header(name, value)
-        self.finish(problem.encode_problem(failure, self.request_id))
+        body = problem.encode_problem(failure, self.request_id)
+        self.written = self.finish(body)
 
     def give(self, answer: StoredAnswer) -> None:
         """Give an upstream's whole answer as the final one."""
@@ -60,7 +64,7 @@
                 self.add_header(name, value)
         self.set_header(protocol.HEADER_REQUEST_ID, self.request_id)
         has_body = answer.status not in _BODILESS
-        self.finish(answer.body if has_body else None)
+        self.written = self.finish(answer.body if has_body else None)
 
     def begin_events(self) -> None:
         """Begin an answer of server-sent events."""
@@ -71,7 +75,7 @@
     def end_events(self, last: bytes, label: str) -> None:
         """End an answer of server-sent events."""
         self.count(label)
-        self.finish(last)
+        self.written = self.finish(last)
 
     def write_error(self, status_code: int, **kwargs: object) -> None:
         """Give what tornado itself refuses the same form as the rest."""
--- a/damaskpoint/entry/caller_handler.py
+++ b/damaskpoint/entry/caller_handler.py
@@ -10,6 +10,7 @@
 from tornado import web
 from tornado.iostream import StreamClosedError
 
+from damaskpoint import defaults
 from damaskpoint.admission.base import AdmissionPass, AdmissionRequest
 from damaskpoint.entry.answering_handler import AnsweringHandler
 from damaskpoint.entry.caller_input import (
@@ -132,12 +133,24 @@
             self.place,
         )
         number = self.parts.in_flight.add(record)
+        try:
+            await self._serve_and_write(target)
+        except BaseException:
+            self.parts.in_flight.remove(number)
+            raise
+        self.parts.in_flight.remove(number)
+
+    async def _serve_and_write(self, target: tuple[str, ...]) -> None:
+        """Serve, and wait until the caller has the answer.
+
+        A shutdown would cut an answer that still waits for a slow caller.
+        """
         try:
             await self._serve_checked(target)
         except FailureError as error:
             self.fail(error.failure)
-        finally:
-            self.parts.in_flight.remove(number)
+        if self.written is not None:
+            await asyncio.wait((self.written,), timeout=defaults.WRITE_WAIT_S)
 
     async def _serve_checked(self, target: tuple[str, ...]) -> None:
         if self._read_bytes > self.parts.border.max_body_bytes:
--- a/damaskpoint/entry/runtime.py
+++ b/damaskpoint/entry/runtime.py
@@ -133,12 +133,12 @@
             self._parts.in_flight.count,
             self._shared.background.count,
         )
+        await self._caller_server.close_all_connections()
         self._shared.background.cut()
         self._routing.stop()
         self._peering.stop()
         await self._cancel_tasks()
         self._operator_server.stop()
-        await self._caller_server.close_all_connections()
         await self._operator_server.close_all_connections()
 
     async def _cancel_tasks(self) -> None:
--- a/features/entry_border.feature
+++ b/features/entry_border.feature
@@ -44,5 +44,9 @@
     When a caller leaves while its order is at the service
     Then the same order with the same key gets the answer, and ran once
 
+  Scenario: A shutdown waits for a caller that reads slowly
+    When the entry is terminated before its caller reads a large answer
+    Then the caller still gets the whole answer and the entry ends with 0
+
   Scenario: An idle entry is small
     Then the entry's resident memory is under 128 MB
--- a/features/steps/entry_border_steps.py
+++ b/features/steps/entry_border_steps.py
@@ -5,6 +5,8 @@
 import asyncio
 import json
 import pathlib
+import signal
+import socket
 import time
 from typing import Any, Final
 
@@ -31,6 +33,9 @@
     'Authorization': f'Bearer {ACCOUNT}-secret',
 }
 _PIPELINE: Final = '/v1/pipelines'
+_MANY_TOKENS: Final = 1_000_000
+# Longer than the notice of a shutdown.
+_SLOW_S: Final = 4.0
 _DEEP: Final = b'[' * 60 + b']' * 60
 
 # Path, body and headers of a case; a header of None is left out.
@@ -165,6 +170,23 @@
     assert _count_started(context, 'service-1') == 1
 
 
+@when('the entry is terminated before its caller reads a large answer')
+def read_slowly(context: Any) -> None:
+    """Ask, let the answer fill the buffers, terminate, and only then read."""
+    ended = context.runner.run(_read_late(context))
+    context.exit = ended[0]
+    context.slow_answer = ended[1]
+
+
+@then('the caller still gets the whole answer and the entry ends with 0')
+def check_slow_answer(context: Any) -> None:
+    """Parse the answer: a cut one is no JSON."""
+    assert context.exit == 0, context.exit
+    _head, _gap, body = context.slow_answer.partition(b'\r\n\r\n')
+    text = json.loads(body)['output']['text']
+    assert len(text.split()) == _MANY_TOKENS, len(text.split())
+
+
 @then("the entry's resident memory is under {bound:d} MB")
 def check_memory(context: Any, bound: int) -> None:
     """Read what the system says of the process."""
@@ -189,7 +211,7 @@
 
 async def _start_upstreams(cluster: Cluster) -> None:
     await cluster.start_platform()
-    words = ('--model=model-1:1', '--starts=warm')
+    words = ('--model=model-1:1', '--starts=warm', '--token-ms=0')
     await cluster.add_upstream(
         'engine', 'engine-1', MODEL_POOL, 'zone-a', *words
     )
@@ -250,6 +272,27 @@
     return int(start.split()[1]), body
 
 
+async def _read_late(context: Any) -> tuple[int, bytes]:
+    body = json.dumps({'input': {'tokens': _MANY_TOKENS}})
+    lines = [f'POST {ANSWER_PATH} HTTP/1.1', 'Host: x', 'Connection: close']
+    lines += [f'{name}: {value}' for name, value in _HEADERS.items()]
+    lines += [f'Content-Length: {len(body)}', '', body]
+    before = _count_events(context, 'engine-1', 'ended')
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    host, port = context.url.removeprefix('http://').split(':')
+    caller.connect((host, int(port)))
+    reader, writer = await asyncio.open_connection(sock=caller, limit=4096)
+    writer.write('\r\n'.join(lines).encode())
+    while _count_events(context, 'engine-1', 'ended') < before + 4:
+        await asyncio.sleep(0.05)
+    context.cluster.launcher.send('entry-1', signal.SIGTERM)
+    await asyncio.sleep(_SLOW_S)
+    raw = await reader.read(-1)
+    writer.close()
+    return await context.cluster.launcher.wait_exit('entry-1'), raw
+
+
 async def _connect(
     url: str,
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
