Do not count whom a process reached before it was frozen

Found by reading, in the proofs' work: a process frozen while the platform was down could answer requests that waited in its socket on the reach from before the freeze. After a stall the reach now counts for nothing until the buffers have drained and it was counted anew.

--- a/damaskpoint/config/confirmation.py
+++ b/damaskpoint/config/confirmation.py
@@ -104,7 +104,7 @@
                 f'version {highest_version} is known but not at hand; '
                 f'version {version} was confirmed {seen}',
             )
-        if self.reaches_majority():
+        if self.reaches_majority() and not self._is_reach_old(now):
             return None
         return Failure(
             Code.CONFIGURATION_STALE,
@@ -112,6 +112,15 @@
             f'{self._reached_peers} of {self._known_peers} peers are reached',
         )
 
+    def _is_reach_old(self, now: float) -> bool:
+        """Return whether the reach may stem from before a stall.
+
+        It is counted anew within the time that buffers take to drain.
+        """
+        if self._last_turn is None or now < self._draining_until:
+            return True
+        return now - self._last_turn > self._bounds.stall_s
+
     def reaches_majority(self) -> bool:
         """Return whether more than half are reached, itself included."""
         return 2 * (self._reached_peers + 1) > self._known_peers + 1
--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -110,6 +110,19 @@
     And a peer's claim of version 1 is 0.3 seconds old by its own account
     Then it is ready
 
+  Scenario: A process that was frozen does not trust whom it reached before
+    Given a follower with version 1 in force
+    When 30 seconds pass without the platform
+    And it reaches 7 of 7 peers
+    Then it is ready
+    When it is frozen for 20 seconds
+    Then it is not ready
+    When 0.5 seconds pass with the loop turning
+    Then it is not ready
+    When 1 seconds pass with the loop turning
+    And it reaches 7 of 7 peers
+    Then it is ready
+
   Scenario: A confirmation through peers spares the platform reads
     Given a follower with version 1 in force
     When 0.9 seconds pass with the loop turning
