--- a/features/steps/membership_bench.py
+++ b/features/steps/membership_bench.py
@@ -7,13 +7,15 @@
 from hypothesis import strategies as st
 from thrift.transport.TTransport import TMemoryBuffer
 
+from damaskpoint.errors import Code, Failure
 from damaskpoint.membership import facts
 from damaskpoint.membership.addresses import AddressBook
 from damaskpoint.membership.gossiper import create_gossiper
 from damaskpoint.membership.view import View
 from damaskpoint.wire import codec
 from damaskpoint.wire.generated.peer import Peer
-from damaskpoint.wire.peer_server import HeldConfiguration, PeerService
+from damaskpoint.wire.held import HeldConfiguration
+from damaskpoint.wire.peer_server import PeerService
 
 if TYPE_CHECKING:
     from damaskpoint.membership.gossiper import Gossiper
@@ -134,6 +136,16 @@
     def find_configuration(self) -> HeldConfiguration | None:
         return HeldConfiguration(self._version, 'ab' * 32, b'the object')
 
+    def take_configuration(
+        self, accepted: HeldConfiguration, age_s: float
+    ) -> Failure | None:
+        """Take no version; the steps hand none over."""
+        return Failure(Code.NOT_READY, f'{accepted.version} after {age_s}')
+
+    def is_operator_host(self, host: str) -> bool:
+        """Count no host as an operator's."""
+        return False
+
 
 def encode_configuration_call(version: int) -> bytes:
     """Return the body of a call for a version's object."""
