Estimate waits by pool, leave each entry one of a small limit

Now what waits is counted by pool; an entry has one of a limit when there are enough, and a request waits when its entry has none; a burst of four is let in whatever the part (in sum the entries may pass a burst by four each). The capacity's part follows the work without delay: held back, the parts of six noisy entries fell short.

The backoff judges windows of calls and tolerates a tenth, since single timeouts had taken it to its floor. Service times keep their weight while something runs: the feature with a hanging service showed them decay.

--- a/damaskpoint/admission/backoff.py
+++ b/damaskpoint/admission/backoff.py
@@ -12,21 +12,26 @@
 from damaskpoint.routing.base import CallEnd
 
 _DECREASE: Final = 0.9
-_INCREASE_PER_S: Final = 0.05
-_LEAST: Final = 0.2
-# One decrease for all calls that were sent before it showed.
-_PAUSE_S: Final = 0.5
+_INCREASE: Final = 0.05
+_LEAST: Final = 0.3
+# Calls are judged together for this time, and at least so many of them.
+_WINDOW_S: Final = 0.5
+_WINDOW_CALLS: Final = 10
+# Part of the calls that may end so without a decrease.
+_TOLERATED: Final = 0.1
 _OVERLOADED_ENDS: Final = frozenset((CallEnd.OVERLOADED, CallEnd.TIMED_OUT))
+_UNTOLD_ENDS: Final = frozenset((CallEnd.UNUSED, CallEnd.CANCELLED))
 
 
 @final
 @dataclass(slots=True)
-class _Factor:
-    """The part of a pool's capacity that is counted on."""
+class _Window:
+    """The calls of a pool since the last judgement."""
 
-    value: float
-    changed_at: float
-    decreased_at: float
+    began_at: float
+    factor: float = 1
+    calls: int = 0
+    overloaded: int = 0
 
 
 @final
@@ -35,30 +40,28 @@
 
     def __init__(self) -> None:
         """Count on all."""
-        self._factors_by_pool: dict[str, _Factor] = {}
+        self._windows_by_pool: dict[str, _Window] = {}
 
-    def note_end(
-        self, pool: str, end: CallEnd, sent_at: float, now: float
-    ) -> None:
-        """Take the end of a call that was sent at ``sent_at``."""
-        if end not in _OVERLOADED_ENDS:
+    def note_end(self, pool: str, end: CallEnd, now: float) -> None:
+        """Take the end of a call."""
+        if end in _UNTOLD_ENDS:
             return
-        factor = self._factors_by_pool.get(pool)
-        if factor is None:
-            self._factors_by_pool[pool] = _Factor(_DECREASE, now, now)
+        window = self._windows_by_pool.setdefault(pool, _Window(now))
+        window.calls += 1
+        if end in _OVERLOADED_ENDS:
+            window.overloaded += 1
+        is_over = now - window.began_at >= _WINDOW_S
+        if not is_over or window.calls < _WINDOW_CALLS:
             return
-        if sent_at < factor.decreased_at + _PAUSE_S:
-            return
-        factor.value = max(_LEAST, _grow(factor, now) * _DECREASE)
-        factor.changed_at = now
-        factor.decreased_at = now
+        if window.overloaded > window.calls * _TOLERATED:
+            window.factor = max(_LEAST, window.factor * _DECREASE)
+        else:
+            window.factor = min(1, window.factor + _INCREASE)
+        window.began_at = now
+        window.calls = 0
+        window.overloaded = 0
 
-    def find_factor(self, pool: str, now: float) -> float:
+    def find_factor(self, pool: str) -> float:
         """Return the part to count on, from above 0 to 1."""
-        factor = self._factors_by_pool.get(pool)
-        return 1 if factor is None else _grow(factor, now)
-
-
-def _grow(factor: _Factor, now: float) -> float:
-    grown = factor.value + (now - factor.changed_at) * _INCREASE_PER_S
-    return min(1, grown)
+        window = self._windows_by_pool.get(pool)
+        return 1 if window is None else window.factor
--- a/damaskpoint/admission/core.py
+++ b/damaskpoint/admission/core.py
@@ -126,7 +126,9 @@
             return
         account = admission_pass.account
         seconds = now - admission_pass.admitted_at
-        self.times.note(admission_pass.target, seconds, now, is_whole=is_whole)
+        self.times.note_end(
+            admission_pass.target, seconds, now, is_whole=is_whole
+        )
         self.queue.charge(account, seconds - running.cost)
         self.gate.end(running.parts_by_pool)
         limits = self.accounts.find_known(account)
@@ -164,12 +166,6 @@
     def _place(
         self, request: AdmissionRequest, limits: AccountLimits, now: float
     ) -> AdmissionPass | Queued | Failure:
-        if not limits.max_in_flight:
-            return Failure(
-                Code.ACCOUNT_LIMIT,
-                'requests in flight',
-                retry_after_s=defaults.MIN_RETRY_AFTER_S,
-            )
         item = self._create_item(request, now)
         estimate = self.times.estimate(request.target, now)
         if self._can_start(item, limits):
@@ -177,12 +173,8 @@
                 return _refuse_late(estimate.short_s, item, now)
             self.queue.start_at_once(item.account, item.cost)
             return self._start(item, limits, now)
-        wait_s = estimate_wait_s(
-            self.queue,
-            limits,
-            self.queue.cost_of(item.account),
-            self.gate.find_slots(item.target),
-        )
+        ahead = _find_own_ahead(self.queue, item)
+        wait_s = estimate_wait_s(item, ahead, self.queue, self.gate, limits)
         needed_s = wait_s * _WAIT_MARGIN + estimate.long_s
         if now + needed_s > item.deadline:
             return _refuse_late(needed_s, item, now)
@@ -214,6 +206,7 @@
             request.arrived_at,
             request.deadline,
             mean_s or defaults.UNKNOWN_SERVICE_S,
+            self.gate.parts_of(request.target),
         )
 
     def _can_start(self, item: Waiting, limits: AccountLimits) -> bool:
@@ -221,7 +214,7 @@
         if not limits.may_start or not self.gate.has_room(item.target):
             return False
         # What waits with room left waits for its account's own limit.
-        return not self.queue.cost_of(item.account)
+        return not any(_find_own_ahead(self.queue, item).values())
 
     def _start(
         self, item: Waiting, limits: AccountLimits, now: float
@@ -230,6 +223,7 @@
             item.number, item.account, item.target, now
         )
         limits.in_flight += 1
+        self.times.note_start(item.target)
         self._running_by_number[item.number] = _Running(
             admission_pass, item.cost, self.gate.start(item.target)
         )
@@ -264,6 +258,14 @@
         return ended
 
 
+def _find_own_ahead(queue: FairQueue, item: Waiting) -> dict[str, float]:
+    """Return what the account has waiting, by the item's pools."""
+    return {
+        pool: queue.backlog.cost_of(pool, item.account)
+        for pool in item.parts_by_pool
+    }
+
+
 def _is_longer(queue: FairQueue, item: Waiting, other: Waiting) -> bool:
     """Return whether the item's account would wait with no less."""
     own_cost = queue.cost_of(item.account) + item.cost
--- a/damaskpoint/admission/fair_queue.py
+++ b/damaskpoint/admission/fair_queue.py
@@ -15,8 +15,10 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, TypeAlias, final
 
+from damaskpoint.admission.backlog import Backlog
+
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Mapping
 
 
 @final
@@ -32,6 +34,8 @@
     deadline: float
     # Expected seconds of service.
     cost: float
+    # Parts of the service that each pool gives.
+    parts_by_pool: Mapping[str, float]
 
 
 @final
@@ -68,9 +72,7 @@
 
     def __init__(self) -> None:
         """Start empty."""
-        # Cost of all that waits, and weights of the accounts that wait.
-        self.total_cost: float = 0
-        self.active_weight = 0
+        self.backlog = Backlog()
         self._virtual_time: float = 0
         self._states_by_account: dict[str, _AccountState] = {}
         self._heaps_by_target: collections.defaultdict[str, _Heap] = (
@@ -84,8 +86,6 @@
     def set_account(self, account: str, weight: int, priority: int) -> None:
         """Take over an account's weight; priority only settles ties."""
         state = self._find_state(account)
-        if state.waiting:
-            self.active_weight += weight - state.weight
         state.weight = weight
         state.priority = priority
 
@@ -94,10 +94,9 @@
         state = self._find_state(item.account)
         if not state.waiting:
             state.served_until = max(state.served_until, self._virtual_time)
-            self.active_weight += state.weight
         state.waiting += 1
         state.waiting_cost += item.cost
-        self.total_cost += item.cost
+        self.backlog.add(item, state.weight)
         self._waiting_by_number[item.number] = item
         flow = state.flows_by_target.get(item.target)
         if flow is None:
@@ -152,13 +151,10 @@
         state = self._find_state(item.account)
         state.waiting -= 1
         state.waiting_cost -= item.cost
-        self.total_cost -= item.cost
+        self.backlog.remove(item)
         if not state.waiting:
             # Sums of many costs carry rounding errors.
             state.waiting_cost = 0
-            self.active_weight -= state.weight
-        if not self._waiting_by_number:
-            self.total_cost = 0
         flow = state.flows_by_target[item.target]
         flow.waiting.pop(number)
         if not flow.waiting:
--- a/damaskpoint/admission/feasibility.py
+++ b/damaskpoint/admission/feasibility.py
@@ -46,22 +46,29 @@
 class ServiceTimes:
     """Measured service times by target; unknown ones count as 0.
 
-    A measurement loses its weight when no other follows, so that a target
-    that was slow is tried again.
+    A measurement loses its weight while nothing runs, so that a target that
+    was slow is tried again.
     """
 
     def __init__(self) -> None:
         """Start without measurements."""
         self._times_by_target: dict[str, _Times] = {}
+        self._running_by_target: dict[str, int] = {}
 
-    def note(
+    def note_start(self, target: str) -> None:
+        """Count a request that starts."""
+        running = self._running_by_target.get(target, 0)
+        self._running_by_target[target] = running + 1
+
+    def note_end(
         self, target: str, seconds: float, now: float, *, is_whole: bool
     ) -> None:
-        """Take a measurement.
+        """Take the end of a request that was counted when it started.
 
         A request that ended early would have taken longer; it only counts
         when it took longer than the mean.
         """
+        self._running_by_target[target] -= 1
         times = self._times_by_target.get(target)
         if times is None:
             if is_whole:
@@ -69,13 +76,13 @@
                     seconds, seconds / 2, now
                 )
             return
+        times.measured_at = now
         error = seconds - times.mean_s
         if not is_whole and error <= 0:
             return
         change = abs(error) - times.deviation_s
         times.mean_s += error * _MEAN_WEIGHT
         times.deviation_s += change * _DEVIATION_WEIGHT
-        times.measured_at = now
         times.count += 1
 
     def keep_only(self, targets: frozenset[str]) -> None:
@@ -89,8 +96,10 @@
         times = self._times_by_target.get(target)
         if times is None:
             return ServiceEstimate(0, 0)
+        if self._running_by_target.get(target):
+            return ServiceEstimate(times.mean_s, times.deviation_s)
         silent_s = now - times.measured_at
-        keep_s = defaults.SERVICE_TIME_KEEP_S + 2 * times.mean_s
+        keep_s = defaults.SERVICE_TIME_KEEP_S + times.mean_s
         if silent_s <= keep_s:
             return ServiceEstimate(times.mean_s, times.deviation_s)
         factor = keep_s / silent_s
--- a/damaskpoint/admission/gate.py
+++ b/damaskpoint/admission/gate.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, final
 
 from damaskpoint import defaults
-from damaskpoint.admission.shares import PartKeeper, compute_part
+from damaskpoint.admission.shares import compute_part
 
 if TYPE_CHECKING:
     from damaskpoint.admission.shares import DemandSource
@@ -96,19 +96,16 @@
                 return False
         return True
 
-    def find_slots(self, target: str) -> float | None:
-        """Return how many requests of the target run at once at most.
+    def find_limit(self, pool: str) -> float | None:
+        """Return the requests at once that a pool bears of this entry.
 
-        None when no pool of it bounds them.
+        None when nothing is known of the pool.
         """
-        slots: float | None = None
-        for pool, part in self._find_target(target).items():
-            limit = self._limit_by_pool.get(pool)
-            if limit is None:
-                continue
-            in_pool = max(1, limit / part)
-            slots = in_pool if slots is None else min(slots, in_pool)
-        return slots
+        return self._limit_by_pool.get(pool)
+
+    def parts_of(self, target: str) -> dict[str, float]:
+        """Return the parts of the pools that a request of a target uses."""
+        return self._find_target(target)
 
     def dump(self) -> dict[str, object]:
         """Return use and limit by pool."""
@@ -132,11 +129,14 @@
     def __init__(
         self, gate: PoolGate, own_name: str, demand: DemandSource
     ) -> None:
-        """Divide the capacity by the work that each entry has."""
+        """Divide the capacity by the work that each entry has.
+
+        Unlike a client account's limit, the capacity may be overdrawn for
+        a moment: parts follow the work without delay.
+        """
         self._gate = gate
         self._own_name = own_name
         self._demand = demand
-        self._keeper = PartKeeper()
         self._refreshed_at = float('-inf')
 
     def reset(self) -> None:
@@ -158,7 +158,7 @@
             self._demand.peer_work(),
             'capacity',
         )
-        self._gate.refresh(self._keeper.keep(part, now).share)
+        self._gate.refresh(part.share)
 
 
 def _find_parts(pipeline: Pipeline) -> dict[str, float]:
--- a/damaskpoint/admission/judgement.py
+++ b/damaskpoint/admission/judgement.py
@@ -9,6 +9,8 @@
 from damaskpoint.admission.waits import estimate_wait_s
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from damaskpoint.admission.account_table import AccountTable
     from damaskpoint.admission.fair_queue import FairQueue, Waiting
     from damaskpoint.admission.feasibility import ServiceTimes
@@ -61,16 +63,17 @@
             return []
         found = []
         due = now + defaults.ADMISSION_TICK_S
-        ahead_by_account: dict[str, float] = {}
+        ahead_by_account: dict[str, dict[str, float]] = {}
         for item in self._queue.list_waiting():
-            ahead_cost = ahead_by_account.get(item.account, 0)
-            needed_s = self._find_needed_s(item, ahead_cost, now)
+            ahead = ahead_by_account.setdefault(item.account, {})
+            needed_s = self._find_needed_s(item, ahead, now)
             if now + needed_s > item.deadline:
                 found.append(Hopeless(item, needed_s))
                 continue
             due = min(due, self._find_last_start(item, now))
-            ahead_by_account[item.account] = ahead_cost + item.cost
-        self._next_check = due if ahead_by_account else float('inf')
+            for pool, part in item.parts_by_pool.items():
+                ahead[pool] = ahead.get(pool, 0) + item.cost * part
+        self._next_check = due
         return found
 
     # Queries.
@@ -81,14 +84,13 @@
         return self._next_check if self._queue else None
 
     def _find_needed_s(
-        self, item: Waiting, ahead_cost: float, now: float
+        self, item: Waiting, ahead: Mapping[str, float], now: float
     ) -> float:
         """Return wait and service; infinite for an account that is gone."""
         limits = self._accounts.find_limits(item.account, now)
         if limits is None:
             return float('inf')
-        slots = self._gate.find_slots(item.target)
-        wait_s = estimate_wait_s(self._queue, limits, ahead_cost, slots)
+        wait_s = estimate_wait_s(item, ahead, self._queue, self._gate, limits)
         return wait_s + self._times.estimate(item.target, now).long_s
 
     def _find_last_start(self, item: Waiting, now: float) -> float:
--- a/damaskpoint/admission/limits.py
+++ b/damaskpoint/admission/limits.py
@@ -13,6 +13,9 @@
 
 # Weight of the newest measurement of the demand, for each second.
 _DEMAND_TIME_S: Final = 2.0
+# Requests that an entry lets in at once after a quiet time, whatever its
+# part; in sum the entries may pass the account's burst by this much each.
+_LEAST_BURST: Final = 4
 
 
 @final
@@ -104,8 +107,9 @@
         return self._part.share
 
     def _burst(self) -> float:
-        # Less than one would never let a request in.
-        return max(1, self._part.of_rate(self.account.burst))
+        # A part of a small burst would refuse what comes by chance at once.
+        least = min(self.account.burst, _LEAST_BURST)
+        return max(1, least, self._part.of_rate(self.account.burst))
 
     def _refill(self, now: float) -> None:
         rate = self._part.of_rate(self.account.rate_per_s)
--- a/damaskpoint/admission/shares.py
+++ b/damaskpoint/admission/shares.py
@@ -75,6 +75,8 @@
     # Share of the limit that goes to entries before this one, and to it.
     before: float
     share: float
+    # Entries that divide the limit.
+    entries: int
 
     def of_rate(self, limit: float) -> float:
         """Return the part of a limit that can be divided at will."""
@@ -83,11 +85,14 @@
     def of_count(self, limit: int) -> int:
         """Return the part of a limit of whole things.
 
-        While all entries know the same, these add up to the limit.
+        Each entry has one if there are enough; the rest goes by the shares.
+        While all entries know the same, the parts add up to the limit.
         """
-        first = math.floor(self.before * limit + _ROUNDING)
-        behind = math.floor((self.before + self.share) * limit + _ROUNDING)
-        return behind - first
+        own = 1 if limit >= self.entries else 0
+        rest = limit - own * self.entries
+        first = math.floor(self.before * rest + _ROUNDING)
+        behind = math.floor((self.before + self.share) * rest + _ROUNDING)
+        return own + behind - first
 
 
 def compute_part(
@@ -111,9 +116,9 @@
     turned_names = (*names[offset:], *names[:offset])
     for name, weight in zip(turned_names, turned, strict=True):
         if name == own_name:
-            return Part(before / total, weight / total)
+            return Part(before / total, weight / total, len(names))
         before += weight
-    return Part(0, 0)
+    return Part(0, 0, len(names))
 
 
 def _weigh(
--- a/damaskpoint/admission/waits.py
+++ b/damaskpoint/admission/waits.py
@@ -5,30 +5,44 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from damaskpoint.admission.fair_queue import FairQueue
+    from collections.abc import Mapping
+
+    from damaskpoint.admission.fair_queue import FairQueue, Waiting
+    from damaskpoint.admission.gate import PoolGate
     from damaskpoint.admission.limits import AccountLimits
 
 
 def estimate_wait_s(
+    item: Waiting,
+    ahead_by_pool: Mapping[str, float],
     queue: FairQueue,
+    gate: PoolGate,
     limits: AccountLimits,
-    ahead_cost: float,
-    slots: float | None,
 ) -> float:
-    """Return the wait behind ``ahead_cost`` of the account's own requests.
+    """Return the wait behind what the account itself has waiting ahead.
 
-    Fair queueing bounds it twice: by all that waits, and by the own backlog
-    at the account's guaranteed part of the slots. The account's own limit
-    on requests in flight may make it longer. Costs are seconds of service.
+    In each pool fair queueing bounds the wait twice: by all that waits for
+    the pool, and by the own backlog at the account's guaranteed part. The
+    account's own limit on requests in flight may make it longer. Costs are
+    seconds of service.
     """
-    wait_s: float = 0
-    if slots is not None:
-        others_cost = queue.total_cost - queue.cost_of(limits.account.name)
-        by_all_s = (max(0, others_cost) + ahead_cost) / slots
-        weight = queue.weight_of(limits.account.name)
-        guaranteed = slots * weight / max(weight, queue.active_weight)
-        wait_s = min(by_all_s, ahead_cost / guaranteed)
-    in_flight = limits.max_in_flight
-    if in_flight:
-        wait_s = max(wait_s, ahead_cost / in_flight)
-    return wait_s
+    waits_s: list[float] = [0]
+    ahead_total: float = 0
+    for pool in item.parts_by_pool:
+        ahead = ahead_by_pool.get(pool, 0)
+        ahead_total += ahead
+        calls = gate.find_limit(pool)
+        if calls is not None:
+            waits_s.append(_estimate_in_pool(item, pool, ahead, queue) / calls)
+    return max(*waits_s, ahead_total / max(1, limits.max_in_flight))
+
+
+def _estimate_in_pool(
+    item: Waiting, pool: str, ahead: float, queue: FairQueue
+) -> float:
+    """Return the seconds of service that a pool gives before the item."""
+    others = queue.backlog.total_cost(pool)
+    others -= queue.backlog.cost_of(pool, item.account)
+    weight = queue.weight_of(item.account)
+    weights = max(weight, queue.backlog.total_weight(pool))
+    return min(max(0, others) + ahead, ahead * weights / weight)
--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -143,7 +143,7 @@
 CAPACITY_FILL: Final = 1.25
 MIN_RETRY_AFTER_S: Final = 1.0
 MAX_RETRY_AFTER_S: Final = 60.0
-SERVICE_TIME_KEEP_S: Final = 5.0
+SERVICE_TIME_KEEP_S: Final = 2.0
 UNKNOWN_SERVICE_S: Final = 0.1
 
 # Dump of the state: entries shown of one collection.
--- a/damaskpoint/entry/capacity.py
+++ b/damaskpoint/entry/capacity.py
@@ -22,16 +22,10 @@
 class PoolCapacity(CapacitySource):
     """Counts the calls that the open upstreams of a pool bear."""
 
-    def __init__(
-        self,
-        core: RoutingCore,
-        backoff: CapacityBackoff,
-        clock: Callable[[], float],
-    ) -> None:
+    def __init__(self, core: RoutingCore, backoff: CapacityBackoff) -> None:
         """Ask routing, and take the overload that was seen into account."""
         self._core = core
         self._backoff = backoff
-        self._clock = clock
 
     def find_capacity(self, pool: str) -> float | None:
         """Return the calls at once that the pool bears, over all entries."""
@@ -42,7 +36,7 @@
         cold = _count(slate, Placement.COLD, Placement.PERMITTED)
         limits = slate.pool
         calls = warm * limits.warm_limit + cold * limits.cold_limit
-        return calls * self._backoff.find_factor(pool, self._clock())
+        return calls * self._backoff.find_factor(pool)
 
 
 def _count(slate: PoolSlate, *placements: Placement) -> int:
@@ -70,7 +64,5 @@
 
     def release(self, ticket: Ticket, report: CallReport) -> None:
         """Take note of the end and pass it on."""
-        self._backoff.note_end(
-            ticket.upstream.pool, report.end, ticket.taken_at, self._clock()
-        )
+        self._backoff.note_end(ticket.upstream.pool, report.end, self._clock())
         self._router.release(ticket, report)
--- a/damaskpoint/entry/wiring.py
+++ b/damaskpoint/entry/wiring.py
@@ -194,7 +194,7 @@
         demand=PeerDemand(
             membership, options.membership.peer_timeout_s, time.monotonic
         ),
-        capacity=PoolCapacity(routing.core, backoff, time.monotonic),
+        capacity=PoolCapacity(routing.core, backoff),
     )
     shared.follower.add_listener(admission.apply_configuration)
     shared.registry.register('admission', admission)
--- a/features/steps/admission_bench.py
+++ b/features/steps/admission_bench.py
@@ -16,6 +16,7 @@
 
 TARGET = 'explain-alarm'
 POOL = 'model-pool'
+SERVICE = 'member-portal'
 
 
 class FixedCapacity(CapacitySource):
@@ -56,12 +57,13 @@
         )
     )
     pool = model.Pool(POOL, model.PoolKind.MODEL, 1, 8, True, True)
+    service = model.Pool(SERVICE, model.PoolKind.SERVICE, 1, 8, True, True)
     names = frozenset(account.name for account in accounts)
     return model.Configuration(
         version=1,
         digest='00',
         accounts_by_name={account.name: account for account in accounts},
-        pools_by_name={POOL: pool},
+        pools_by_name={POOL: pool, SERVICE: service},
         pipelines_by_name={TARGET: model.Pipeline(TARGET, stages, 3000, names)},
     )
 
@@ -163,10 +165,12 @@
                 self.offer(event.account, event.deadline_s)
         self.now = max(self.now, until)
 
-    def offer(self, account: str, deadline_s: float) -> None:
+    def offer(
+        self, account: str, deadline_s: float, target: str = TARGET
+    ) -> None:
         """Offer one request now."""
         request = AdmissionRequest(
-            'r', account, TARGET, self.now, self.now + deadline_s
+            'r', account, target, self.now, self.now + deadline_s
         )
         self.seen[account].offered += 1
         decided = self.core.offer(request, self.now)
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -267,6 +267,7 @@
             peers = {peer: by_name[peer] for peer in names if peer != name}
             part = compute_part(name, by_name[name], names, peers, account)
             assert part.share > 0
+            assert part.of_count(limit) > 0 or limit < len(names)
             count += part.of_count(limit)
             rate += part.of_rate(limit)
         assert count == limit
@@ -375,6 +376,16 @@
     check()
 
 
+@then('a request of "{name}" for an idle service is let in at once')
+def check_idle_service(context: Any, name: str) -> None:
+    """Offer a request for the other pool while the first has a queue."""
+    entry = context.entry
+    assert len(entry.core.queue) > 10
+    before = len(entry.seen[name].waits_s)
+    entry.offer(name, 1.0, bench.SERVICE)
+    assert entry.seen[name].waits_s[before:] == [0]
+
+
 @given('an admission in the loop with room for 1 request')
 def create_in_loop(context: Any) -> None:
     """Make the asynchronous side."""
