--- a/damaskpoint/config/confirmation.py
+++ b/damaskpoint/config/confirmation.py
@@ -112,6 +112,10 @@
             f'{self._reached_peers} of {self._known_peers} peers are reached',
         )
 
+    def reaches_majority(self) -> bool:
+        """Return whether more than half are reached, itself included."""
+        return 2 * (self._reached_peers + 1) > self._known_peers + 1
+
     def _is_reach_old(self, now: float) -> bool:
         """Return whether the reach may stem from before a stall.
 
@@ -120,7 +124,3 @@
         if self._last_turn is None or now < self._draining_until:
             return True
         return now - self._last_turn > self._bounds.stall_s
-
-    def reaches_majority(self) -> bool:
-        """Return whether more than half are reached, itself included."""
-        return 2 * (self._reached_peers + 1) > self._known_peers + 1
