Let a reader of a report close early, and show only failures that last

'plan | head' ended in a traceback. The progress of a pool that is done no longer shows a failure from before.

--- a/damaskpoint/reconcile/pool.py
+++ b/damaskpoint/reconcile/pool.py
@@ -82,13 +82,15 @@
         goal = self._goal
         if goal is None:
             return None
+        done = self._states.count_done(goal.target)
+        is_done = done == len(goal.engines_by_name)
         return PoolProgress(
             pool=goal.pool,
             version=goal.version,
             highest_version=max(goal.version, self._noted_version()),
             upstreams=len(goal.engines_by_name),
-            done=self._states.count_done(goal.target),
-            last_failure=self._states.last_failure,
+            done=done,
+            last_failure='' if is_done else self._states.last_failure,
             holder=self._keeper.lease.options.owner,
         )
 
--- a/damaskpoint/sheet_tool/in_force.py
+++ b/damaskpoint/sheet_tool/in_force.py
@@ -42,7 +42,7 @@
         return
     if spread.held_count:
         report.lines.append(
-            f'{spread.held_count} entries have it from this command.'
+            f'Handed to {spread.held_count} of {spread.listed_count} entries.'
         )
         return
     report.exit_code = ExitCode.NOT_IN_FORCE
--- a/damaskpoint/sheet_tool/output.py
+++ b/damaskpoint/sheet_tool/output.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 import sys
 from typing import TYPE_CHECKING
 
@@ -12,13 +13,26 @@
 
 
 def write_report(report: Report, as_json: bool) -> None:
-    """Write the report to the standard output, whole."""
+    """Write the report to the standard output, whole.
+
+    A reader that closes early, such as ``head``, is no failure.
+    """
+    lines = report.lines
     if as_json:
         content = {'exit_code': int(report.exit_code), **report.content}
-        sys.stdout.write(f'{json.dumps(content)}\n')
-        return
-    for line in report.lines:
-        sys.stdout.write(f'{line}\n')
+        lines = [json.dumps(content)]
+    text = ''.join(f'{line}\n' for line in lines)
+    try:
+        _write_whole(text)
+    except BrokenPipeError:
+        # What the interpreter flushes at its end goes nowhere as well.
+        nowhere = os.open(os.devnull, os.O_WRONLY)
+        os.dup2(nowhere, sys.stdout.fileno())
+
+
+def _write_whole(text: str) -> None:
+    sys.stdout.write(text)
+    sys.stdout.flush()
 
 
 def show_progress(progress: Progress) -> None:
--- a/features/sheet_tool.feature
+++ b/features/sheet_tool.feature
@@ -133,5 +133,8 @@
     And its report says "no answer"
     And its report says "model-pool  1        7     10"
 
+  Scenario: A reader that closes early is no failure
+    Then checking a sheet with 9000 faults for a reader of one line ends quietly
+
   Scenario: Any schedule of operators and faults accepts each change once at most
     Then 200 schedules of operators drawn by hypothesis keep the promise
--- a/features/steps/sheet_tool_steps.py
+++ b/features/steps/sheet_tool_steps.py
@@ -5,6 +5,9 @@
 import asyncio
 import dataclasses
 import pathlib
+import subprocess
+import sys
+import tempfile
 import time
 from typing import TYPE_CHECKING, Any
 
@@ -268,6 +271,32 @@
     assert ', '.join(sorted(context.probe.handed)) == handed
 
 
+@then(
+    'checking a sheet with {count:d} faults for a reader of one line '
+    'ends quietly'
+)
+def check_early_close(context: Any, count: int) -> None:
+    """Close the pipe behind the first line, as head does."""
+    with tempfile.TemporaryDirectory() as folder:
+        sheet = pathlib.Path(folder) / 'sheet.csv'
+        sheet.write_text('[zones]\nname,state\n' + 'a b,in\n' * count)
+        words = [sys.executable, '-m', 'damaskpoint.main.sheet']
+        process = subprocess.Popen(
+            [*words, 'check', str(sheet)],
+            cwd=_SAMPLE.parents[1],
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+        )
+        assert process.stdout
+        assert process.stderr
+        process.stdout.readline()
+        process.stdout.close()
+        complaint = process.stderr.read()
+        process.stderr.close()
+        assert process.wait(60) == ExitCode.SHEET_INVALID
+        assert not complaint, complaint
+
+
 @then('its report says "{text}"')
 def check_report(context: Any, text: str) -> None:
     """Find a text in the report's lines."""
