--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -131,6 +131,8 @@
 # counts as stopped (seconds).
 SILENT_PROOF_S: Final = 30.0
 SILENT_CALL_S: Final = 10.0
+# Time for which a lent permit may be used to send (seconds).
+LOAN_S: Final = 1.0
 # A loop that stood still longer than this has old messages in its sockets.
 PAUSE_BOUND_S: Final = 1.0
 ROUTING_TICK_S: Final = 0.1
--- a/damaskpoint/entry/peering.py
+++ b/damaskpoint/entry/peering.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, final
 
 from damaskpoint.entry.gossip_listener import GossipListener
+from damaskpoint.entry.peer_permits import PeerPermits
 from damaskpoint.errors import Failure, FailureError
 from damaskpoint.membership import facts
 from damaskpoint.membership.peer_objects import PeerObjects
@@ -14,6 +15,7 @@
 from damaskpoint.wire.peer_client import create_peer_client
 from damaskpoint.wire.peer_server import (
     HeldConfiguration,
+    LentPermit,
     PeerService,
     create_peer_server,
 )
@@ -25,16 +27,22 @@
     from damaskpoint.config.follower import ConfigurationFollower
     from damaskpoint.entry.wiring import SharedParts
     from damaskpoint.membership.service import Membership
+    from damaskpoint.routing.lending import PermitLender
     from damaskpoint.routing.wiring import Routing
     from damaskpoint.settings import InstanceOptions
 
+_MS_PER_S = 1_000
+
 
 @final
 class _EntryService(PeerService):
     """Answers peers out of the follower."""
 
-    def __init__(self, follower: ConfigurationFollower) -> None:
+    def __init__(
+        self, follower: ConfigurationFollower, lender: PermitLender
+    ) -> None:
         self._follower = follower
+        self._lender = lender
 
     def find_configuration(self) -> HeldConfiguration | None:
         """Return what is in force, or None before the first version."""
@@ -45,6 +53,17 @@
             current.version, current.digest, self._follower.object_body
         )
 
+    def lend_permit(self, upstream: str) -> LentPermit | Failure:
+        """Lend a permit of a cold upstream, if this entry has one free."""
+        loan = self._lender.lend(upstream, time.monotonic())
+        if isinstance(loan, Failure):
+            return loan
+        return LentPermit(loan.number, int(loan.valid_s * _MS_PER_S))
+
+    def take_permit_back(self, upstream: str, number: int) -> None:
+        """Take a lent permit back."""
+        self._lender.take_back(upstream, number, time.monotonic())
+
 
 @final
 @dataclass(frozen=True, slots=True)
@@ -95,7 +114,9 @@
     instance list's listeners, which must hear before the peers do.
     """
     clock = time.monotonic
-    peer_objects = PeerObjects(membership, create_peer_client(), clock)
+    client = create_peer_client()
+    peer_objects = PeerObjects(membership, client, clock)
+    routing.borrower.source = PeerPermits(membership, client, clock)
     listener = GossipListener(
         membership, shared.follower, routing, admission, peer_objects, clock
     )
@@ -105,7 +126,7 @@
     shared.follower.add_listener(listener.note_configuration)
     shared.instances.add_listener(listener.note_instances)
     server = create_peer_server(
-        _EntryService(shared.follower),
+        _EntryService(shared.follower, routing.core.lender),
         shared.options.instance.name,
         membership.is_peer_host,
     )
--- a/damaskpoint/routing/choice.py
+++ b/damaskpoint/routing/choice.py
@@ -42,6 +42,8 @@
     COLD_IDLE = 'cold_idle'
     COLD_ONLY = 'cold_only'
     IN_TURN = 'in_turn'
+    # Cold, under a permit that a peer lent.
+    BORROWED = 'borrowed'
     # The only one that can go on with a stream.
     RESUMED = 'resumed'
 
--- a/damaskpoint/routing/claims.py
+++ b/damaskpoint/routing/claims.py
@@ -177,6 +177,7 @@
             lease.state = LeaseState.FREE
             return
         lease.version = row.version
+        lease.rival = row.owner
         lease.state = LeaseState.RIVAL
         wait_s = row.lease_s + self._terms.margin_s
         lease.takeable_at = now + wait_s + self._events.find_delay(lease.name)
--- a/damaskpoint/routing/core.py
+++ b/damaskpoint/routing/core.py
@@ -13,6 +13,7 @@
 from damaskpoint.routing import metrics
 from damaskpoint.routing.base import CallEnd, CallReport, RouteQuery, Ticket
 from damaskpoint.routing.choice import Choice, ChoiceReason
+from damaskpoint.routing.lending import LendingDesk, Loan
 from damaskpoint.routing.nodes import Node, Placement, PoolSlate
 from damaskpoint.routing.outliers import review_outliers
 from damaskpoint.routing.wait_room import WaitRoom
@@ -30,6 +31,8 @@
 # Cold upstreams of a pool that one tick wishes for.
 _WISHES = 200
 _SWEEP_S = 1.0
+# Cold upstreams that are looked at for one to borrow.
+_LOOKED_AT = 16
 
 
 @final
@@ -49,6 +52,7 @@
         self.fleet = fleet
         self.permits = permits
         self.waiting = WaitRoom(fleet)
+        self.lender = LendingDesk(fleet, permits, self.waiting)
         self._directory = directory
         self._policy = policy
         self._tickets_by_number: dict[int, Ticket] = {}
@@ -78,6 +82,43 @@
             metrics.COLD_LIMITED.inc({'pool': query.pool})
         return None
 
+    def find_cold(self, query: RouteQuery) -> str | None:
+        """Return a cold upstream for which a permit could be borrowed.
+
+        None while there is a warm one, or no cold one that fits.
+        """
+        slate = self.fleet.slates_by_pool.get(query.pool)
+        if slate is None or slate.ready or query.only:
+            return None
+        for name in itertools.islice(slate.cold, _LOOKED_AT):
+            if name in query.excluded:
+                continue
+            if slate.nodes_by_name[name].has_model(query):
+                return name
+        return None
+
+    def use_loan(
+        self,
+        query: RouteQuery,
+        name: str,
+        loan: Loan,
+        asked_at: float,
+        now: float,
+    ) -> Ticket | None:
+        """Return a ticket under a loan, to be used in this turn, or None."""
+        node = self.fleet.nodes_by_name.get(name)
+        if node is None or now >= asked_at + loan.valid_s:
+            return None
+        if now >= self.waiting.find_latest_start(query):
+            return None
+        self._sync(now)
+        self.fleet.refresh(node, now)
+        if node.placement is not Placement.COLD:
+            return None
+        slate = self.fleet.slates_by_pool[query.pool]
+        choice = Choice(node, ChoiceReason.BORROWED)
+        return self._give(choice, slate, now, is_borrowed=True)
+
     def release(self, ticket: Ticket, report: CallReport, now: float) -> None:
         """Take a ticket back; a second time changes nothing."""
         if self._tickets_by_number.pop(ticket.number, None) is None:
@@ -139,9 +180,16 @@
             return None
         return self._give(Choice(node, ChoiceReason.RESUMED), slate, now)
 
-    def _give(self, choice: Choice, slate: PoolSlate, now: float) -> Ticket:
+    def _give(
+        self,
+        choice: Choice,
+        slate: PoolSlate,
+        now: float,
+        *,
+        is_borrowed: bool = False,
+    ) -> Ticket:
         node = choice.node
-        is_cold = node.placement is Placement.PERMITTED
+        is_cold = is_borrowed or node.placement is Placement.PERMITTED
         if is_cold:
             node.last_cold_at = now
         self._last_number += 1
--- a/damaskpoint/routing/leases.py
+++ b/damaskpoint/routing/leases.py
@@ -14,6 +14,8 @@
 
 LEASE_TABLE: Final = 'cold-leases'
 NEVER: Final = float('-inf')
+# Stands between an entry's name and its start in the owner of a row.
+OWNER_MARK: Final = '#'
 
 
 @final
@@ -88,6 +90,8 @@
     is_silent: bool = False
     # When each call ended for us that may still run in the upstream.
     unseen_ends: list[float] = field(default_factory=list)
+    # When each lent permit that was not returned runs out.
+    loans_by_number: dict[int, float] = field(default_factory=dict)
 
     def restart(self, settled_at: float) -> None:
         """Forget the bound; all others have stopped by this time."""
@@ -110,6 +114,7 @@
         shown_from = requested_at - lag_s
         if shown_from < self.settled_at:
             return
+        self._expire_loans(shown_from)
         newer = [ended for ended in self.unseen_ends if ended > shown_from]
         older = len(self.unseen_ends) - len(newer)
         held = in_flight if self.others is None else self.others + older
@@ -129,6 +134,7 @@
             settling = 0
         if self.others is None and now >= self.settled_at + settling:
             self.others = 0
+        self._expire_loans(now - longest)
         kept = [end for end in self.unseen_ends if now < end + longest]
         self.unseen_ends = kept
 
@@ -136,7 +142,16 @@
         """Return the bound, or None while it is unknown."""
         if self.others is None:
             return None
-        return self.others + len(self.unseen_ends)
+        return self.others + len(self.unseen_ends) + len(self.loans_by_number)
+
+    def _expire_loans(self, before: float) -> None:
+        """Let loans that ran out count as calls whose end was not seen."""
+        expired = []
+        for number, expires_at in self.loans_by_number.items():
+            if expires_at <= before:
+                expired.append(number)
+        for gone in expired:
+            self.unseen_ends.append(self.loans_by_number.pop(gone))
 
 
 @final
@@ -149,6 +164,8 @@
     version: int = 0
     fencing: int = 0
     claim_id: str = ''
+    # The owner that was read last, if it is another.
+    rival: str = ''
     # When the last claim or renewal was planned, before it was sent.
     sent_at: float = NEVER
     # Nothing is sent at or after this time.
--- /dev/null
+++ b/damaskpoint/routing/lending.py
@@ -0,0 +1,109 @@
+"""Permits that the holder of a lease lends to its peers.
+
+The lender counts a loan like a call of its own until it is returned. One
+that is not returned in time may be inside the upstream: it then counts like
+a call whose end was not seen, until a later report. The borrower may send
+until ``valid_s`` after it asked, on its own clock, so before the loan runs
+out on the lender's.
+"""
+
+from __future__ import annotations
+
+import abc
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, final
+
+from damaskpoint import defaults
+from damaskpoint.errors import Code, Failure
+from damaskpoint.routing import metrics
+from damaskpoint.routing.nodes import Placement
+
+if TYPE_CHECKING:
+    from damaskpoint.routing.fleet import Fleet
+    from damaskpoint.routing.permits import PermitBook
+    from damaskpoint.routing.wait_room import WaitRoom
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Loan:
+    """One permit, lent."""
+
+    # Of this start of the lender; no two loans share it.
+    number: int
+    # Time for which it may be used to send, from before it was asked for.
+    valid_s: float
+
+
+class PermitLender(abc.ABC):
+    """Lends permits to peers that ask."""
+
+    @abc.abstractmethod
+    def lend(self, name: str, now: float) -> Loan | Failure:
+        """Lend one permit of an upstream, or fail ``LEASE_NOT_HELD``."""
+
+    @abc.abstractmethod
+    def take_back(self, name: str, number: int, now: float) -> None:
+        """Take back a loan whose call has ended in the upstream."""
+
+
+class PermitSource(abc.ABC):
+    """Asks peers for permits."""
+
+    @abc.abstractmethod
+    async def borrow(self, holder: str, name: str) -> Loan | Failure:
+        """Return a permit of an upstream from the entry that holds it."""
+
+    @abc.abstractmethod
+    def give_back(self, holder: str, name: str, number: int) -> None:
+        """Return a loan; it may get lost."""
+
+
+@final
+class LendingDesk(PermitLender):
+    """Lends what the entry itself has no use for at the moment."""
+
+    def __init__(
+        self, fleet: Fleet, permits: PermitBook, waiting: WaitRoom
+    ) -> None:
+        """Start with nothing lent."""
+        self._fleet = fleet
+        self._permits = permits
+        self._waiting = waiting
+        self._last_number = 0
+
+    def lend(self, name: str, now: float) -> Loan | Failure:
+        """Lend one permit; the own waiting calls go first."""
+        node = self._fleet.nodes_by_name.get(name)
+        if node is None or not self._permits.is_held(name, now):
+            return _refuse('not_held')
+        self._fleet.refresh(node, now)
+        if node.placement is not Placement.PERMITTED:
+            return _refuse('none_free')
+        if self._waiting.count_waiting(node.upstream.pool):
+            return _refuse('own_use')
+        lease = self._permits.leases_by_name[name]
+        valid_s = min(defaults.LOAN_S, lease.deadline - now)
+        self._last_number += 1
+        expires_at = now + valid_s + defaults.SEND_BOUND_S
+        lease.inside.loans_by_number[self._last_number] = expires_at
+        self._fleet.refresh(node, now)
+        metrics.LOANS.inc({'result': 'lent'})
+        return Loan(self._last_number, valid_s)
+
+    def take_back(self, name: str, number: int, now: float) -> None:
+        """Take back a loan; one that has run out changes nothing."""
+        lease = self._permits.leases_by_name.get(name)
+        if lease is None:
+            return
+        if lease.inside.loans_by_number.pop(number, None) is None:
+            return
+        metrics.LOANS.inc({'result': 'returned'})
+        node = self._fleet.nodes_by_name.get(name)
+        if node is not None:
+            self._fleet.refresh(node, now)
+
+
+def _refuse(reason: str) -> Failure:
+    metrics.LOANS.inc({'result': reason})
+    return Failure(Code.LEASE_NOT_HELD, reason)
--- a/damaskpoint/routing/metrics.py
+++ b/damaskpoint/routing/metrics.py
@@ -50,6 +50,10 @@
     'damaskpoint_routing_load_polls_total',
     'Reads of load reports, by result.',
 )
+LOANS: Final = Counter(
+    'damaskpoint_routing_loans_total',
+    'Permits lent to peers and borrowed from them, by result.',
+)
 TABLE_CALLS: Final = Counter(
     'damaskpoint_routing_lease_table_calls_total',
     'Reads and writes of lease rows, by kind and result.',
--- a/damaskpoint/routing/permits.py
+++ b/damaskpoint/routing/permits.py
@@ -18,7 +18,7 @@
 
 from damaskpoint import defaults
 from damaskpoint.routing.claims import ClaimPlanner, LeaseTerms
-from damaskpoint.routing.leases import NEVER, Lease, LeaseState
+from damaskpoint.routing.leases import NEVER, OWNER_MARK, Lease, LeaseState
 
 if TYPE_CHECKING:
     from damaskpoint.routing.permit_events import PermitEvents
@@ -127,6 +127,13 @@
             return 0
         return max(0, limit - own - bound)
 
+    def find_holder(self, name: str) -> str | None:
+        """Return the entry that holds the lease, as far as was read."""
+        lease = self.leases_by_name.get(name)
+        if lease is None or lease.state is not LeaseState.RIVAL:
+            return None
+        return lease.rival.partition(OWNER_MARK)[0]
+
     def find_ready(self, name: str) -> float:
         """Return from when the holder may send; infinite if not known."""
         lease = self.leases_by_name[name]
--- a/damaskpoint/routing/ranks.py
+++ b/damaskpoint/routing/ranks.py
@@ -40,6 +40,10 @@
         """Return the number of live entries."""
         return len(self._entries)
 
+    def find_first(self, upstream: str) -> str:
+        """Return the entry that ranks first for an upstream."""
+        return max(self._entries, key=lambda entry: _score(entry, upstream))
+
     def find_rank(self, upstream: str) -> int:
         """Return the own rank for an upstream, 0 for the first."""
         known = self._ranks_by_upstream.get(upstream)
--- a/damaskpoint/routing/router.py
+++ b/damaskpoint/routing/router.py
@@ -17,6 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from damaskpoint.routing.borrower import Borrower
     from damaskpoint.routing.core import RoutingCore
 
 _MS_PER_S = 1_000
@@ -26,9 +27,15 @@
 class CoreRouter(Router):
     """Waits where ``RoutingCore`` decides."""
 
-    def __init__(self, core: RoutingCore, clock: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        core: RoutingCore,
+        borrower: Borrower | None,
+        clock: Callable[[], float],
+    ) -> None:
         """Keep the core and the monotonic clock (seconds)."""
         self._core = core
+        self._borrower = borrower
         self._clock = clock
         self._ticks = PeriodicCallback(
             self._tick, defaults.ROUTING_TICK_S * _MS_PER_S
@@ -50,10 +57,14 @@
         # Those that wait go first.
         if not self._core.waiting.count_waiting(query.pool):
             ticket = self._core.try_acquire(query, now)
+            if ticket is None:
+                ticket = await self._borrow(query)
             if ticket is not None:
                 return ticket
         refused = self._core.waiting.judge(
-            query, self._core.waiting.count_waiting(query.pool), now
+            query,
+            self._core.waiting.count_waiting(query.pool),
+            self._clock(),
         )
         if refused is not None:
             _count_refused(query, refused)
@@ -63,6 +74,14 @@
     def release(self, ticket: Ticket, report: CallReport) -> None:
         """Give a ticket back, exactly once, with what was seen."""
         self._core.release(ticket, report, self._clock())
+        if self._borrower is not None:
+            self._borrower.note_end(ticket, report.end)
+
+    async def _borrow(self, query: RouteQuery) -> Ticket | None:
+        """Return a ticket under a permit of a peer, if one lends it."""
+        if self._borrower is None:
+            return None
+        return await self._borrower.borrow(query)
 
     async def _wait(self, query: RouteQuery) -> Ticket | Failure:
         """Wait in the pool's queue until a place, or the deadline."""
@@ -111,6 +130,10 @@
     metrics.REFUSED.inc({'pool': query.pool, 'reason': failure.code.value})
 
 
-def create_router(core: RoutingCore, clock: Callable[[], float]) -> CoreRouter:
+def create_router(
+    core: RoutingCore,
+    clock: Callable[[], float],
+    borrower: Borrower | None = None,
+) -> CoreRouter:
     """Return a router over the deciding core."""
-    return CoreRouter(core, clock)
+    return CoreRouter(core, borrower, clock)
--- a/damaskpoint/routing/wiring.py
+++ b/damaskpoint/routing/wiring.py
@@ -7,6 +7,7 @@
 
 from tornado.httpclient import AsyncHTTPClient
 
+from damaskpoint.routing.borrower import Borrower
 from damaskpoint.routing.choice import ChoicePolicy, TwoChoices
 from damaskpoint.routing.claims import LeaseTerms
 from damaskpoint.routing.core import RoutingCore
@@ -14,6 +15,7 @@
 from damaskpoint.routing.dump import RoutingDump, create_dump
 from damaskpoint.routing.evidence import ClaimFacts, Evidence
 from damaskpoint.routing.fleet import Fleet
+from damaskpoint.routing.leases import OWNER_MARK
 from damaskpoint.routing.permit_client import (
     PermitClient,
     create_permit_client,
@@ -60,6 +62,7 @@
     poller: LoadPoller
     permit_client: PermitClient
     dump: RoutingDump
+    borrower: Borrower
 
     def start(self) -> None:
         """Keep time and poll; ``permit_client.run`` is a task besides."""
@@ -92,7 +95,7 @@
 ) -> RoutingCore:
     """Return the deciding part alone."""
     terms = LeaseTerms(
-        f'{identity.name}#{identity.start}',
+        f'{identity.name}{OWNER_MARK}{identity.start}',
         options.lease_s,
         options.lease_margin_s,
         options.load_report_lag_s,
@@ -130,13 +133,15 @@
         policy or TwoChoices(identity.zone, rng),
         is_guarded=is_guarded,
     )
+    borrower = Borrower(core, ranks, identity.name, clock)
     client = AsyncHTTPClient(force_instance=True, max_clients=_MAX_POLLS)
     return Routing(
         directory,
         ranks,
         core,
-        create_router(core, clock),
+        create_router(core, clock, borrower),
         create_poller(core, ranks, options, client, clock),
         create_permit_client(core.permits, table, clock),
         create_dump(core, directory, warmth),
+        borrower,
     )
--- a/damaskpoint/wire/peer.thrift
+++ b/damaskpoint/wire/peer.thrift
@@ -108,6 +108,14 @@
   3: required string digest
 }
 
+// A permit of a cold upstream, lent by the holder of its lease.
+struct PermitLoan {
+  // Names the loan among those of this start of the lender.
+  1: required i64 number
+  // Time in which it may be used to send, from before it was asked for.
+  2: required i64 valid_ms
+}
+
 // A typed refusal; the code is one of the system's stable failure codes.
 exception Refused {
   1: required string code
@@ -120,4 +128,6 @@
   InForce get_in_force() throws (1: Refused refused)
   // Open to peers.
   ConfigurationBody get_configuration(1: i64 version) throws (1: Refused refused)
+  PermitLoan borrow_permit(1: string upstream) throws (1: Refused refused)
+  void return_permit(1: string upstream, 2: i64 number) throws (1: Refused refused)
 }
--- a/damaskpoint/wire/peer_client.py
+++ b/damaskpoint/wire/peer_client.py
@@ -79,6 +79,28 @@
         )
         return _count('get_configuration', answer)
 
+    async def borrow_permit(
+        self, address: Address, upstream: str
+    ) -> ttypes.PermitLoan | Failure:
+        """Return a permit of an upstream whose lease the peer holds."""
+        request = _encode_call(lambda stub: stub.send_borrow_permit(upstream))
+        body = await self._post(address, request)
+        if isinstance(body, Failure):
+            return _count('borrow_permit', body)
+        answer: ttypes.PermitLoan | Failure = _decode_answer(
+            body, lambda stub: stub.recv_borrow_permit()
+        )
+        return _count('borrow_permit', answer)
+
+    async def return_permit(
+        self, address: Address, upstream: str, number: int
+    ) -> None:
+        """Return a permit; nothing is done if that fails."""
+        request = _encode_call(
+            lambda stub: stub.send_return_permit(upstream, number)
+        )
+        _count('return_permit', await self._post(address, request))
+
     async def _post(self, address: Address, body: bytes) -> bytes | Failure:
         request = httpclient.HTTPRequest(
             f'http://{address.host}:{address.port}{protocol.PATH_PEER}',
--- a/damaskpoint/wire/peer_server.py
+++ b/damaskpoint/wire/peer_server.py
@@ -30,6 +30,16 @@
     body: bytes
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class LentPermit:
+    """A permit as it goes over the wire."""
+
+    number: int
+    # Time in which it may be used to send, from before it was asked for.
+    valid_ms: int
+
+
 class PeerService(abc.ABC):
     """What a process answers its peers; no answer waits."""
 
@@ -37,6 +47,14 @@
     def find_configuration(self) -> HeldConfiguration | None:
         """Return what is in force, or None before the first version."""
 
+    @abc.abstractmethod
+    def lend_permit(self, upstream: str) -> LentPermit | Failure:
+        """Lend a permit of an upstream, or fail ``LEASE_NOT_HELD``."""
+
+    @abc.abstractmethod
+    def take_permit_back(self, upstream: str, number: int) -> None:
+        """Take back a permit by the number of its loan."""
+
 
 def create_peer_server(
     service: PeerService, name: str, is_peer_host: Callable[[str], bool]
@@ -120,6 +138,21 @@
             raise _refuse(Code.NOT_READY, 'a lower version is in force')
         return ttypes.ConfigurationBody(held.version, held.digest, held.body)
 
+    def borrow_permit(self, upstream: str) -> ttypes.PermitLoan:
+        """Lend one permit of an upstream."""
+        if not self._is_from_peer:
+            raise _refuse(Code.PEER_UNKNOWN, 'only peers may borrow')
+        lent = self._service.lend_permit(upstream)
+        if isinstance(lent, Failure):
+            raise _refuse(lent.code, lent.detail)
+        return ttypes.PermitLoan(lent.number, lent.valid_ms)
+
+    def return_permit(self, upstream: str, number: int) -> None:
+        """Take a permit back."""
+        if not self._is_from_peer:
+            raise _refuse(Code.PEER_UNKNOWN, 'only peers may return')
+        self._service.take_permit_back(upstream, number)
+
     def _find_held(self) -> HeldConfiguration:
         held = self._service.find_configuration()
         if held is None:
--- a/features/cold_start_permits.feature
+++ b/features/cold_start_permits.feature
@@ -49,3 +49,4 @@
     And the upstream turns cold at 8,17,26,35,44,53 seconds
     When 5 cold-start runs of 4 entries go with every guard
     Then the upstream took at least 20 cold calls in each cold-start run
+    And the upstream took borrowed cold calls in each cold-start run
--- a/features/routing_sim/entries.py
+++ b/features/routing_sim/entries.py
@@ -11,6 +11,7 @@
 from damaskpoint.routing.choice import TwoChoices
 from damaskpoint.routing.directory import UpstreamDirectory
 from damaskpoint.routing.evidence import UnprovenListener
+from damaskpoint.routing.lending import Loan
 from damaskpoint.routing.ranks import EntryRanks
 from damaskpoint.routing.wiring import Identity, create_core, create_warmth
 from damaskpoint.settings import RoutingOptions
@@ -57,15 +58,15 @@
         self.sim = simulation
         self.world = simulation.world
         self.offset = 1_000.0 * (number + 1)
-        ranks = EntryRanks(f'e{number}')
-        ranks.hear_entries([f'e{peer}' for peer in range(simulation.size)])
+        self.ranks = EntryRanks(f'e{number}')
+        self.ranks.hear_entries([f'e{peer}' for peer in range(simulation.size)])
         directory = UpstreamDirectory()
         self.warmth = create_warmth(_OPTIONS)
         self.core: RoutingCore = create_core(
             Identity(f'e{number}', 'z', '1'),
             _OPTIONS,
             directory,
-            ranks,
+            self.ranks,
             self.warmth,
             TwoChoices('z', self.world.rng),
         )
@@ -144,8 +145,47 @@
         ticket = self.core.try_acquire(query, now)
         if ticket is not None:
             self._call(ticket)
+            return
+        if self.core.find_cold(query) is not None:
+            self._borrow(query)
+
+    def _borrow(self, query: RouteQuery) -> None:
+        """Ask the holder for a permit, as the borrower does."""
+        holder = self.core.permits.find_holder(UPSTREAM)
+        holder = holder or self.ranks.find_first(UPSTREAM)
+        peer = self.sim.entries[int(holder[1:])]
+        if peer is self:
+            return
+        asked_at = self.clock()
+
+        def lend() -> None:
+            loan = peer.core.lender.lend(UPSTREAM, peer.clock())
+            if isinstance(loan, Loan):
+                self._send(self, lambda: use(loan))
+
+        def use(loan: Loan) -> None:
+            ticket = self.core.use_loan(
+                query, UPSTREAM, loan, asked_at, self.clock()
+            )
+            if ticket is None:
+                give_back(loan)
+            else:
+                self.sim.borrowed_calls += 1
+                self._call(ticket, lambda: give_back(loan))
+
+        def give_back(loan: Loan) -> None:
+            self._send(
+                peer,
+                lambda: peer.core.lender.take_back(
+                    UPSTREAM, loan.number, peer.clock()
+                ),
+            )
 
-    def _call(self, ticket: Ticket) -> None:
+        self._send(peer, lend)
+
+    def _call(
+        self, ticket: Ticket, on_seen_end: Callable[[], None] | None = None
+    ) -> None:
         """Send the call; it may be given up without the upstream's hearing."""
         world = self.world
         upstream = self.sim.upstream
@@ -154,6 +194,9 @@
 
         def release(report: CallReport) -> None:
             self.core.release(ticket, report, self.clock())
+            is_seen = report.end is CallEnd.SUCCEEDED
+            if is_seen and on_seen_end is not None:
+                on_seen_end()
 
         def arrive() -> None:
             call = upstream.arrive(self.number, is_cold_ticket=ticket.is_cold)
@@ -236,6 +279,7 @@
     cold_calls: int
     window_calls: int
     last_warm_at: float
+    borrowed_calls: int
 
 
 class Simulation:
@@ -253,6 +297,7 @@
         self.world = World(seed, faults)
         self.table = SimTable(self.world)
         self.upstream = SimUpstream(self.world, warm_after_s=12)
+        self.borrowed_calls = 0
         self.entries = [SimEntry(number, self) for number in range(size)]
         for entry in self.entries:
             if unguard is not None:
@@ -275,6 +320,7 @@
             self.upstream.cold_calls,
             self.upstream.window_calls,
             self.upstream.last_warm_at,
+            self.borrowed_calls,
         )
 
     def _turn_later(self, fault: Fault) -> None:
--- a/features/steps/cold_start_steps.py
+++ b/features/steps/cold_start_steps.py
@@ -123,6 +123,13 @@
         assert verdict.cold_calls >= count, verdict
 
 
+@then('the upstream took borrowed cold calls in each cold-start run')
+def check_borrowed(context: Any) -> None:
+    """Expect that permits are lent."""
+    for verdict in context.cold_verdicts:
+        assert verdict.borrowed_calls > 0, verdict
+
+
 def _run(
     context: Any,
     count: int,
