--- a/damaskpoint/entry/peering.py
+++ b/damaskpoint/entry/peering.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import ipaddress
 import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, final
 
+from damaskpoint.config.versions import VersionClaim
 from damaskpoint.entry.gossip_listener import GossipListener
 from damaskpoint.entry.peer_permits import PeerPermits
 from damaskpoint.errors import Failure, FailureError
@@ -13,14 +15,16 @@
 from damaskpoint.membership.peer_objects import PeerObjects
 from damaskpoint.membership.service import create_membership
 from damaskpoint.wire.peer_client import create_peer_client
+from damaskpoint.wire.held import HeldConfiguration
 from damaskpoint.wire.peer_server import (
-    HeldConfiguration,
     LentPermit,
     PeerService,
     create_peer_server,
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from tornado import httpserver
 
     from damaskpoint.admission.controller import AdmissionController
@@ -39,10 +43,16 @@
     """Answers peers out of the follower."""
 
     def __init__(
-        self, follower: ConfigurationFollower, lender: PermitLender
+        self,
+        follower: ConfigurationFollower,
+        operator_networks: Iterable[str],
+        lender: PermitLender,
     ) -> None:
         self._follower = follower
         self._lender = lender
+        self._operator_networks = [
+            ipaddress.ip_network(text) for text in operator_networks
+        ]
 
     def find_configuration(self) -> HeldConfiguration | None:
         """Return what is in force, or None before the first version."""
@@ -64,6 +74,20 @@
         """Take a lent permit back."""
         self._lender.take_back(upstream, number, time.monotonic())
 
+    def take_configuration(
+        self, accepted: HeldConfiguration, age_s: float
+    ) -> Failure | None:
+        """Put an accepted version in force, if it is higher and whole."""
+        claim = VersionClaim(accepted.version, accepted.digest)
+        return self._follower.take(
+            claim, accepted.body, age_s, time.monotonic()
+        )
+
+    def is_operator_host(self, host: str) -> bool:
+        """Return whether operators may hand over versions from here."""
+        number = ipaddress.ip_address(host)
+        return any(number in network for network in self._operator_networks)
+
 
 @final
 @dataclass(frozen=True, slots=True)
@@ -114,7 +138,7 @@
     instance list's listeners, which must hear before the peers do.
     """
     clock = time.monotonic
-    client = create_peer_client()
+    client = create_peer_client(own_host=shared.options.instance.host)
     peer_objects = PeerObjects(membership, client, clock)
     routing.borrower.source = PeerPermits(membership, client, clock)
     listener = GossipListener(
@@ -126,7 +150,11 @@
     shared.follower.add_listener(listener.note_configuration)
     shared.instances.add_listener(listener.note_instances)
     server = create_peer_server(
-        _EntryService(shared.follower, routing.core.lender),
+        _EntryService(
+            shared.follower,
+            shared.options.membership.operator_networks,
+            routing.core.lender,
+        ),
         shared.options.instance.name,
         membership.is_peer_host,
     )
