--- a/damaskpoint/entry/peering.py
+++ b/damaskpoint/entry/peering.py
@@ -9,6 +9,7 @@
 
 from damaskpoint.config.versions import VersionClaim
 from damaskpoint.entry.gossip_listener import GossipListener
+from damaskpoint.entry.peer_permits import PeerPermits
 from damaskpoint.errors import Failure, FailureError
 from damaskpoint.membership import facts
 from damaskpoint.membership.peer_objects import PeerObjects
@@ -16,6 +17,7 @@
 from damaskpoint.wire.peer_client import create_peer_client
 from damaskpoint.wire.held import HeldConfiguration
 from damaskpoint.wire.peer_server import (
+    LentPermit,
     PeerService,
     create_peer_server,
 )
@@ -29,18 +31,25 @@
     from damaskpoint.config.follower import ConfigurationFollower
     from damaskpoint.entry.wiring import SharedParts
     from damaskpoint.membership.service import Membership
+    from damaskpoint.routing.lending import PermitLender
     from damaskpoint.routing.wiring import Routing
     from damaskpoint.settings import InstanceOptions
 
+_MS_PER_S = 1_000
+
 
 @final
 class _EntryService(PeerService):
     """Answers peers out of the follower."""
 
     def __init__(
-        self, follower: ConfigurationFollower, operator_networks: Iterable[str]
+        self,
+        follower: ConfigurationFollower,
+        operator_networks: Iterable[str],
+        lender: PermitLender,
     ) -> None:
         self._follower = follower
+        self._lender = lender
         self._operator_networks = [
             ipaddress.ip_network(text) for text in operator_networks
         ]
@@ -54,6 +63,17 @@
             current.version, current.digest, self._follower.object_body
         )
 
+    def lend_permit(self, upstream: str) -> LentPermit | Failure:
+        """Lend a permit of a cold upstream, if this entry has one free."""
+        loan = self._lender.lend(upstream, time.monotonic())
+        if isinstance(loan, Failure):
+            return loan
+        return LentPermit(loan.number, int(loan.valid_s * _MS_PER_S))
+
+    def take_permit_back(self, upstream: str, number: int) -> None:
+        """Take a lent permit back."""
+        self._lender.take_back(upstream, number, time.monotonic())
+
     def take_configuration(
         self, accepted: HeldConfiguration, age_s: float
     ) -> Failure | None:
@@ -120,6 +140,7 @@
     clock = time.monotonic
     client = create_peer_client(own_host=shared.options.instance.host)
     peer_objects = PeerObjects(membership, client, clock)
+    routing.borrower.source = PeerPermits(membership, client, clock)
     listener = GossipListener(
         membership, shared.follower, routing, admission, peer_objects, clock
     )
@@ -130,7 +151,9 @@
     shared.instances.add_listener(listener.note_instances)
     server = create_peer_server(
         _EntryService(
-            shared.follower, shared.options.membership.operator_networks
+            shared.follower,
+            shared.options.membership.operator_networks,
+            routing.core.lender,
         ),
         shared.options.instance.name,
         membership.is_peer_host,
