Add damaskpoint-dump and check the operators' port

State of any process as JSON or as tables, a part of it, or its metrics; exit codes for scripts. Dumps are bounded by the process (200 entries a collection, what is left out is counted) and by the tool (bytes).

--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -148,6 +148,8 @@
 
 # Dump of the state: entries shown of one collection.
 MAX_DUMP_ITEMS: Final = 200
+MAX_DUMP_BYTES: Final = 33_554_432
+DUMP_TIMEOUT_S: Final = 5.0
 
 # Retries: share of first tries that may be repeated.
 RETRY_SHARE: Final = 0.1
--- /dev/null
+++ b/damaskpoint/main/dump.py
@@ -0,0 +1,106 @@
+"""``damaskpoint-dump``: shows the state of any process."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import ipaddress
+import json
+import sys
+from typing import TYPE_CHECKING, Final
+
+from damaskpoint import __version__, defaults
+from damaskpoint.errors import Code, Failure
+from damaskpoint.membership.facts import Address
+from damaskpoint.observe import dump_fetch
+from damaskpoint.observe.table_text import format_table
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+_EXIT_CODES: Final = {
+    Code.PEER_UNREACHABLE: 3,
+    Code.UNKNOWN_PATH: 4,
+    Code.MESSAGE_MALFORMED: 5,
+}
+_EPILOG: Final = """exit status: 0 done, 2 wrong arguments, 3 no answer,
+4 no such part, 5 an answer that cannot be read
+
+example: damaskpoint-dump 127.0.0.1:8081 --part membership --table"""
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Show a process's state; return the exit status."""
+    parsed = _create_parser().parse_args(arguments)
+    shown = asyncio.run(_show(parsed))
+    if isinstance(shown, Failure):
+        sys.stderr.write(f'{shown.code.value}: {shown.detail}\n')
+        return _EXIT_CODES[shown.code]
+    sys.stdout.write(shown)
+    return 0
+
+
+async def _show(parsed: argparse.Namespace) -> str | Failure:
+    """Return the text to write."""
+    if parsed.metrics:
+        return await dump_fetch.fetch_metrics(parsed.address, parsed.timeout_s)
+    state = await dump_fetch.fetch_state(
+        parsed.address, parsed.part, parsed.timeout_s
+    )
+    if isinstance(state, Failure):
+        return state
+    if parsed.table:
+        return format_table(state)
+    return f'{json.dumps(state, indent=2)}\n'
+
+
+def _create_parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(
+        prog='damaskpoint-dump',
+        description="Asks a process's operators' port for its state.",
+        epilog=_EPILOG,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument(
+        'address',
+        type=_parse_address,
+        metavar='HOST:PORT',
+        help="IP number and operators' port of the process",
+    )
+    parser.add_argument(
+        '--part', default='', metavar='NAME', help='show this part alone'
+    )
+    shape = parser.add_mutually_exclusive_group()
+    shape.add_argument(
+        '--json', action='store_true', help='show JSON (the default)'
+    )
+    shape.add_argument('--table', action='store_true', help='show tables')
+    shape.add_argument(
+        '--metrics',
+        action='store_true',
+        help='show the metrics as Prometheus text instead',
+    )
+    parser.add_argument(
+        '--timeout-s',
+        type=float,
+        default=defaults.DUMP_TIMEOUT_S,
+        metavar='SECONDS',
+        help='time to wait for the answer (default: %(default)s)',
+    )
+    parser.add_argument('--version', action='version', version=__version__)
+    return parser
+
+
+def _parse_address(text: str) -> Address:
+    host, _, port = text.rpartition(':')
+    try:
+        ipaddress.ip_address(host)
+    except ValueError as error:
+        raise argparse.ArgumentTypeError(str(error)) from None
+    if not port.isdecimal() or not 0 < int(port) <= defaults.MAX_PORT:
+        raise argparse.ArgumentTypeError(f'no such port: {port}')
+    return Address(host, int(port))
+
+
+if __name__ == '__main__':
+    sys.exit(main())
