--- a/damaskpoint/pipeline/pipeline_runner.py
+++ b/damaskpoint/pipeline/pipeline_runner.py
@@ -43,7 +43,11 @@
         return stages[position].name
 
     async def run_until(self, end: int) -> Failure | None:
-        """Run the stages up to a position; return what stopped them."""
+        """Run the stages up to a position; return what stopped them.
+
+        The failure speaks of the stage that it ended; ``describe`` makes it
+        speak of the whole request.
+        """
         stages = self.request.pipeline.stages
         for position in range(len(self._results), end):
             now = time.monotonic()
@@ -52,7 +56,7 @@
                 remaining, self.request.deadline, now
             )
             if too_late is not None:
-                return self._add_ran(too_late)
+                return too_late
             is_last = position == len(stages) - 1
             job = StageJob(
                 self.request,
@@ -66,7 +70,7 @@
             )
             result = await self._runner.run(job)
             if isinstance(result, Failure):
-                return self._add_ran(result)
+                return result
             self._results.append(result)
             self._payload = result.output
         return None
@@ -79,20 +83,16 @@
             tuple(self._results),
         )
 
-    def _estimates(self, position: int) -> list[StageEstimate]:
-        pipeline = self.request.pipeline
-        return [
-            self._times.find(pipeline.name, stage.name)
-            for stage in pipeline.stages[position:]
-        ]
-
-    def _add_ran(self, failure: Failure) -> Failure:
+    def describe(self, failure: Failure) -> Failure:
         """Say what is true of the whole request, not of one stage.
 
         Once an upstream has run a stage, "not run" is not the whole truth.
         While the stage with the side effect has not run, "yes" is not
-        either: the caller may take it for the effect.
+        either: the caller may take it for the effect. Once it has run, what
+        became of a later stage does not matter.
         """
+        if self._has_effect():
+            return replace(failure, ran=Ran.YES)
         if failure.ran is not Ran.NO or not self._results:
             return failure
         later = self.request.pipeline.stages[len(self._results) :]
@@ -100,3 +100,15 @@
             detail = f'{failure.detail}; the side effect has not happened'
             return replace(failure, ran=Ran.UNKNOWN, detail=detail)
         return replace(failure, ran=Ran.YES)
+
+    def _has_effect(self) -> bool:
+        """Return whether the stage with the side effect has run."""
+        done = self.request.pipeline.stages[: len(self._results)]
+        return any(stage.has_side_effect for stage in done)
+
+    def _estimates(self, position: int) -> list[StageEstimate]:
+        pipeline = self.request.pipeline
+        return [
+            self._times.find(pipeline.name, stage.name)
+            for stage in pipeline.stages[position:]
+        ]
