--- a/damaskpoint/observe/dump_fetch.py
+++ b/damaskpoint/observe/dump_fetch.py
@@ -5,7 +5,7 @@
 import http
 import json
 from typing import TYPE_CHECKING, Final
-from urllib import parse
+from urllib.parse import quote
 
 from tornado import httpclient
 
@@ -27,7 +27,7 @@
     Failures: ``PEER_UNREACHABLE``, ``UNKNOWN_PATH`` for a part that is not
     there, ``MESSAGE_MALFORMED``.
     """
-    query = f'?part={parse.quote(part)}' if part else ''
+    query = f'?part={quote(part)}' if part else ''
     body = await _fetch(address, f'{PATH_STATE}{query}', timeout_s)
     if isinstance(body, Failure):
         return body
