--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -135,6 +135,8 @@
 # counts as stopped (seconds).
 SILENT_PROOF_S: Final = 30.0
 SILENT_CALL_S: Final = 10.0
+# Time for which a lent permit may be used to send (seconds).
+LOAN_S: Final = 1.0
 # A loop that stood still longer than this has old messages in its sockets.
 PAUSE_BOUND_S: Final = 1.0
 ROUTING_TICK_S: Final = 0.1
@@ -147,11 +149,13 @@
 CAPACITY_FILL: Final = 1.25
 MIN_RETRY_AFTER_S: Final = 1.0
 MAX_RETRY_AFTER_S: Final = 60.0
-SERVICE_TIME_KEEP_S: Final = 5.0
+SERVICE_TIME_KEEP_S: Final = 2.0
 UNKNOWN_SERVICE_S: Final = 0.1
 
 # Dump of the state: entries shown of one collection.
 MAX_DUMP_ITEMS: Final = 200
+MAX_DUMP_BYTES: Final = 33_554_432
+DUMP_TIMEOUT_S: Final = 5.0
 
 # Retries: share of first tries that may be repeated.
 RETRY_SHARE: Final = 0.1
