Check on raw connections that a call is sent once and its end told truly

Also forget the stage times of pipelines that a configuration drops: nothing called for it, so they would have grown with every renamed pipeline.

--- a/damaskpoint/entry/wiring.py
+++ b/damaskpoint/entry/wiring.py
@@ -174,6 +174,7 @@
 ) -> PipelineService:
     """Return the service that runs pipelines."""
     times = StageTimes()
+    shared.follower.add_listener(functools.partial(_forget_stages, times))
     shared.registry.register('stage_times', times)
     runner = StageRunner(calls, budget, times)
     return PipelineService(runner, times, guard)
@@ -231,3 +232,7 @@
     directory: UpstreamDirectory, configuration: Configuration
 ) -> None:
     directory.apply_configuration(configuration, time.monotonic())
+
+
+def _forget_stages(times: StageTimes, configuration: Configuration) -> None:
+    times.keep_only(frozenset(configuration.pipelines_by_name))
--- /dev/null
+++ b/features/steps/upstream_client_steps.py
@@ -0,0 +1,190 @@
+"""Steps that put the upstream client before a small server of raw bytes."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+from typing import Any, Final
+
+from behave import given, then, when
+
+from damaskpoint.pipeline.call import CallFault, UpstreamAnswer, UpstreamCall
+from damaskpoint.pipeline.upstream_client import UpstreamClient
+
+_HOST: Final = '127.0.0.1'
+_BOUND: Final = 10_000
+_LATE_S: Final = 0.3
+_FAR_S: Final = 20.0
+_OK: Final = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+_CUT: Final = b'HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok'
+_ENDLESS: Final = b'HTTP/1.1 200 OK\r\n\r\nok'
+_LARGE: Final = b'HTTP/1.1 200 OK\r\nContent-Length: 20000\r\n\r\n' + (
+    b'x' * 20_000
+)
+# What is written back, and whether the connection then closes.
+_ANSWERS: Final = {
+    'answers': (_OK, False),
+    'closes after it has read': (b'', True),
+    'cuts its answer': (_CUT, True),
+    'answers without a clear end': (_ENDLESS, True),
+    'answers more than the bound': (_LARGE, False),
+    'answers something else than HTTP': (b'hello\r\n\r\n', True),
+    'never answers': (b'', False),
+}
+
+
+@dataclass(slots=True)
+class RawUpstream:
+    """Counts what it reads, and answers as it is told."""
+
+    behaviour: str
+    reads: int = 0
+    connections: int = 0
+    closed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one connection."""
+        self.connections += 1
+        is_open = True
+        try:
+            while is_open:
+                is_open = await self._serve_one(reader, writer)
+        except asyncio.CancelledError:
+            # The scenario has ended.
+            is_open = False
+        self.closed.set()
+        writer.close()
+
+    async def _serve_one(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        try:
+            await reader.readuntil(b'\r\n\r\n')
+        except asyncio.IncompleteReadError:
+            return False
+        self.reads += 1
+        written, closes = self._choose()
+        writer.write(written)
+        await writer.drain()
+        return not closes
+
+    def _choose(self) -> tuple[bytes, bool]:
+        if self.behaviour.startswith('answers the first request'):
+            is_first = self.reads == 1
+            return (_OK, False) if is_first else (b'', True)
+        return _ANSWERS[self.behaviour]
+
+
+@given('an upstream that {behaviour}')
+def make_upstream(context: Any, behaviour: str) -> None:
+    """Keep how it behaves; it starts with the calls."""
+    context.behaviour = behaviour
+
+
+@when('a call that is {kind} is sent to it')
+def send_one(context: Any, kind: str) -> None:
+    """Send a call."""
+    asyncio.run(_send(context, kind, 1, 0))
+
+
+@when('{count:d} calls that are {kind} are sent to it')
+def send_many(context: Any, count: int, kind: str) -> None:
+    """Send calls one after the other."""
+    asyncio.run(_send(context, kind, count, 0))
+
+
+@when('a call is sent after its time to send')
+def send_old(context: Any) -> None:
+    """Send with a ticket that is too old."""
+    asyncio.run(_send(context, 'idempotent', 1, _FAR_S))
+
+
+@when('a call to it is cancelled')
+def cancel_call(context: Any) -> None:
+    """Cancel once the call was read."""
+    context.saw_close = asyncio.run(_cancel(context.behaviour))
+
+
+@then('the upstream sees the connection close')
+def check_close(context: Any) -> None:
+    """Check what it saw."""
+    assert context.saw_close
+
+
+@then('the call ends as "{end}" and the upstream has read {reads:d} requests')
+def check_end(context: Any, end: str, reads: int) -> None:
+    """Compare the end and the count."""
+    assert context.end == end, context.end
+    assert context.upstream.reads == reads, context.upstream
+
+
+@then(
+    'the last call ends as "{end}" and the upstream has read {reads:d} '
+    'requests on {connections:d} connections'
+)
+def check_connections(
+    context: Any, end: str, reads: int, connections: int
+) -> None:
+    """Compare the end and both counts."""
+    check_end(context, end, reads)
+    assert context.upstream.connections == connections, context.upstream
+
+
+async def _send(context: Any, kind: str, count: int, age_s: float) -> None:
+    upstream = RawUpstream(context.behaviour)
+    context.upstream = upstream
+    server = await asyncio.start_server(upstream.serve, _HOST, 0)
+    port = server.sockets[0].getsockname()[1]
+    if context.behaviour == 'is not there':
+        server.close()
+        await server.wait_closed()
+    client = UpstreamClient(_LATE_S, _BOUND)
+    for _ in range(count):
+        call = _make_call(kind == 'idempotent', age_s, _limit_s(upstream))
+        answer = await client.send((_HOST, port), call)
+        context.end = _name_end(answer)
+    client.close_idle(time.monotonic() + _FAR_S)
+    server.close()
+
+
+async def _cancel(behaviour: str) -> bool:
+    upstream = RawUpstream(behaviour)
+    server = await asyncio.start_server(upstream.serve, _HOST, 0)
+    port = server.sockets[0].getsockname()[1]
+    client = UpstreamClient(_LATE_S, _BOUND)
+    call = _make_call(is_idempotent=True, age_s=0, limit_s=_FAR_S)
+    work = asyncio.ensure_future(client.send((_HOST, port), call))
+    while upstream.reads == 0:
+        await asyncio.sleep(0.01)
+    work.cancel()
+    await asyncio.wait_for(upstream.closed.wait(), _FAR_S)
+    server.close()
+    return work.cancelled()
+
+
+def _make_call(
+    is_idempotent: bool, age_s: float, limit_s: float
+) -> UpstreamCall:
+    now = time.monotonic()
+    return UpstreamCall(
+        method='POST',
+        path='/x',
+        headers=(('Host', _HOST),),
+        body=b'',
+        deadline=now + limit_s,
+        send_by=now + _FAR_S - 2 * age_s,
+        is_idempotent=is_idempotent,
+    )
+
+
+def _limit_s(upstream: RawUpstream) -> float:
+    return _LATE_S if upstream.behaviour == 'never answers' else _FAR_S
+
+
+def _name_end(answer: UpstreamAnswer | CallFault) -> str:
+    if isinstance(answer, CallFault):
+        return answer.end.value
+    return 'succeeded' if answer.body == b'ok' else 'other'
