Call peers from the instance's own address

Cause: an entry that starts while the whole platform is down asks its peers for the configuration; they refused it ("only peers may ask"), since the call left from whatever address the machine chose, not from the one by which peers know the instance.

--- a/damaskpoint/entry/peering.py
+++ b/damaskpoint/entry/peering.py
@@ -95,7 +95,8 @@
     instance list's listeners, which must hear before the peers do.
     """
     clock = time.monotonic
-    peer_objects = PeerObjects(membership, create_peer_client(), clock)
+    client = create_peer_client(source_host=shared.options.instance.host)
+    peer_objects = PeerObjects(membership, client, clock)
     listener = GossipListener(
         membership, shared.follower, routing, admission, peer_objects, clock
     )
--- a/damaskpoint/wire/peer_client.py
+++ b/damaskpoint/wire/peer_client.py
@@ -22,11 +22,13 @@
 
 
 def create_peer_client(
-    timeout_s: float = defaults.PEER_CALL_TIMEOUT_S,
+    timeout_s: float = defaults.PEER_CALL_TIMEOUT_S, source_host: str = ''
 ) -> PeerClient:
     """Return a client with an HTTP client of its own.
 
-    ``timeout_s`` bounds each call, from its start to its whole answer.
+    ``timeout_s`` bounds each call, from its start to its whole answer. Calls
+    leave from ``source_host``, by which peers know the caller; empty leaves
+    the choice to the machine.
     """
     client = simple_httpclient.SimpleAsyncHTTPClient(
         force_instance=True,
@@ -34,7 +36,7 @@
         max_body_size=defaults.MAX_PEER_BODY_BYTES,
         max_buffer_size=defaults.MAX_PEER_BODY_BYTES,
     )
-    return PeerClient(client, timeout_s)
+    return PeerClient(client, timeout_s, source_host)
 
 
 @final
@@ -47,11 +49,15 @@
     """
 
     def __init__(
-        self, client: httpclient.AsyncHTTPClient, timeout_s: float
+        self,
+        client: httpclient.AsyncHTTPClient,
+        timeout_s: float,
+        source_host: str = '',
     ) -> None:
         """Call through this HTTP client."""
         self._client = client
         self._timeout_s = timeout_s
+        self._source_host = source_host
 
     async def get_in_force(self, address: Address) -> ttypes.InForce | Failure:
         """Return which version a process has in force."""
@@ -88,6 +94,7 @@
             connect_timeout=self._timeout_s,
             request_timeout=self._timeout_s,
             follow_redirects=False,
+            network_interface=self._source_host or None,
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
--- a/features/proof_configuration.feature
+++ b/features/proof_configuration.feature
@@ -20,3 +20,10 @@
     Examples: Seeds
       | seed |
       | 1 |
+
+  Scenario: All entries are replaced while the whole platform is down
+    New processes learn of the configuration from each other alone.
+
+    Given a trial of the promise "start in an outage"
+    When the trial runs with the seed 1
+    Then no check finds a violation
--- a/features/support/operators.py
+++ b/features/support/operators.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import itertools
+import signal
 import time
 from typing import TYPE_CHECKING, Final
 
 from features.support import sheets
 from features.support.caller import CallerRequest
+from features.support.checker import BOUND_S
 from features.support.launcher import fetch
 
 if TYPE_CHECKING:
@@ -24,6 +26,7 @@
 _ACCEPTED_STATUSES: Final = frozenset((0, 7))
 _PROBE_GAP_S: Final = 0.2
 _SHEETS: Final = 3
+_WAITING_REQUESTS: Final = 12
 _ORDERED_SHEETS: Final = 6
 # Bound on bringing three engines into line, after the last fault (seconds).
 _IN_LINE_S: Final = 40.0
@@ -36,22 +39,42 @@
     """Take a zone out, watch, and bring it back in."""
     zone = draw.choice(sheets.ZONES)
     await asyncio.sleep(draw.uniform(0.3, 2))
-    await _change_zone(cluster, 'out', zone)
-    cluster.operator.record('excluded', name=zone)
+    await _take_out(cluster, zone)
     await _add_traffic(traffic)
     cluster.operator.record('included', name=zone)
     await _change_zone(cluster, 'in', zone)
 
 
+async def freeze_through_change(
+    cluster: Cluster, traffic: Traffic, draw: random.Random
+) -> None:
+    """Take a zone out and let an engine leave while an entry is frozen.
+
+    Callers go on to the frozen entry; it finds their requests when it is
+    continued, before anything that it could learn of the change.
+    """
+    name = draw.choice(('entry-1', 'entry-2'))
+    zone, leaving = draw.choice(
+        (('zone-a', 'engine-2'), ('zone-c', 'engine-1'))
+    )
+    await asyncio.sleep(draw.uniform(0.5, 1.5))
+    async with cluster.locks_by_name[name]:
+        cluster.launcher.send(name, signal.SIGSTOP)
+        await _mark_leaving(cluster, leaving)
+        await _take_out(cluster, zone)
+        await asyncio.sleep(BOUND_S + draw.uniform(0.1, 1))
+        await _let_wait(traffic, name)
+        cluster.launcher.send(name, signal.SIGCONT)
+    await traffic.finish()
+
+
 async def let_upstream_leave(
     cluster: Cluster, traffic: Traffic, draw: random.Random
 ) -> None:
     """Mark an engine as leaving; then the list lags and steps back."""
     name = draw.choice(('engine-1', 'engine-2', 'engine-3'))
     await asyncio.sleep(draw.uniform(0.3, 2))
-    cluster.members_by_name[name].presence = 'leaving'
-    await cluster.publish(lag_s=draw.choice((0, 1)))
-    cluster.operator.record('excluded', name=name)
+    await _mark_leaving(cluster, name, lag_s=draw.choice((0, 1)))
     going_back = asyncio.ensure_future(_step_back(cluster, draw))
     await _add_traffic(traffic)
     await going_back
@@ -61,27 +84,35 @@
     cluster: Cluster, traffic: Traffic, draw: random.Random
 ) -> None:
     """Apply sheet after sheet while probes ask every entry."""
-    probing = [
-        asyncio.ensure_future(_probe(cluster, name))
-        for name in cluster.members_by_name
-        if name.startswith('entry')
-    ]
+    probing = _start_probes(cluster)
     for number in range(2, 2 + _SHEETS):
         await asyncio.sleep(draw.uniform(0.3, 1.5))
         await _apply(cluster, number)
     # Right after the acceptance the platform may go down, and all entries
     # may be replaced.
     if draw.choice((True, False)):
-        down = {'mode': 'refuse'}
-        await cluster.control(
-            'platform', table=down, object_store=down, instances=down
-        )
+        await _stop_platform(cluster)
     if draw.choice((True, False)):
         await replace_entries(cluster, traffic, draw)
     await asyncio.sleep(_WATCHED_S)
-    for task in probing:
-        task.cancel()
-    await asyncio.gather(*probing, return_exceptions=True)
+    await _end_probes(probing)
+
+
+async def replace_in_outage(
+    cluster: Cluster, traffic: Traffic, draw: random.Random
+) -> None:
+    """Replace all entries while the whole platform is down.
+
+    The last sheet has reached the entries before; new processes can learn
+    of it from each other alone.
+    """
+    probing = _start_probes(cluster)
+    await _apply(cluster, 2)
+    await asyncio.sleep(BOUND_S)
+    await _stop_platform(cluster)
+    await replace_entries(cluster, traffic, draw)
+    await asyncio.sleep(_PROBE_GAP_S)
+    await _end_probes(probing)
 
 
 async def replace_entries(
@@ -126,6 +157,45 @@
     await traffic.run(('answer', 'stream'), _MORE_REQUESTS, _WATCHED_S)
 
 
+async def _let_wait(traffic: Traffic, name: str) -> None:
+    """Put requests into the socket of an entry that does not read."""
+    for _ in range(_WAITING_REQUESTS):
+        traffic.start_at(name)
+    await asyncio.sleep(_PROBE_GAP_S)
+
+
+def _start_probes(cluster: Cluster) -> list[asyncio.Task[None]]:
+    return [
+        asyncio.ensure_future(_probe(cluster, name))
+        for name in cluster.members_by_name
+        if name.startswith('entry')
+    ]
+
+
+async def _end_probes(probing: list[asyncio.Task[None]]) -> None:
+    for task in probing:
+        task.cancel()
+    await asyncio.gather(*probing, return_exceptions=True)
+
+
+async def _stop_platform(cluster: Cluster) -> None:
+    down = {'mode': 'refuse'}
+    await cluster.control(
+        'platform', table=down, object_store=down, instances=down
+    )
+
+
+async def _mark_leaving(cluster: Cluster, name: str, lag_s: float = 0) -> None:
+    cluster.members_by_name[name].presence = 'leaving'
+    await cluster.publish(lag_s=lag_s)
+    cluster.operator.record('excluded', name=name)
+
+
+async def _take_out(cluster: Cluster, zone: str) -> None:
+    await _change_zone(cluster, 'out', zone)
+    cluster.operator.record('excluded', name=zone)
+
+
 async def _change_zone(cluster: Cluster, state: str, zone: str) -> None:
     for _ in range(_PATIENCE):
         status = await cluster.run_sheet_tool('zone', state, zone, '--wait-s=0')
--- a/features/support/trials.py
+++ b/features/support/trials.py
@@ -165,6 +165,14 @@
         requests=100,
         operate=operators.take_zone_out,
     ),
+    'frozen entry': Promise(
+        ('zone out and leaving', 'own answer'),
+        ('answer',),
+        (),
+        requests=20,
+        fault_count=0,
+        operate=operators.freeze_through_change,
+    ),
     'leaving upstream': Promise(
         ('zone out and leaving', 'own answer'),
         ('answer', 'stream'),
@@ -191,6 +199,14 @@
         requests=20,
         operate=operators.apply_sheets,
     ),
+    'start in an outage': Promise(
+        ('accepted configuration', 'own answer'),
+        ('answer',),
+        (),
+        requests=20,
+        fault_count=0,
+        operate=operators.replace_in_outage,
+    ),
     'graceful shutdown': Promise(
         ('graceful shutdown', 'own answer', 'one answer', 'at most once'),
         ('stream', 'stream', 'answer', 'order', 'service'),
