--- a/features/steps/gossip_steps.py
+++ b/features/steps/gossip_steps.py
@@ -20,7 +20,6 @@
 from features.steps.membership_bench import HeldVersion
 from features.support.cluster import Cluster
 from features.support.launcher import Launcher, fetch
-from features.support.relay import Relay
 from features.support.sheets import SheetOptions
 
 _PORT = 8082
@@ -204,28 +203,16 @@
     cluster = context.cluster
     await cluster.start_platform()
     await cluster.add_upstream('engine', 'engine-1', 'model-pool', 'zone-a')
-    platform_host, _, platform_port = cluster.platform_url[7:].partition(':')
-    context.relay = Relay(platform_host, int(platform_port))
-    relay_host = cluster.launcher.next_host()
-    await context.relay.start(relay_host, 7000)
-    relay_url = f'http://{relay_host}:7000'
-    # Peers of the settings serve a start while the list is down.
-    hosts = [cluster.launcher.next_host() for _ in range(3)]
-    cluster.sections['membership'] = {
-        'peers': [f'{host}:{_PORT}' for host in hosts]
-    }
     context.names = ['entry-1', 'entry-2', 'entry-3']
-    hosts_left = iter(hosts)
-    cluster.launcher.next_host = lambda: next(hosts_left)
     assert await cluster.apply(SheetOptions(), '--wait-s=0') in {0, 7}
-    for name, url in zip(
-        context.names, ('', relay_url, relay_url), strict=True
-    ):
-        await cluster.add_entry(name, 'zone-a', url)
+    for name in context.names:
+        await cluster.add_entry(name, 'zone-a')
     for name in context.names:
         await cluster.wait_entry(name)
-    context.relay.silence()
-    context.relay.close_links()
+    for name in context.names[1:]:
+        relay = cluster.relays_by_name[name]
+        relay.silence()
+        relay.close_links()
 
 
 @when('the list shows an engine as leaving')
