--- a/features/steps/gossip_steps.py
+++ b/features/steps/gossip_steps.py
@@ -210,8 +210,9 @@
     for name in context.names:
         await cluster.wait_entry(name)
     for name in context.names[1:]:
-        cluster.relays_by_name[name].silence()
-        cluster.relays_by_name[name].close_links()
+        relay = cluster.relays_by_name[name]
+        relay.silence()
+        relay.close_links()
 
 
 @when('the list shows an engine as leaving')
