--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -66,7 +66,9 @@
 MAX_DIGEST_BYTES: Final = 64
 MAX_MESSAGE_ITEMS: Final = 4_096
 MAX_PEER_BODY_BYTES: Final = 8_388_608
-MAX_PEER_REQUEST_BYTES: Final = 65_536
+# A configuration is handed over whole.
+MAX_PEER_REQUEST_BYTES: Final = 1_048_576
+OPERATOR_NETWORKS: Final = ('127.0.0.0/8',)
 PEER_CALL_TIMEOUT_S: Final = 1.0
 MAX_PEER_CALLS: Final = 32
 
@@ -143,7 +145,7 @@
 CAPACITY_FILL: Final = 1.25
 MIN_RETRY_AFTER_S: Final = 1.0
 MAX_RETRY_AFTER_S: Final = 60.0
-SERVICE_TIME_KEEP_S: Final = 5.0
+SERVICE_TIME_KEEP_S: Final = 2.0
 UNKNOWN_SERVICE_S: Final = 0.1
 
 # Dump of the state: entries shown of one collection.
--- a/damaskpoint/wire/peer_client.py
+++ b/damaskpoint/wire/peer_client.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import http
-from typing import TYPE_CHECKING, TypeVar, final
+import math
+from typing import TYPE_CHECKING, Final, TypeVar, final
 
 from thrift.transport import TTransport
 from tornado import httpclient, simple_httpclient
@@ -17,18 +18,21 @@
     from collections.abc import Callable
 
     from damaskpoint.membership.facts import Address
+    from damaskpoint.wire.held import HeldConfiguration
 
 _Answer = TypeVar('_Answer')
+_MS_PER_S: Final = 1_000
 
 
 def create_peer_client(
-    timeout_s: float = defaults.PEER_CALL_TIMEOUT_S, source_host: str = ''
+    timeout_s: float = defaults.PEER_CALL_TIMEOUT_S,
+    own_host: str | None = None,
 ) -> PeerClient:
     """Return a client with an HTTP client of its own.
 
-    ``timeout_s`` bounds each call, from its start to its whole answer. Calls
-    leave from ``source_host``, by which peers know the caller; empty leaves
-    the choice to the machine.
+    ``timeout_s`` bounds each call, from its start to its whole answer.
+    ``own_host`` is the IP number that peers know the caller by; an operator
+    needs none.
     """
     client = simple_httpclient.SimpleAsyncHTTPClient(
         force_instance=True,
@@ -36,7 +40,7 @@
         max_body_size=defaults.MAX_PEER_BODY_BYTES,
         max_buffer_size=defaults.MAX_PEER_BODY_BYTES,
     )
-    return PeerClient(client, timeout_s, source_host)
+    return PeerClient(client, timeout_s, own_host)
 
 
 @final
@@ -52,12 +56,12 @@
         self,
         client: httpclient.AsyncHTTPClient,
         timeout_s: float,
-        source_host: str = '',
+        own_host: str | None,
     ) -> None:
-        """Call through this HTTP client."""
+        """Call through this HTTP client, from this IP number if given."""
         self._client = client
+        self._own_host = own_host
         self._timeout_s = timeout_s
-        self._source_host = source_host
 
     async def get_in_force(self, address: Address) -> ttypes.InForce | Failure:
         """Return which version a process has in force."""
@@ -70,6 +74,28 @@
         )
         return _count('get_in_force', answer)
 
+    async def hold_configuration(
+        self, address: Address, accepted: HeldConfiguration, age_s: float
+    ) -> Failure | None:
+        """Let a process put an accepted version in force.
+
+        ``age_s`` counts from before the version was accepted.
+        """
+        message = ttypes.ConfigurationBody(
+            accepted.version, accepted.digest, accepted.body
+        )
+        age_ms = math.ceil(age_s * _MS_PER_S)
+        request = _encode_call(
+            lambda stub: stub.send_hold_configuration(message, age_ms)
+        )
+        body = await self._post(address, request)
+        if isinstance(body, Failure):
+            return _count('hold_configuration', body)
+        answer: Failure | None = _decode_answer(
+            body, lambda stub: stub.recv_hold_configuration()
+        )
+        return _count('hold_configuration', answer)
+
     async def get_configuration(
         self, address: Address, version: int
     ) -> ttypes.ConfigurationBody | Failure:
@@ -94,7 +120,7 @@
             connect_timeout=self._timeout_s,
             request_timeout=self._timeout_s,
             follow_redirects=False,
-            network_interface=self._source_host or None,
+            network_interface=self._own_host,
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
