--- a/features/cold_start_permits.feature
+++ b/features/cold_start_permits.feature
@@ -24,6 +24,7 @@
       | lease                | freeze    | 20    | 1      | 0     | 24          | 55   |
       | lease's deadline     | cut_table | 8     | 45     | 1     | 11,20,29,38 | 55   |
       | bound on work inside | freeze    | 20    | 1      | 0     | 24          | 55   |
+      | count of loans       | freeze    | 20    | 1      | 0     | 8,17,26     | 55   |
       | proof's age          | freeze    | 20    | 11     | 0     | 24          | 23.9 |
       | notice of a pause    | freeze    | 20    | 11     | 0     | 24          | 23.9 |
 
--- a/features/routing_sim/unguarded.py
+++ b/features/routing_sim/unguarded.py
@@ -43,6 +43,21 @@
     _replace(book, 'find_room', find_room)
 
 
+def without_loans(entry: SimEntry) -> None:
+    """Let the holder forget what it has lent."""
+    book = entry.core.permits
+
+    def find_room(name: str, own: int, limit: int, now: float) -> int:
+        if not book.is_held(name, now):
+            return 0
+        inside = book.leases_by_name[name].inside
+        if inside.others is None:
+            return 0
+        return max(0, limit - own - inside.others - len(inside.unseen_ends))
+
+    _replace(book, 'find_room', find_room)
+
+
 def without_proof_age(entry: SimEntry) -> None:
     """Let a proof of warmth hold for ever."""
     entry.warmth.bound_s = 1_000
@@ -65,6 +80,7 @@
     'lease': without_lease,
     "lease's deadline": without_deadline,
     'bound on work inside': without_bound,
+    'count of loans': without_loans,
     "proof's age": without_proof_age,
     'notice of a pause': without_pause_guard,
 }
