--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -15,6 +15,8 @@
 # arrive (seconds).
 IDLE_CALLER_S: Final = 75.0
 BODY_TIMEOUT_S: Final = 30.0
+# How long a final answer may wait for its caller to read it (seconds).
+WRITE_WAIT_S: Final = 30.0
 MAX_HEADER_BYTES: Final = 16_384
 MAX_JSON_DEPTH: Final = 32
 MAX_KEY_CHARACTERS: Final = 128
@@ -147,11 +149,13 @@
 CAPACITY_FILL: Final = 1.25
 MIN_RETRY_AFTER_S: Final = 1.0
 MAX_RETRY_AFTER_S: Final = 60.0
-SERVICE_TIME_KEEP_S: Final = 5.0
+SERVICE_TIME_KEEP_S: Final = 2.0
 UNKNOWN_SERVICE_S: Final = 0.1
 
 # Dump of the state: entries shown of one collection.
 MAX_DUMP_ITEMS: Final = 200
+MAX_DUMP_BYTES: Final = 33_554_432
+DUMP_TIMEOUT_S: Final = 5.0
 
 # Retries: share of first tries that may be repeated.
 RETRY_SHARE: Final = 0.1
--- a/damaskpoint/entry/caller_handler.py
+++ b/damaskpoint/entry/caller_handler.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import time
 import uuid
 from typing import TYPE_CHECKING, Final
 
 from tornado import web
 from tornado.iostream import StreamClosedError
 
+from damaskpoint import defaults
 from damaskpoint.admission.base import AdmissionPass, AdmissionRequest
 from damaskpoint.entry.answering_handler import AnsweringHandler
 from damaskpoint.entry.caller_input import (
@@ -131,12 +133,24 @@
             self.place,
         )
         number = self.parts.in_flight.add(record)
+        try:
+            await self._serve_and_write(target)
+        except BaseException:
+            self.parts.in_flight.remove(number)
+            raise
+        self.parts.in_flight.remove(number)
+
+    async def _serve_and_write(self, target: tuple[str, ...]) -> None:
+        """Serve, and wait until the caller has the answer.
+
+        A shutdown would cut an answer that still waits for a slow caller.
+        """
         try:
             await self._serve_checked(target)
         except FailureError as error:
             self.fail(error.failure)
-        finally:
-            self.parts.in_flight.remove(number)
+        if self.written is not None:
+            await asyncio.wait((self.written,), timeout=defaults.WRITE_WAIT_S)
 
     async def _serve_checked(self, target: tuple[str, ...]) -> None:
         if self._read_bytes > self.parts.border.max_body_bytes:
@@ -149,7 +163,7 @@
 
     def _find_configuration(self) -> Configuration:
         """Return the configuration in force; raise why there is none."""
-        not_ready = self.parts.follower.check_ready(self.arrived_at)
+        not_ready = self.parts.follower.check_ready(time.monotonic())
         if not_ready is not None:
             raise FailureError(not_ready)
         configuration = self.parts.follower.current
