--- a/features/support/measure_entry.py
+++ b/features/support/measure_entry.py
@@ -38,6 +38,9 @@
 _CALL: Final = b'{"model": "model-1", "adapter": "", "input": {"tokens": 12}}'
 _KINDS: Final = ('encode', 'retrieve', 'rerank', 'generate')
 _MS: Final = 1_000
+_US: Final = 1_000_000
+_STREAMS: Final = 4
+_STREAM_BODY: Final = b'{"input": {"tokens": 1000}, "stream": true}'
 _TICKS: Final = os.sysconf('SC_CLK_TCK')
 
 
@@ -67,9 +70,45 @@
     for callers in (1, 8, 32):
         row = await _load(client, url, pid, callers, run_s)
         rows.append({**row, 'direct_chain_p50_ms': direct_ms})
+    rows.append(await _measure_tokens(client, url, pid, run_s))
     return rows
 
 
+async def _measure_tokens(
+    client: SimpleAsyncHTTPClient, url: str, pid: int, run_s: float
+) -> dict[str, object]:
+    """Return what passing on one token of a stream costs the entry."""
+    end = time.monotonic() + run_s
+    used_s = _read_cpu_s(pid)
+    counts = await asyncio.gather(
+        *[_stream_until(client, url, end) for _ in range(_STREAMS)]
+    )
+    used_s = _read_cpu_s(pid) - used_s
+    tokens = sum(counts)
+    return {
+        'streams': _STREAMS,
+        'tokens_per_s': round(tokens / run_s),
+        'entry_cpu_us_per_token': round(used_s * _US / tokens, 1),
+        'entry_core_share': round(used_s / run_s, 2),
+    }
+
+
+async def _stream_until(
+    client: SimpleAsyncHTTPClient, url: str, end: float
+) -> int:
+    tokens = 0
+    while time.monotonic() < end:
+        answer = await client.fetch(
+            f'{url}{ANSWER_PATH}',
+            method='POST',
+            body=_STREAM_BODY,
+            headers=_HEADERS,
+            raise_error=False,
+        )
+        tokens += answer.body.count(b'event: token')
+    return tokens
+
+
 async def _start(cluster: Cluster) -> str:
     await cluster.start_platform()
     zero = [f'--{kind}-ms=0' for kind in _KINDS]
--- a/standins/bench/__main__.py
+++ b/standins/bench/__main__.py
@@ -5,7 +5,6 @@
 import argparse
 import asyncio
 import json
-import os
 import pathlib
 import statistics
 import sys
@@ -14,6 +13,7 @@
 
 from damaskpoint.load.plots import Curve, plot_attainment
 from damaskpoint.load.profiles import PROFILES_BY_NAME
+from standins.bench.addresses import pick_base_host
 from standins.bench.deployment import MODULE_BY_SYSTEM, DeploymentOptions
 from standins.bench.experiment import Result, run_experiment
 from standins.bench.scenarios import SCENARIOS_BY_NAME, Scenario
@@ -22,7 +22,6 @@
 _CAPACITY_PER_S: Final = 98.0
 _ENTRIES: Final = 6
 _RUNS: Final = 3
-_HOST_RANGE: Final = 250
 
 
 def main() -> None:
@@ -72,7 +71,7 @@
                     profile=arguments.profile,
                     system=system,
                     entries=arguments.entries,
-                    base_host=_pick_base_host(),
+                    base_host=pick_base_host(),
                     folder=pathlib.Path(folder),
                 )
                 results.append(
@@ -86,12 +85,6 @@
     return results
 
 
-def _pick_base_host() -> str:
-    """Return loopback numbers that no other run uses."""
-    own = os.getpid()
-    return f'127.{1 + own // _HOST_RANGE % _HOST_RANGE}.{own % _HOST_RANGE}'
-
-
 def _report(
     scenario: Scenario, results: list[Result], out: pathlib.Path
 ) -> None:
--- a/standins/bench/deployment.py
+++ b/standins/bench/deployment.py
@@ -82,6 +82,13 @@
         """Return the folder of the stand-ins' histories."""
         return self.options.folder / 'history'
 
+    def operator_urls(self) -> tuple[str, ...]:
+        """Return the base URLs of the entries' operators' ports."""
+        return tuple(
+            url.replace(str(_PORT), str(_OPERATOR_PORT))
+            for url in self.entry_urls
+        )
+
     def urls_in_zone(self, zone: str) -> list[str]:
         """Return the base URLs of a zone's upstreams."""
         urls: list[str] = []
@@ -236,8 +243,8 @@
 async def _wait_ready(deployment: Deployment) -> None:
     client = AsyncHTTPClient()
     until = time.monotonic() + _START_TIMEOUT_S
-    for url in deployment.entry_urls:
-        ready = url.replace(str(_PORT), str(_OPERATOR_PORT)) + '/readyz'
+    for url in deployment.operator_urls():
+        ready = f'{url}/readyz'
         while time.monotonic() < until:
             response = await fetch(client, HTTPRequest(ready))
             if response and response.code == _HTTP_OK:
