--- a/standins/bench/idle.py
+++ b/standins/bench/idle.py
@@ -142,7 +142,7 @@
 def _add_counters(counters: dict[str, float], text: str) -> None:
     """Add the counters that control moves to the sums."""
     for line in text.splitlines():
-        name = line.partition('{')[0]
+        name = line.partition(' ')[0].partition('{')[0]
         if name not in {_GOSSIP, _PLATFORM, _POLLS}:
             continue
         found = re.search('service="([^"]*)"', line)
