Take the hand-over out of the build without polls as well

The proof runs a build that keeps its first configuration for good and asks the checker to find that. It now refuses handed versions as it refuses offers; what the checker asks is unchanged.

--- a/features/support/unguarded.py
+++ b/features/support/unguarded.py
@@ -119,6 +119,7 @@
 
     _replace(ConfigurationFollower, 'is_poll_due', is_poll_due)
     _replace(ConfigurationFollower, 'offer', _say(value=None))
+    _replace(ConfigurationFollower, 'take', _say(value=None))
     _replace(ConfigurationFollower, 'check_ready', _say(value=None))
 
 
