--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -15,6 +15,8 @@
 # arrive (seconds).
 IDLE_CALLER_S: Final = 75.0
 BODY_TIMEOUT_S: Final = 30.0
+# How long a final answer may wait for its caller to read it (seconds).
+WRITE_WAIT_S: Final = 30.0
 MAX_HEADER_BYTES: Final = 16_384
 MAX_JSON_DEPTH: Final = 32
 MAX_KEY_CHARACTERS: Final = 128
@@ -133,6 +135,8 @@
 # counts as stopped (seconds).
 SILENT_PROOF_S: Final = 30.0
 SILENT_CALL_S: Final = 10.0
+# Time for which a lent permit may be used to send (seconds).
+LOAN_S: Final = 1.0
 # A loop that stood still longer than this has old messages in its sockets.
 PAUSE_BOUND_S: Final = 1.0
 ROUTING_TICK_S: Final = 0.1
@@ -150,6 +154,8 @@
 
 # Dump of the state: entries shown of one collection.
 MAX_DUMP_ITEMS: Final = 200
+MAX_DUMP_BYTES: Final = 33_554_432
+DUMP_TIMEOUT_S: Final = 5.0
 
 # Retries: share of first tries that may be repeated.
 RETRY_SHARE: Final = 0.1
