--- a/damaskpoint/load/slopes_admission.py
+++ b/damaskpoint/load/slopes_admission.py
@@ -120,7 +120,7 @@
     now: float = 0
     for number in range(_RUNNING + waiting):
         _offer(core, number % size, now, running)
-    started = time.perf_counter()
+    started = time.process_time()
     for number in range(_REQUESTS):
         now += 1 / _RATE_PER_S
         core.release(running.pop(0), now, is_whole=True)
@@ -129,7 +129,7 @@
             if not isinstance(outcome.result, AdmissionPass):
                 raise FailureError(outcome.result)
             running.append(outcome.result)
-    return (time.perf_counter() - started) / _REQUESTS * _US_PER_S
+    return (time.process_time() - started) / _REQUESTS * _US_PER_S
 
 
 def _offer(
--- a/features/admission.feature
+++ b/features/admission.feature
@@ -71,6 +71,13 @@
     Then the parts together stay within 105 in 100 of the limit
     And within 8 s the entry with the demand has at least 80 in 100 of it
 
+  Scenario: Capacity is lowered while upstreams refuse, and grows back
+    Given a pool of which all capacity is counted on
+    When 3 in 10 of 200 calls in 4 s are refused for overload
+    Then at most 60 in 100 of the capacity is counted on
+    When 1 in 20 of 400 calls in 8 s are refused for overload
+    Then at least 80 in 100 of the capacity is counted on
+
   Scenario: Nothing is lost or counted twice
     Then for any history of requests each gets one outcome and limits hold
 
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -11,10 +11,12 @@
 from hypothesis import seed, settings
 from hypothesis import strategies as st
 
+from damaskpoint.admission.backoff import CapacityBackoff
 from damaskpoint.admission.base import AdmissionPass, AdmissionRequest
 from damaskpoint.admission.controller import create_admission
 from damaskpoint.admission.shares import PartKeeper, compute_part
 from damaskpoint.errors import Code, Failure
+from damaskpoint.routing.base import CallEnd
 from damaskpoint.settings import AdmissionOptions
 from features.steps import admission_bench as bench
 
@@ -386,6 +388,40 @@
     assert entry.seen[name].waits_s[before:] == [0]
 
 
+@given('a pool of which all capacity is counted on')
+def create_backoff(context: Any) -> None:
+    """Start a backoff."""
+    context.backoff = CapacityBackoff()
+    context.now = 0
+    assert context.backoff.find_factor(bench.POOL) == 1
+
+
+@when(
+    '{bad:d} in {every:d} of {calls:d} calls in {seconds:d} s are refused for overload'
+)
+def end_calls(
+    context: Any, bad: int, every: int, calls: int, seconds: int
+) -> None:
+    """End calls at equal distances."""
+    for number in range(calls):
+        context.now += seconds / calls
+        is_bad = number % every < bad
+        end = CallEnd.OVERLOADED if is_bad else CallEnd.SUCCEEDED
+        context.backoff.note_end(bench.POOL, end, context.now)
+
+
+@then('at most {part:d} in 100 of the capacity is counted on')
+def check_lowered(context: Any, part: int) -> None:
+    """Ask the backoff."""
+    assert context.backoff.find_factor(bench.POOL) <= part / 100
+
+
+@then('at least {part:d} in 100 of the capacity is counted on')
+def check_grown(context: Any, part: int) -> None:
+    """Ask the backoff."""
+    assert context.backoff.find_factor(bench.POOL) >= part / 100
+
+
 @given('an admission in the loop with room for 1 request')
 def create_in_loop(context: Any) -> None:
     """Make the asynchronous side."""
