--- a/features/steps/membership_bench.py
+++ b/features/steps/membership_bench.py
@@ -15,7 +15,7 @@
 from damaskpoint.wire import codec
 from damaskpoint.wire.generated.peer import Peer
 from damaskpoint.wire.held import HeldConfiguration
-from damaskpoint.wire.peer_server import PeerService
+from damaskpoint.wire.peer_server import LentPermit, PeerService
 
 if TYPE_CHECKING:
     from damaskpoint.membership.gossiper import Gossiper
@@ -146,6 +146,13 @@
         """Count no host as an operator's."""
         return False
 
+    def lend_permit(self, upstream: str) -> LentPermit | Failure:
+        """Hold no lease."""
+        return Failure(Code.LEASE_NOT_HELD, upstream)
+
+    def take_permit_back(self, upstream: str, number: int) -> None:
+        """Have lent nothing."""
+
 
 def encode_configuration_call(version: int) -> bytes:
     """Return the body of a call for a version's object."""
