Run two seeds at once in the proofs, and keep the check of versions seeing

The check of the accepted configuration had stopped to fail without its guard "polls": since the operator's tool hands versions to the entries itself, an entry without polls is still in line. The guard taken out is now the install of any later version, however it comes.

--- a/features/proof_at_most_once.feature
+++ b/features/proof_at_most_once.feature
@@ -25,13 +25,8 @@
     When the trial runs with the seed 1
     Then the check "not run is true" finds a violation
 
-  Scenario Outline: The promise holds under drawn faults, seed <seed>
+  Scenario: The promise holds under drawn faults
     Given a trial of the promise "at most once"
-    When the trial runs with the seed <seed>
+    When the trial runs with the seeds 1, 2, two at once
     Then no check finds a violation
     And at least 60 of 100 requests were answered whole
-
-    Examples: Seeds
-      | seed |
-      | 1 |
-      | 2 |
--- a/features/proof_cold_start.feature
+++ b/features/proof_cold_start.feature
@@ -11,13 +11,8 @@
     When the trial runs with the seed 1
     Then the check "cold start" finds a violation
 
-  Scenario Outline: The promise holds under drawn faults, seed <seed>
+  Scenario: The promise holds under drawn faults
     Given a trial of the promise "cold start"
-    When the trial runs with the seed <seed>
+    When the trial runs with the seeds 1, 2, two at once
     Then no check finds a violation
     And at least 20 of 100 requests were answered whole
-
-    Examples: Seeds
-      | seed |
-      | 1 |
-      | 2 |
--- a/features/proof_configuration.feature
+++ b/features/proof_configuration.feature
@@ -2,25 +2,21 @@
   Probes ask every entry one by one; the platform goes down right after the
   acceptance, and all entries are replaced.
 
-  Scenario: The check fails without the guard "polls"
+  Scenario: The check fails without the guard "later versions"
     Given a trial of the promise "accepted configuration"
-    And its processes run without the guard "polls"
+    And its processes run without the guard "later versions"
     And these faults, one after the other
       | fault |
       | slow table |
     When the trial runs with the seed 1
     Then the check "accepted configuration" finds a violation
 
-  Scenario Outline: The promise holds under drawn faults, seed <seed>
+  Scenario: The promise holds under drawn faults
     Given a trial of the promise "accepted configuration"
-    When the trial runs with the seed <seed>
+    When the trial runs with the seeds 1, 2, two at once
     Then no check finds a violation
     And at least 50 of 100 requests were answered whole
 
-    Examples: Seeds
-      | seed |
-      | 1 |
-
   Scenario: All entries are replaced while the whole platform is down
     New processes learn of the configuration from each other alone.
 
--- a/features/proof_orders.feature
+++ b/features/proof_orders.feature
@@ -14,11 +14,7 @@
     When the trial runs with the seed 1
     Then the check "orders to engines" finds a violation
 
-  Scenario Outline: The promise holds under drawn faults, seed <seed>
+  Scenario: The promise holds under drawn faults
     Given a trial of the promise "orders to engines"
-    When the trial runs with the seed <seed>
+    When the trial runs with the seeds 1, 2, two at once
     Then no check finds a violation
-
-    Examples: Seeds
-      | seed |
-      | 1    |
--- a/features/proof_own_answers.feature
+++ b/features/proof_own_answers.feature
@@ -30,13 +30,8 @@
     When the trial runs with the seed 1
     Then the check "own answer" finds a violation
 
-  Scenario Outline: The promise holds under drawn faults, seed <seed>
+  Scenario: The promise holds under drawn faults
     Given a trial of the promise "own answers"
-    When the trial runs with the seed <seed>
+    When the trial runs with the seeds 1, 2, two at once
     Then no check finds a violation
     And at least 60 of 100 requests were answered whole
-
-    Examples: Seeds
-      | seed |
-      | 1 |
-      | 2 |
--- a/features/proof_shutdown.feature
+++ b/features/proof_shutdown.feature
@@ -10,12 +10,8 @@
     When the trial runs with the seed 1
     Then the check "graceful shutdown" finds a violation
 
-  Scenario Outline: The promise holds under drawn faults, seed <seed>
+  Scenario: The promise holds under drawn faults
     Given a trial of the promise "graceful shutdown"
-    When the trial runs with the seed <seed>
+    When the trial runs with the seeds 1, 2, two at once
     Then no check finds a violation
     And at least 50 of 100 requests were answered whole
-
-    Examples: Seeds
-      | seed |
-      | 1 |
--- a/features/proof_zone_out.feature
+++ b/features/proof_zone_out.feature
@@ -11,16 +11,12 @@
     When the trial runs with the seed 1
     Then the check "zone out and leaving" finds a violation
 
-  Scenario Outline: The promise holds under drawn faults, seed <seed>
+  Scenario: The promise holds under drawn faults
     Given a trial of the promise "zone out"
-    When the trial runs with the seed <seed>
+    When the trial runs with the seeds 1, 2, two at once
     Then no check finds a violation
     And at least 50 of 100 requests were answered whole
 
-    Examples: Seeds
-      | seed |
-      | 1 |
-
   Scenario: An entry that is frozen during the change
     Callers go on to it; it finds their requests when it is continued, before
     anything that it could learn of the change.
--- a/features/steps/proof_steps.py
+++ b/features/steps/proof_steps.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import sys
 from dataclasses import replace
 from typing import Any
 
 from behave import given, then, when
 
-from features.support.trials import TrialOptions, run_trial
+from features.support.trials import TrialOptions, TrialResult, run_trial
 
 _UNGUARDED = 'features.support.unguarded'
 
@@ -37,33 +38,48 @@
 
 
 @when('the trial runs with the seed {seed:d}')
-def run(context: Any, seed: int) -> None:
+def run_one(context: Any, seed: int) -> None:
     """Run it, and print what came of it."""
-    options = replace(context.trial, seed=seed)
-    context.result = context.loop.run_until_complete(run_trial(options))
-    result = context.result
-    sys.stdout.write(
-        f'{options.promise}, seed {seed}: {result.sent} requests, '
-        f'{result.whole} whole, {len(result.violations)} violations\n'
-    )
+    _run(context, (seed,))
+
+
+@when('the trial runs with the seeds {first:d}, {second:d}, two at once')
+def run_two(context: Any, first: int, second: int) -> None:
+    """Run it under two seeds, each with processes of its own."""
+    _run(context, (first, second))
+
+
+def _run(context: Any, seeds: tuple[int, ...]) -> None:
+    async def run_all() -> list[TrialResult]:
+        trials = [replace(context.trial, seed=seed) for seed in seeds]
+        return await asyncio.gather(*[run_trial(trial) for trial in trials])
+
+    context.results = context.loop.run_until_complete(run_all())
+    for seed, result in zip(seeds, context.results, strict=True):
+        sys.stdout.write(
+            f'{context.trial.promise}, seed {seed}: {result.sent} requests, '
+            f'{result.whole} whole, {len(result.violations)} violations\n'
+        )
 
 
 @then('the check "{check}" finds a violation')
 def see_violation(context: Any, check: str) -> None:
     """The check is seen to fail; its finding is printed."""
-    found = context.result.violations_by_check[check]
-    assert found, context.result
-    sys.stdout.write(f'{check}: {found[0]}\n')
+    for result in context.results:
+        found = result.violations_by_check[check]
+        assert found, result
+        sys.stdout.write(f'{check}: {found[0]}\n')
 
 
 @then('no check finds a violation')
 def see_none(context: Any) -> None:
     """The promise holds."""
-    assert not context.result.violations, context.result
+    for result in context.results:
+        assert not result.violations, result
 
 
 @then('at least {share:d} of 100 requests were answered whole')
 def see_service(context: Any, share: int) -> None:
-    """The trial was not empty."""
-    result = context.result
-    assert result.whole * 100 >= share * result.sent, result
+    """The trials were not empty."""
+    for result in context.results:
+        assert result.whole * 100 >= share * result.sent, result
--- a/features/support/unguarded.py
+++ b/features/support/unguarded.py
@@ -15,6 +15,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpoint.config.follower import ConfigurationFollower
+from damaskpoint.config.versions import VersionTracker
 from damaskpoint.entry import runtime, wiring
 from damaskpoint.errors import Ran
 from damaskpoint.journal.guard import Guard
@@ -111,14 +112,14 @@
     _replace(UpstreamDirectory, 'is_leaving', _say(value=False))
 
 
-def _drop_polls() -> None:
-    """Keep the first configuration for good."""
+def _drop_later_versions() -> None:
+    """Keep the first configuration for good, however the next one comes."""
+    install = VersionTracker.install
 
-    def is_poll_due(follower: Any, _now: float) -> bool:
-        return follower.current is None
+    def install_first(tracker: Any, configuration: Any) -> bool:
+        return tracker.current is None and install(tracker, configuration)
 
-    _replace(ConfigurationFollower, 'is_poll_due', is_poll_due)
-    _replace(ConfigurationFollower, 'offer', _say(value=None))
+    _replace(VersionTracker, 'install', install_first)
     _replace(ConfigurationFollower, 'check_ready', _say(value=None))
 
 
@@ -167,7 +168,7 @@
     'permits': _drop_permits,
     'zones': _drop_zones,
     'leave marks': _drop_leaving,
-    'polls': _drop_polls,
+    'later versions': _drop_later_versions,
     'drain': _drop_drain,
     _RECONCILER_GUARD: _drop_lease,
 }
