Hold calls back after a stall until the news has been heard

Gossip drops what waited in its socket meanwhile, so the mark comes with the next round at the earliest, and waiting calls go first. Ruled out: the merge of marks and lists (drawn histories, features/routing.feature). Now: after a gap of over 1.5 s between turns of the loop no ticket is given until a list asked for after it has come, or for 2 s. Checked: the deciding part by table (features/entry_parts.feature).

--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -36,6 +36,8 @@
 PEER_FETCH_AFTER_S: Final = 0.3
 # Silence of the loop past which what it reads may have waited long.
 LOOP_STALL_S: Final = 1.5
+STALL_TURN_S: Final = 0.25
+STALL_HOLD_S: Final = 2.0
 # Age that stands for never.
 MAX_AGE_S: Final = 1e9
 # Pool of the system's own instances in the platform's list.
--- a/damaskpoint/entry/runtime.py
+++ b/damaskpoint/entry/runtime.py
@@ -108,12 +108,16 @@
             self._routing.permit_client.run(),
             self._shared.follower.run(time.monotonic),
             repeat(platform.instance_list_poll_s, poll),
+            repeat(defaults.STALL_TURN_S, self._note_turn),
             repeat(defaults.HOUSEKEEPING_S, self._close_idle),
             repeat(defaults.SWEEP_INTERVAL_S, self._sweeper.sweep),
         ):
             self._tasks.append(asyncio.ensure_future(work))
         _LOG.info('listening on %s:%s', instance.host, instance.port)
 
+    async def _note_turn(self) -> None:
+        self._shared.stall_guard.note_turn(time.monotonic())
+
     async def _close_idle(self) -> None:
         self._shared.client.close_idle(time.monotonic())
 
@@ -156,7 +160,7 @@
     routing = create_entry_routing(shared)
     backoff = CapacityBackoff()
     observed = ObservedRouter(routing.router, backoff, time.monotonic)
-    router = ConfirmedRouter(observed, shared.follower)
+    router = ConfirmedRouter(observed, shared.follower, shared.stall_guard)
     membership = create_entry_membership(shared)
     admission = create_entry_admission(shared, membership, routing, backoff)
     parts = create_entry_parts(shared, router, admission)
--- a/damaskpoint/entry/wiring.py
+++ b/damaskpoint/entry/wiring.py
@@ -20,6 +20,7 @@
 from damaskpoint.entry.parts import EntryParts
 from damaskpoint.entry.peer_demand import PeerDemand
 from damaskpoint.entry.shutdown import ShutdownState
+from damaskpoint.entry.stall_guard import StallGuard
 from damaskpoint.journal.guard import Guard
 from damaskpoint.journal.sweeper import Sweeper
 from damaskpoint.journal.table_journal import create_table_journal
@@ -73,6 +74,7 @@
     attempt_ids: AttemptIds
     follower: ConfigurationFollower
     instances: InstancePoller
+    stall_guard: StallGuard
     client: UpstreamClient
 
 
@@ -88,6 +90,11 @@
     registry.register('configuration', follower)
     instances = InstancePoller(platform.instance_list)
     registry.register('instances', instances)
+    stall_guard = StallGuard()
+    instances.add_listener(
+        lambda _listed, asked_at: stall_guard.note_list(asked_at)
+    )
+    registry.register('stalls', stall_guard)
     client = UpstreamClient(
         options.routing.connect_timeout_s, options.border.max_answer_bytes
     )
@@ -100,6 +107,7 @@
         AttemptIds(),
         follower,
         instances,
+        stall_guard,
         client,
     )
 
--- a/features/entry_parts.feature
+++ b/features/entry_parts.feature
@@ -33,3 +33,18 @@
       | 1    | unknown | unknown |
       | 2    | no      | yes     |
       | 2    | unknown | yes     |
+
+  Scenario Outline: Right after a stall no call goes out on old knowledge
+    Given a loop whose turns were seen at <turns>
+    When a list comes that was asked for at <asked>
+    Then calls at <now> are <verdict>
+
+    Examples:
+      | turns         | asked | now | verdict   |
+      | 1.0, 1.5, 2.0 | 0.9   | 2.1 | let out   |
+      | 1.0, 6.0      | 0.9   | 6.0 | held back |
+      | 1.0, 6.0      | 5.9   | 6.5 | held back |
+      | 1.0, 6.0      | 6.1   | 6.5 | let out   |
+      | 1.0, 6.0      | 0.9   | 7.9 | held back |
+      | 1.0, 6.0      | 0.9   | 8.1 | let out   |
+      | 1.0, 6.0, 9.0 | 6.1   | 9.5 | held back |
--- a/features/steps/entry_parts_steps.py
+++ b/features/steps/entry_parts_steps.py
@@ -15,6 +15,7 @@
     StageKind,
 )
 from damaskpoint.entry.confirmed_router import ConfirmedRouter
+from damaskpoint.entry.stall_guard import StallGuard
 from damaskpoint.entry.shutdown import DrainView, ShutdownState
 from damaskpoint.errors import Code, Failure, Ran
 from damaskpoint.pipeline.pipeline_runner import PipelineRun
@@ -80,7 +81,11 @@
     confirmation = _Confirmation()
     confirmation.is_confirmed = moment != 'before the call'
     context.inner = _WaitingRouter(confirmation, confirmation.is_confirmed)
-    context.router = ConfirmedRouter(context.inner, confirmation)  # type: ignore[arg-type]
+    context.router = ConfirmedRouter(
+        context.inner,
+        confirmation,  # type: ignore[arg-type]
+        StallGuard(),
+    )
 
 
 @then('a call gets no ticket, and every ticket is given back')
@@ -93,6 +98,28 @@
     assert context.inner.open_tickets == 0
 
 
+@given('a loop whose turns were seen at {times}')
+def make_stall_guard(context: Any, times: str) -> None:
+    """Tell the guard of each turn, in seconds."""
+    context.stall_guard = StallGuard()
+    for now in times.split(', '):
+        context.stall_guard.note_turn(float(now))
+
+
+@when('a list comes that was asked for at {asked_at:f}')
+def hear_list(context: Any, asked_at: float) -> None:
+    """Tell the guard of a list."""
+    context.stall_guard.note_list(asked_at)
+
+
+@then('calls at {now:f} are {verdict}')
+def check_held(context: Any, now: float, verdict: str) -> None:
+    """Ask whether a call may go out."""
+    failure = context.stall_guard.check(now)
+    assert (failure is not None) == (verdict == 'held back'), failure
+    assert failure is None or failure.ran is Ran.NO
+
+
 @given('a shutdown with {notice:d} s of notice and a limit of {limit:d} s')
 def make_shutdown(context: Any, notice: int, limit: int) -> None:
     """Make it; it has not begun."""
