--- a/standins/commands.py
+++ b/standins/commands.py
@@ -4,6 +4,8 @@
 
 import argparse
 
+from damaskpoint import __version__
+
 _STAGE_MS = 40.0
 _TOKEN_MS = 2.0
 _LOAD_LAG_S = 0.3
@@ -15,6 +17,7 @@
         prog='damaskpoint-standin',
         description='Small stand-ins for the platform and for upstreams.',
     )
+    parser.add_argument('--version', action='version', version=__version__)
     roles = parser.add_subparsers(dest='role', required=True)
     _add_platform(roles.add_parser('platform', help='the platform'))
     _add_engine(roles.add_parser('engine', help='a model engine'))
