--- a/damaskpoint/load/events.py
+++ b/damaskpoint/load/events.py
@@ -1,4 +1,8 @@
-"""Reads server-sent events from the pieces in which they arrive."""
+"""Reads server-sent events from the pieces in which they arrive.
+
+The tool has a reader of its own, so that a fault of the product's reader
+(``pipeline.events``) cannot hide itself from the measurement.
+"""
 
 from __future__ import annotations
 
