--- a/damaskpoint/main/entry.py
+++ b/damaskpoint/main/entry.py
@@ -13,7 +13,7 @@
 from damaskpoint.entry.runtime import create_runtime
 from damaskpoint.errors import Failure
 from damaskpoint.observe.logs import set_up_logs
-from damaskpoint.settings import load_options
+from damaskpoint.settings import EXIT_SETTINGS, check_settings, load_options
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -21,19 +21,17 @@
     from damaskpoint.settings import Options
 
 _NAME: Final = 'damaskpoint-entry'
-_EXIT_SETTINGS: Final = 2
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run an entry until SIGTERM or SIGINT; return the exit status."""
     parsed = _create_parser().parse_args(arguments)
+    if parsed.check_settings:
+        return check_settings(parsed.settings)
     options = load_options(parsed.settings)
     if isinstance(options, Failure):
         sys.stderr.write(f'{options.code.value}\n{options.detail}\n')
-        return _EXIT_SETTINGS
-    if parsed.check_settings:
-        sys.stdout.write('the settings are valid\n')
-        return 0
+        return EXIT_SETTINGS
     set_up_logs(options.log, _NAME)
     asyncio.run(_serve(options))
     return 0
@@ -51,7 +49,7 @@
     parser = argparse.ArgumentParser(
         prog=_NAME,
         description='Takes requests to pipelines and services and runs them.',
-        epilog='Exit status: 0 after a shutdown, 2 for invalid settings.',
+        epilog='Exit status: 0 after a shutdown, 1 for invalid settings.',
     )
     parser.add_argument(
         '--settings',
--- a/damaskpoint/settings.py
+++ b/damaskpoint/settings.py
@@ -17,6 +17,9 @@
 from damaskpoint import defaults
 from damaskpoint.errors import Code, Failure
 
+# Exit status of a binary whose settings are invalid.
+EXIT_SETTINGS: Final = 1
+
 
 class _Section(pydantic.BaseModel):
     """A part of the settings; immutable, and strict about its keys."""
@@ -261,7 +264,7 @@
     options = load_options(path)
     if isinstance(options, Failure):
         sys.stderr.write(f'{options.kind.title}\n{options.detail}\n')
-        return 1
+        return EXIT_SETTINGS
     sys.stdout.write(f'{path.name} is valid.\n')
     return 0
 
