--- a/damaskpoint/settings.py
+++ b/damaskpoint/settings.py
@@ -9,7 +9,7 @@
 import ipaddress
 import pathlib
 import sys
-from typing import Literal, Self, final
+from typing import Final, Literal, Self, final
 
 import json5
 import pydantic
