--- a/damaskpoint/main/entry.py
+++ b/damaskpoint/main/entry.py
@@ -4,16 +4,16 @@
 
 import argparse
 import asyncio
-import pathlib
 import signal
 import sys
 from typing import TYPE_CHECKING, Final
 
-import damaskpoint
 from damaskpoint.entry.runtime import create_runtime
-from damaskpoint.errors import Failure
+from damaskpoint.main.common_arguments import (
+    add_instance_arguments,
+    read_options,
+)
 from damaskpoint.observe.logs import set_up_logs
-from damaskpoint.settings import EXIT_SETTINGS, check_settings, load_options
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -25,13 +25,9 @@
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run an entry until SIGTERM or SIGINT; return the exit status."""
-    parsed = _create_parser().parse_args(arguments)
-    if parsed.check_settings:
-        return check_settings(parsed.settings)
-    options = load_options(parsed.settings)
-    if isinstance(options, Failure):
-        sys.stderr.write(f'{options.code.value}\n{options.detail}\n')
-        return EXIT_SETTINGS
+    options = read_options(_create_parser().parse_args(arguments))
+    if isinstance(options, int):
+        return options
     set_up_logs(options.log, _NAME)
     asyncio.run(_serve(options))
     return 0
@@ -51,21 +47,7 @@
         description='Takes requests to pipelines and services and runs them.',
         epilog='Exit status: 0 after a shutdown, 1 for invalid settings.',
     )
-    parser.add_argument(
-        '--settings',
-        type=pathlib.Path,
-        required=True,
-        metavar='FILE',
-        help='settings in JSON with comments',
-    )
-    parser.add_argument(
-        '--check-settings',
-        action='store_true',
-        help='check the settings, say what is wrong with them, and end',
-    )
-    parser.add_argument(
-        '--version', action='version', version=damaskpoint.__version__
-    )
+    add_instance_arguments(parser)
     return parser
 
 
--- a/damaskpoint/main/reconciler.py
+++ b/damaskpoint/main/reconciler.py
@@ -4,17 +4,18 @@
 
 import argparse
 import asyncio
-import pathlib
 import signal
 import sys
 import time
-from importlib import metadata
 from typing import TYPE_CHECKING, Final
 
 from tornado.httpclient import AsyncHTTPClient
 
 from damaskpoint.config.follower import create_follower
-from damaskpoint.errors import Failure
+from damaskpoint.main.common_arguments import (
+    add_instance_arguments,
+    read_options,
+)
 from damaskpoint.observe.logs import set_up_logs
 from damaskpoint.observe.operator_app import create_operator_app
 from damaskpoint.observe.state import StateRegistry
@@ -23,11 +24,12 @@
 from damaskpoint.platform.http_table import create_http_table
 from damaskpoint.reconcile.engine_client import create_engine_client
 from damaskpoint.reconcile.process import ReconcilerParts, ReconcilerProcess
-from damaskpoint.settings import Options, check_settings, load_options
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from damaskpoint.settings import Options
+
 _NAME: Final = 'damaskpoint-reconciler'
 _MAX_CALLS_AT_ONCE: Final = 64
 _EPILOG: Final = """\
@@ -38,13 +40,9 @@
 
 def main(words: Sequence[str] | None = None) -> int:
     """Run until SIGTERM; return the exit code."""
-    arguments = _create_parser().parse_args(words)
-    if arguments.check_settings:
-        return check_settings(arguments.settings)
-    options = load_options(arguments.settings)
-    if isinstance(options, Failure):
-        sys.stderr.write(f'{options.kind.title}\n{options.detail}\n')
-        return 1
+    options = read_options(_create_parser().parse_args(words))
+    if isinstance(options, int):
+        return options
     set_up_logs(options.log, _NAME)
     asyncio.run(_run(options))
     return 0
@@ -57,21 +55,7 @@
         epilog=_EPILOG,
         formatter_class=argparse.RawDescriptionHelpFormatter,
     )
-    parser.add_argument(
-        '--version', action='version', version=metadata.version('damaskpoint')
-    )
-    parser.add_argument(
-        '--settings',
-        type=pathlib.Path,
-        required=True,
-        metavar='FILE',
-        help='settings of the instance: JSON with comments',
-    )
-    parser.add_argument(
-        '--check-settings',
-        action='store_true',
-        help='validate the settings file and end',
-    )
+    add_instance_arguments(parser)
     return parser
 
 
--- a/damaskpoint/settings.py
+++ b/damaskpoint/settings.py
@@ -263,12 +263,17 @@
     """
     options = load_options(path)
     if isinstance(options, Failure):
-        sys.stderr.write(f'{options.kind.title}\n{options.detail}\n')
-        return EXIT_SETTINGS
+        return tell_invalid(options)
     sys.stdout.write(f'{path.name} is valid.\n')
     return 0
 
 
+def tell_invalid(failure: Failure) -> int:
+    """Tell on standard error why settings are invalid; return the status."""
+    sys.stderr.write(f'{failure.kind.title}\n{failure.detail}\n')
+    return EXIT_SETTINGS
+
+
 def _list_faults(error: pydantic.ValidationError) -> str:
     lines = []
     for fault in error.errors():
