Give each type: ignore its reason, and drop one

tornado's detach() gives the connection's stream with its type, so the platform's fake needs no exception.

--- a/damaskpoint/wire/peer_server.py
+++ b/damaskpoint/wire/peer_server.py
@@ -116,6 +116,7 @@
         self.finish(answer)
 
 
+# The generated base class carries no types.
 @final
 class _Calls(Peer.Iface):  # type: ignore[misc]
     """Answers the calls of one request."""
--- a/features/steps/entry_parts_steps.py
+++ b/features/steps/entry_parts_steps.py
@@ -83,6 +83,7 @@
     context.inner = _WaitingRouter(confirmation, confirmation.is_confirmed)
     context.router = ConfirmedRouter(
         context.inner,
+        # It answers the one question that the router asks.
         confirmation,  # type: ignore[arg-type]
         StallGuard(),
     )
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -83,7 +83,7 @@
         if self._fault == 'answers too late':
             await asyncio.sleep(_TIMEOUT_S * 2)
         if self._fault == 'breaks the connection':
-            self.request.connection.stream.close()  # type: ignore[union-attr]
+            self.detach().close()
             raise web.Finish
         if self._retry_after:
             self.set_header('Retry-After', self._retry_after)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -67,6 +67,7 @@
 
 
 class _EngineHandler(UpstreamHandler):
+    # tornado lets each handler's ``initialize`` take arguments of its own.
     def initialize(self, engine: Engine, crossing: Crossing) -> None:  # type: ignore[override]
         """Keep the engine."""
         super().initialize(engine.upstream, crossing)
--- a/standins/service.py
+++ b/standins/service.py
@@ -22,6 +22,7 @@
 
 
 class _ServiceHandler(UpstreamHandler):
+    # tornado lets each handler's ``initialize`` take arguments of its own.
     def initialize(  # type: ignore[override]
         self, upstream: Upstream, crossing: Crossing, service_s: float
     ) -> None:
