Drive the race for the lease on purpose; watch each entry by itself

The scenario that shows what happens without the lease drew four freezes at random and hoped that one ends after another holder has ordered; on a slow machine none did. It now freezes the holder, waits until another has taken a later term and brought the engines into line, freezes the others and lets the first go on. Nothing in it depends on the machine's speed.

The shutdown trial's balancer asked all entries at once and waited up to 0.5 s for the slowest, so its view could be 1.15 s old, while entries give 0.6 s of notice: callers were sent to an entry that had closed. Each entry is now watched by itself with questions of at most 0.3 s.

Ruled out: a fault of the entry (the refused connections came after its notice).

--- a/features/support/operators.py
+++ b/features/support/operators.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import json
 import signal
 import time
 from typing import TYPE_CHECKING, Final
@@ -143,6 +144,74 @@
         await asyncio.sleep(_PROBE_GAP_S)
 
 
+async def overtake_holder(
+    cluster: Cluster, traffic: Traffic, draw: random.Random
+) -> None:
+    """Let a frozen holder of the lease go on after another has ordered.
+
+    Each step waits for what it needs to see, so the order of events does
+    not depend on the speed of the machine.
+    """
+    await _order_and_wait(cluster, 2)
+    entries = [name for name in cluster.members_by_name if 'entry' in name]
+    terms_by_name = await _read_terms(cluster, entries)
+    holder = max(entries, key=lambda name: terms_by_name[name])
+    others = [name for name in entries if name != holder]
+    _signal_all(cluster, [holder], signal.SIGSTOP)
+    await _wait_for_term(cluster, others, terms_by_name[holder] + 1)
+    await _order_and_wait(cluster, 3)
+    _signal_all(cluster, others, signal.SIGSTOP)
+    _signal_all(cluster, [holder], signal.SIGCONT)
+    await _order_and_wait(cluster, 4)
+    _signal_all(cluster, others, signal.SIGCONT)
+
+
+def _signal_all(
+    cluster: Cluster, names: list[str], number: signal.Signals
+) -> None:
+    for name in names:
+        cluster.launcher.send(name, number)
+
+
+async def _order_and_wait(cluster: Cluster, number: int) -> None:
+    """Apply a sheet and wait until all engines obey it."""
+    await _apply(cluster, number, checks_fencing=False)
+    await _wait_in_line(cluster, f'model-{number}')
+
+
+async def _read_terms(cluster: Cluster, entries: list[str]) -> dict[str, int]:
+    """Return the fencing number of the last term of each reconciler."""
+    terms_by_name = {}
+    for name in entries:
+        url = cluster.members_by_name[name].operator_url
+        _status, said = await fetch(f'{url}/state')
+        pool = json.loads(said).get(f'pool {sheets.MODEL_POOL}', {})
+        terms_by_name[name] = pool.get('lease', {}).get('fencing', 0)
+    return terms_by_name
+
+
+async def _wait_for_term(
+    cluster: Cluster, entries: list[str], fencing: int
+) -> None:
+    """Wait until one of these reconcilers has taken a term this late."""
+    give_up_at = time.monotonic() + _IN_LINE_S
+    while time.monotonic() < give_up_at:
+        terms_by_name = await _read_terms(cluster, entries)
+        if max(terms_by_name.values()) >= fencing:
+            return
+        await asyncio.sleep(_PROBE_GAP_S)
+    raise TimeoutError(f'no term {fencing} at {entries}')
+
+
+async def _wait_in_line(cluster: Cluster, model: str) -> None:
+    give_up_at = time.monotonic() + _IN_LINE_S
+    while time.monotonic() < give_up_at:
+        if await _are_in_line(cluster, model):
+            return
+        await asyncio.sleep(_PROBE_GAP_S)
+    raise TimeoutError(f'engines are not in line with {model}')
+
+
 async def _are_in_line(cluster: Cluster, model: str) -> bool:
     for member in cluster.members_by_name.values():
         if member.pool != sheets.MODEL_POOL:
--- a/features/support/traffic.py
+++ b/features/support/traffic.py
@@ -16,6 +16,9 @@
     from features.support.cluster import Cluster, Member
 
 _POLL_S: Final = 0.15
+# Bound on one question (seconds): with the pause between two, less than the
+# notice that entries give before they close.
+_LOOK_S: Final = 0.3
 _BACKOFF_S: Final = 0.3
 _ORDER_TRIES: Final = 4
 _PATIENT_MS: Final = 20_000
@@ -35,30 +38,21 @@
         self._cluster = cluster
         self._draw = draw
         self._numbers = itertools.count(1)
-        self._ready_names: list[str] = []
+        self._ready_names: set[str] = set()
         self._tasks: set[asyncio.Task[object]] = set()
         self.sent = 0
         self.whole = 0
 
     async def watch(self) -> None:
-        """Ask the entries again and again whether they are ready."""
-        while True:
-            await self.look()
-            await asyncio.sleep(_POLL_S)
+        """Ask each entry again and again whether it is ready.
+
+        An entry that answers late does not hold up the others.
+        """
+        await asyncio.gather(*map(self._watch_entry, self._entries()))
 
     async def look(self) -> None:
         """Ask every entry once whether it is ready."""
-        entries = self._entries()
-        asked = [
-            fetch(f'{entry.operator_url}/readyz', timeout_s=0.5)
-            for entry in entries
-        ]
-        answers = await asyncio.gather(*asked)
-        ready = []
-        for entry, (status, _said) in zip(entries, answers, strict=True):
-            if status == 200:
-                ready.append(entry.name)
-        self._ready_names = ready
+        await asyncio.gather(*map(self._look_at, self._entries()))
 
     async def run(
         self, kinds: tuple[str, ...], count: int, within_s: float
@@ -135,6 +129,21 @@
                 return
             await asyncio.sleep(_BACKOFF_S * attempt)
 
+    async def _watch_entry(self, entry: Member) -> None:
+        while True:
+            await self._look_at(entry)
+            await asyncio.sleep(_POLL_S)
+
+    async def _look_at(self, entry: Member) -> None:
+        """Ask one entry; a late answer counts as not ready."""
+        status, _said = await fetch(
+            f'{entry.operator_url}/readyz', timeout_s=_LOOK_S
+        )
+        if status == 200:
+            self._ready_names.add(entry.name)
+        else:
+            self._ready_names.discard(entry.name)
+
     def _entries(self) -> list[Member]:
         members = self._cluster.members_by_name.values()
         return [member for member in members if member.pool == 'entry']
@@ -144,7 +153,7 @@
 
         Unless callers heed readiness, some go to whichever entry they know.
         """
-        names = self._ready_names
+        names = sorted(self._ready_names)
         is_stubborn = self._draw.randrange(_STUBBORN_SHARE) == 0
         if not names or (is_stubborn and not self._heeds_readiness):
             names = [entry.name for entry in self._entries()]
--- a/features/support/trials.py
+++ b/features/support/trials.py
@@ -240,6 +240,18 @@
         sections=_RECONCILER_SECTIONS,
         has_models=False,
     ),
+    'overtaken holder': Promise(
+        ('orders to engines', 'fleet in line'),
+        (),
+        (),
+        requests=0,
+        fault_count=0,
+        engine_words=('--starts=warm', '--ignores-fencing', '--load-s=0.3'),
+        operate=operators.overtake_holder,
+        module='damaskpoint.main.reconciler',
+        sections=_RECONCILER_SECTIONS,
+        has_models=False,
+    ),
 }
 
 
