Wait before a runner that just failed is tried again

Where no runner is sound, only those are tried that failed a quarter of a second ago or longer; pieces wait until then, and requests that come meanwhile are refused at arrival.

Ruled out: the runners' entries (they were removed 3 s later, as stated). Test: a group whose only runner refuses connections for a while; it fails without the change.

--- a/damaskpoint/balancing/health.py
+++ b/damaskpoint/balancing/health.py
@@ -17,6 +17,9 @@
 _PAUSE_S: Final = 1.0
 _GROWTH: Final = 2.0
 _MAX_PAUSE_S: Final = 8.0
+# Time after a failure in which a runner is not tried even where there is no
+# other (seconds): a crashed one refuses each connection within milliseconds.
+_REST_S: Final = 0.25
 # Time after the last failure that counts it as one in a row (seconds).
 _MEMORY_S: Final = 20.0
 
@@ -70,6 +73,23 @@
                 sound.append(runner)
         return sound or runners
 
+    def select_ready(
+        self, runners: Sequence[Runner], now: float
+    ) -> Sequence[Runner]:
+        """Return the sound runners, or those that failed a while ago.
+
+        May be empty: just after a failure there is nothing to be tried.
+        """
+        sound = []
+        rested = []
+        for runner in runners:
+            record = self._records_by_runner.get(runner.name)
+            if record is None or now >= record.avoided_until:
+                sound.append(runner)
+            elif now - record.failed_at >= _REST_S:
+                rested.append(runner)
+        return sound or rested
+
     def dump_state(self, now: float) -> dict[str, object]:
         """Return the runners that are avoided now."""
         avoided: dict[str, object] = {}
--- a/damaskpoint/batching/planner.py
+++ b/damaskpoint/batching/planner.py
@@ -140,11 +140,12 @@
         """Return when pieces would be made by a group, from now (seconds)."""
         limits = self._find_limits(need.stage.service)
         runners = self._pool.find_runners(group)
-        if limits is None or not runners:
+        ready = self._health.select_ready(runners, now)
+        if limits is None or not ready:
             return float('inf')
         load = GroupLoad(
             limits,
-            runners=len(self._health.select_sound(runners, now)),
+            runners=len(ready),
             ahead=self.pledges.count_ahead(group, is_deferred=need.is_deferred),
             pace=self._pool.find_pace(group, now),
         )
--- a/features/piece_queue.feature
+++ b/features/piece_queue.feature
@@ -103,6 +103,11 @@
       | one of two is slow         | 1 5   | 1.67 |
       | a group without runners    | -     | 1    |
 
+  Scenario: The only runner of a group refuses connections for a while
+    Given a group whose only runner refuses connections for 0.4 s
+    When 2 pieces are ordered
+    Then they are made, after at most 4 calls
+
   Scenario: Room counts calls, results and what others use
     Given a runner with room for 1000 bytes
     When a call for 300 bytes begins at 0
--- a/features/steps/piece_queue_steps.py
+++ b/features/steps/piece_queue_steps.py
@@ -2,24 +2,53 @@
 
 from __future__ import annotations
 
-from typing import Any, Final
+import time
+from typing import TYPE_CHECKING, Any, Final, final
 
 from behave import given, then, when
 
+from damaskpoint.balancing.health import RunnerHealth
+from damaskpoint.batching.base import PieceCaller
 from damaskpoint.batching.estimate import GroupLoad, estimate_end_s
 from damaskpoint.batching.group import RunnerGroup
-from damaskpoint.batching.model import Piece
+from damaskpoint.batching.model import Piece, PieceOutcome
 from damaskpoint.batching.pledges import PledgeBoard
 from damaskpoint.batching.queue import PieceQueue, Taker
 from damaskpoint.batching.room import RunnerRoom
-from damaskpoint.balancing.health import RunnerHealth
 from damaskpoint.catalog.model import BatchLimits, Runner
+from damaskpoint.errors import Code, Failure
 from damaskpoint.membership.facts import PledgeFact
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 _NONE: Final = '-'
 _CLOSE: Final = 0.01
 
 
+@final
+class _RefusingCaller(PieceCaller):
+    """Calls runners that refuse connections for a while."""
+
+    def __init__(self, refusing_s: float) -> None:
+        """Refuse from now on."""
+        self.calls = 0
+        self._works_at = time.monotonic() + refusing_s
+
+    async def make_pieces(
+        self, runner: Runner, pieces: Sequence[Piece], limit_s: float
+    ) -> tuple[PieceOutcome, ...] | Failure:
+        """Fail at once, as a closed port does, or make all pieces."""
+        self.calls += 1
+        if time.monotonic() < self._works_at:
+            return Failure(Code.UPSTREAM_UNREACHABLE, 'refused')
+        made = PieceOutcome('handle', None, runner.name)
+        return (made,) * len(pieces)
+
+    async def release(self, runner: Runner, handles: Sequence[str]) -> None:
+        """Take no note of it."""
+
+
 def _create_limits(most: int = 10, room: float = 1e9) -> BatchLimits:
     return BatchLimits(
         calls_at_once=1,
@@ -45,25 +74,28 @@
 def add_pieces(context: Any) -> None:
     """Add a piece for each row, all at 0."""
     for row in context.table:
-        cost = row['cost'] if 'cost' in row.headings else ''
-        deferred = row['deferred'] if 'deferred' in row.headings else ''
-        piece = Piece(
-            request_id=row['name'],
-            stage=0,
-            index=0,
-            key='',
-            inputs=(),
-            zone=row['zone'],
-            moved_bytes=int(row['bytes']),
-            priority=int(row['priority']),
-            ends_at=float(row['ends']),
-            needed_at=float(row['needed']),
-            lead_s=float(row['lead']),
-            result_bytes=int(row['bytes']),
-            has_cost=bool(cost),
-            is_deferred=bool(deferred),
-        )
-        context.queue.add(piece, 0)
+        context.queue.add(_create_piece(row), 0)
+
+
+def _create_piece(row: Any) -> Piece:
+    cost = row['cost'] if 'cost' in row.headings else ''
+    deferred = row['deferred'] if 'deferred' in row.headings else ''
+    return Piece(
+        request_id=row['name'],
+        stage=0,
+        index=0,
+        key='',
+        inputs=(),
+        zone=row['zone'],
+        moved_bytes=int(row['bytes']),
+        priority=int(row['priority']),
+        ends_at=float(row['ends']),
+        needed_at=float(row['needed']),
+        lead_s=float(row['lead']),
+        result_bytes=int(row['bytes']),
+        has_cost=bool(cost),
+        is_deferred=bool(deferred),
+    )
 
 
 def _take(context: Any, zone: str, room: int, now: float, any_: bool) -> None:
@@ -202,13 +234,9 @@
 @given('a group whose runners have the paces {paces}')
 def create_group(context: Any, paces: str) -> None:
     """Create the group, and let each runner be seen to work so fast."""
-    runners = [
-        Runner(f'r-{number}', 's', 'h', 1, 'z', 1, False, 0)
-        for number in range(len(_names(paces)))
-    ]
-    caller: Any = None
+    runners = _create_runners(len(_names(paces)))
     context.group = RunnerGroup(
-        _create_limits(), lambda: runners, RunnerHealth(), caller
+        _create_limits(), lambda: runners, RunnerHealth(), _RefusingCaller(0)
     )
     for runner, pace in zip(runners, _names(paces), strict=True):
         context.group._find_room(runner.name).pace = float(pace)
@@ -218,3 +246,42 @@
 def check_pace(context: Any, pace: float) -> None:
     """Compare the pace."""
     assert abs(context.group.pace - pace) < _CLOSE, context.group.pace
+
+
+def _create_runners(count: int) -> list[Runner]:
+    return [
+        Runner(f'r-{number}', 's', 'h', 1, 'z', 1, False, 0)
+        for number in range(count)
+    ]
+
+
+@given('a group whose only runner refuses connections for {refusing:g} s')
+def create_refused(context: Any, refusing: float) -> None:
+    """Create the group."""
+    context.caller = _RefusingCaller(refusing)
+    context.group = RunnerGroup(
+        _create_limits(),
+        lambda: _create_runners(1),
+        RunnerHealth(),
+        context.caller,
+    )
+
+
+@when('{count:d} pieces are ordered')
+def order(context: Any, count: int) -> None:
+    """Wait for their outcomes."""
+    far = time.monotonic() + 9
+    pieces = [
+        Piece('r', 0, index, '', (), 'z', 0, 0, far, far, 0, 1, False, False)
+        for index in range(count)
+    ]
+    context.outcomes = context.loop.run_until_complete(
+        context.group.make(pieces)
+    )
+
+
+@then('they are made, after at most {calls:d} calls')
+def check_made(context: Any, calls: int) -> None:
+    """See the handles, and how often the runner was called."""
+    assert all(outcome.handle for outcome in context.outcomes)
+    assert context.caller.calls <= calls, context.caller.calls
