Refuse at the end of a shutdown what could not be answered whole

After the balancer's notice a request is now served only if nearly all answers of its route (mean and four deviations of their times) would be whole before the end, and else refused at once, to come back elsewhere.

Ruled out: ending earlier or later, as new requests come all the time. Test: the request is cut without the change.

--- a/damaskpoint/forwarding/parts.py
+++ b/damaskpoint/forwarding/parts.py
@@ -13,6 +13,7 @@
     from damaskpoint.batching.planner import Planner
     from damaskpoint.batching.pool import StagePool
     from damaskpoint.catalog.catalog import Catalog
+    from damaskpoint.forwarding.answer_times import AnswerTimes
     from damaskpoint.forwarding.budgets import ServiceBudgets
     from damaskpoint.forwarding.first_events import FirstEventTimes
     from damaskpoint.forwarding.sizes import RequestSizes
@@ -43,6 +44,7 @@
     cold: ColdLimiter
     budgets: ServiceBudgets
     first_events: FirstEventTimes
+    answer_times: AnswerTimes
     sizes: RequestSizes
     deadlines: UsualDeadlines
     planner: Planner
--- a/damaskpoint/forwarding/session.py
+++ b/damaskpoint/forwarding/session.py
@@ -38,6 +38,8 @@
 _DEFERRED_FACTOR: Final = 2.0
 # Stands for a time that cannot be foreseen (seconds).
 _FAR_S: Final = 1_000.0
+# How a request ended that was answered by a runner.
+ANSWERED: Final = 'answered'
 # Codes whose status promises that the request did not run.
 _NOT_RUN_CODES: Final = frozenset(
     (Code.DEADLINE_TOO_SHORT, Code.UPSTREAM_OVERLOADED, Code.NO_UPSTREAM)
@@ -77,7 +79,7 @@
             if self._stages is not None:
                 self._stages.release()
         if failure is None:
-            return 'answered'
+            return ANSWERED
         if self._answer.is_started:
             self._answer.abort()
             return f'cut_{failure.code.value}'
--- a/damaskpoint/gateway/handler.py
+++ b/damaskpoint/gateway/handler.py
@@ -8,20 +8,20 @@
 from functools import partial
 from typing import TYPE_CHECKING, Final, final
 
+from damaskpoint.entry.shutdown import Phase
 from damaskpoint.errors import Code, Failure
 from damaskpoint.forwarding import metrics
 from damaskpoint.forwarding.caller_answer import CallerAnswer
 from damaskpoint.forwarding.request import CallerRequest
-from damaskpoint.forwarding.session import Session
+from damaskpoint.forwarding.session import ANSWERED, Session
 from damaskpoint.platform import requests
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from tornado.http1connection import HTTP1Connection
     from tornado.httputil import HTTPServerRequest
 
     from damaskpoint.catalog.model import ClientAccount, Configuration, Route
+    from damaskpoint.entry.shutdown import ShutdownState
     from damaskpoint.forwarding.parts import ForwardingParts
     from damaskpoint.forwarding.terms import RequestTerms
 
@@ -29,18 +29,18 @@
 _MS: Final = 1000
 # Time to come back to an instance that knows no configuration (seconds).
 _NOT_READY_RETRY_S: Final = 0.5
+# Time to come back to another instance, on a new connection (seconds).
+_ELSEWHERE_RETRY_S: Final = 0.05
 
 
 @final
 class RequestHandler:
     """Serves each request in a task of its own."""
 
-    def __init__(
-        self, parts: ForwardingParts, is_leaving: Callable[[], bool]
-    ) -> None:
-        """Serve with these parts; connections close while leaving."""
+    def __init__(self, parts: ForwardingParts, shutdown: ShutdownState) -> None:
+        """Serve with these parts; connections close in a shutdown."""
         self._parts = parts
-        self._is_leaving = is_leaving
+        self._shutdown = shutdown
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_closed = False
 
@@ -71,7 +71,7 @@
         self, received: HTTPServerRequest, arrived_at: float
     ) -> None:
         connection: HTTP1Connection = received.connection  # type: ignore[assignment]
-        answer = CallerAnswer(connection, self._is_leaving)
+        answer = CallerAnswer(connection, lambda: self._shutdown.is_leaving)
         checked = self._check(received, arrived_at)
         route = '' if isinstance(checked, Failure) else checked.route.name
         end = 'caller_left'
@@ -112,6 +112,9 @@
         account = _find_account(configuration, route, terms)
         if isinstance(account, Failure):
             return account
+        refused = self._check_shutdown(route, arrived_at)
+        if refused is not None:
+            return refused
         deadlines = self._parts.deadlines
         deadlines.note(route.name, terms)
         return CallerRequest(
@@ -126,6 +129,22 @@
             asked_at=arrived_at - deadlines.find_age_s(route.name, terms),
         )
 
+    def _check_shutdown(self, route: Route, now: float) -> Failure | None:
+        """Refuse what a shutdown would cut.
+
+        All requests are served until the balancer has had its notice.
+        """
+        if self._shutdown.phase is not Phase.DRAINING:
+            return None
+        bound_s = self._parts.answer_times.bound_s(route.name, route.timeout_s)
+        if min(bound_s, route.timeout_s) <= self._shutdown.left_s(now):
+            return None
+        return Failure(
+            Code.SHUTTING_DOWN,
+            'too late for a whole answer',
+            retry_after_s=_ELSEWHERE_RETRY_S,
+        )
+
     def _record(
         self,
         received: HTTPServerRequest,
@@ -135,6 +154,8 @@
     ) -> None:
         metrics.REQUESTS.inc({'route': route, 'end': end})
         metrics.REQUEST_SECONDS.observe({'route': route}, took_s)
+        if end == ANSWERED:
+            self._parts.answer_times.note(route, took_s)
         configuration = self._parts.catalog.configuration
         _LOG.info(
             'request ended',
--- a/damaskpoint/gateway/wiring.py
+++ b/damaskpoint/gateway/wiring.py
@@ -24,6 +24,7 @@
 )
 from damaskpoint.entry.shutdown import ShutdownState
 from damaskpoint.errors import Failure, FailureError
+from damaskpoint.forwarding.answer_times import AnswerTimes
 from damaskpoint.forwarding.budgets import ServiceBudgets
 from damaskpoint.forwarding.first_events import FirstEventTimes
 from damaskpoint.forwarding.parts import ForwardingOptions, ForwardingParts
@@ -76,7 +77,7 @@
     )
     registry.register('shutdown', shutdown)
     registry.register('membership', membership)
-    handler = RequestHandler(forwarding, lambda: shutdown.is_leaving)
+    handler = RequestHandler(forwarding, shutdown)
     instance = options.instance
     own = create_listed(
         instance.name, instance.zone, instance.host, options.listen.peer_port
@@ -162,6 +163,7 @@
         ),
         budgets=budgets,
         first_events=FirstEventTimes(),
+        answer_times=AnswerTimes(),
         sizes=RequestSizes(),
         deadlines=UsualDeadlines(),
         planner=Planner(catalog, pool, health, pledges),
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -166,6 +166,13 @@
     When a caller sends GET /safe/one on an open connection as the gateway ends
     Then each request that a runner saw was answered whole
 
+  Scenario: A shutdown refuses at the end what it could not answer whole
+    Given a site with a runner of each service
+    And the runner "plain-1" takes 4 seconds
+    When the gateway is told to stop while a caller waits for GET /safe/one
+    And callers send GET /safe/two 2 s and 2.8 s later
+    Then it gets 503 at once, and is told to come back to another instance
+
   Scenario: A shutdown is not ready at once and ends open requests whole
     Given a site with a runner of each service
     And the runner "plain-1" takes 1 seconds
--- a/features/steps/gateway_answer_steps.py
+++ b/features/steps/gateway_answer_steps.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import time
-from typing import Any
+from typing import Any, Final
 
 from behave import then
 from tornado import simple_httpclient
 
 from features.support.gateway_site import HOST, run, until
 
+# Bound on an answer that waits for nothing (seconds).
+_AT_ONCE_S: Final = 0.5
+
 
 @then(
     'the waiting caller gets {status:d} and is told that the connection closes'
@@ -168,3 +171,14 @@
     began_at = time.monotonic()
     run(context, until(lambda: state.left))
     assert time.monotonic() - began_at < seconds
+
+
+@then('it gets 503 at once, and is told to come back to another instance')
+def see_refused(context: Any) -> None:
+    """The refusal is whole, and its connection closes."""
+    head, _, _body = context.answer.partition('\r\n\r\n')
+    assert head.startswith('HTTP/1.1 503'), context.answer
+    assert 'Connection: close' in head, head
+    assert 'Retry-After: 0.050' in head, head
+    is_at_once = context.took_s < _AT_ONCE_S
+    assert is_at_once, context.took_s
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -315,3 +315,27 @@
         context.site.gateway.begin_shutdown()
 
     run(context, stop())
+
+
+@when('callers send GET {path} {first_s:g} s and {second_s:g} s later')
+def send_later(
+    context: Any, path: str, first_s: float, second_s: float
+) -> None:
+    """Open two connections now; read what the second request gets."""
+
+    async def send() -> None:
+        opened = [
+            await asyncio.open_connection(HOST, context.site.port)
+            for _ in range(2)
+        ]
+        await asyncio.sleep(first_s)
+        opened[0][1].write(_create_raw_request(path))
+        await asyncio.sleep(second_s - first_s)
+        began_at = time.monotonic()
+        opened[1][1].write(_create_raw_request(path))
+        context.answer = (await opened[1][0].readuntil(b'}')).decode()
+        context.took_s = time.monotonic() - began_at
+        for _, writer in opened:
+            writer.close()
+
+    run(context, send())
