--- a/damaskpoint/forwarding/session.py
+++ b/damaskpoint/forwarding/session.py
@@ -36,6 +36,8 @@
 # Multiple of the estimated time that the stages of a deferred request must
 # have: requests that come later go before it.
 _DEFERRED_FACTOR: Final = 2.0
+# Part of the objective for which a late request is kept on.
+_LINGER_SHARE: Final = 0.5
 # Stands for a time that cannot be foreseen (seconds).
 _FAR_S: Final = 1_000.0
 # How a request ended that was answered by a runner.
@@ -184,7 +186,12 @@
             terms=request.terms,
             plan=plan,
             priority=request.route.priority,
-            ends_at=request.starts_by - first_s,
+            ends_at=min(
+                request.starts_by,
+                (plan.due_at or request.due_at)
+                + request.route.objective_s * _LINGER_SHARE,
+            )
+            - first_s,
             due_at=(plan.due_at or request.due_at) - first_s,
             lead_s=self._lead_s,
         )
