Speak to the platform through one client, the one of its store

The entry, the reconciler, the sheet's tool and the baseline still had clients of their own for a table, an object store and a list of instances that the users' platform does not have, beside the store's client.

Tables, objects and the list are now thin layers over the one client; the settings name one address (`store_url`, `--store-url`), and the stand-in of the platform speaks the store's protocol, with the same faults as before. The three former clients, the stand-in's own table and its calls are gone; the table in memory that features script moves to their support folder.

Checks: a refused transaction is 412 where the former protocol had 409; all other expectations stay. Left: an entry does not write its own row of the list yet.

--- a/damaskpoint/entry/wiring.py
+++ b/damaskpoint/entry/wiring.py
@@ -9,9 +9,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, final
 
-from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
-from damaskpoint import defaults
 from damaskpoint.admission.controller import create_admission
 from damaskpoint.config.follower import create_follower
 from damaskpoint.entry.in_flight import InFlightRequests
@@ -34,9 +32,9 @@
 from damaskpoint.pipeline.stage_runner import StageRunner
 from damaskpoint.pipeline.stage_times import StageTimes
 from damaskpoint.pipeline.upstream_client import UpstreamClient
-from damaskpoint.platform.http_instances import create_http_instance_list
-from damaskpoint.platform.http_objects import create_http_object_store
-from damaskpoint.platform.http_table import create_http_table
+from damaskpoint.platform.store import create_store
+from damaskpoint.platform.store_instances import StoreInstances
+from damaskpoint.platform.store_table import StoreObjects, StoreTable
 from damaskpoint.routing.wiring import Identity, Routing, create_routing
 
 if TYPE_CHECKING:
@@ -113,14 +111,10 @@
 
 
 def create_platform_parts(options: PlatformOptions) -> PlatformParts:
-    """Return the platform's services over one HTTP client."""
-    client = SimpleAsyncHTTPClient(
-        force_instance=True, max_clients=defaults.PLATFORM_CLIENTS
-    )
+    """Return the platform's services over one client of its store."""
+    store = create_store(options.store_url, options.timeout_s)
     return PlatformParts(
-        create_http_table(options, client),
-        create_http_object_store(options, client),
-        create_http_instance_list(options, client),
+        StoreTable(store), StoreObjects(store), StoreInstances(store)
     )
 
 
--- a/damaskpoint/gateway/peers.py
+++ b/damaskpoint/gateway/peers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 from typing import TYPE_CHECKING, Final, final
 
@@ -12,19 +11,16 @@
 from damaskpoint.errors import Failure
 from damaskpoint.membership import facts
 from damaskpoint.membership.gossip import MembershipListener
-from damaskpoint.platform import names
 from damaskpoint.platform.base import ListedInstance, Presence
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
-
     from damaskpoint.balancing.loads import LoadBoard
     from damaskpoint.batching.paces import PaceBoard
     from damaskpoint.batching.pledges import PledgeBoard
     from damaskpoint.batching.pool import StagePool
     from damaskpoint.forwarding.budgets import ServiceBudgets
     from damaskpoint.membership.service import Membership
-    from damaskpoint.platform.store import PlatformStore, StoredRow
+    from damaskpoint.platform.store_instances import StoreInstances
 
 _LOG: Final = logging.getLogger(__name__)
 # Pauses between reads of the peers' table (seconds): short at first, as
@@ -129,10 +125,13 @@
     """Writes the own address to the store and reads the peers'."""
 
     def __init__(
-        self, store: PlatformStore, own: ListedInstance, membership: Membership
+        self,
+        instances: StoreInstances,
+        own: ListedInstance,
+        membership: Membership,
     ) -> None:
         """Tell this membership of the peers that are found."""
-        self._store = store
+        self._instances = instances
         self._own = own
         self._membership = membership
 
@@ -147,7 +146,7 @@
 
     async def deregister(self) -> None:
         """Remove the own address."""
-        failure = await self._store.remove(names.TABLE_PEERS, self._own.name)
+        failure = await self._instances.deregister(self._own.name)
         if failure is not None:
             _LOG.warning(
                 'own address not removed from the store',
@@ -155,14 +154,7 @@
             )
 
     async def _register(self) -> Failure | None:
-        content = {
-            'zone': self._own.zone,
-            'host': self._own.host,
-            'peer_port': self._own.peer_port,
-        }
-        failure = await self._store.write(
-            names.TABLE_PEERS, self._own.name, json.dumps(content).encode()
-        )
+        failure = await self._instances.register(self._own)
         if failure is not None:
             _LOG.warning(
                 'own address not written to the store',
@@ -171,22 +163,13 @@
         return failure
 
     async def _read(self) -> None:
-        read = await self._store.read_table(names.TABLE_PEERS)
+        read = await self._instances.fetch_peers()
         if isinstance(read, Failure):
             _LOG.warning(
                 'addresses of peers not read', extra={'reason': read.detail}
             )
             return
-        listed = []
-        for row in read.rows:
-            instance = _read_instance(row)
-            if instance is None:
-                _LOG.warning(
-                    'address of a peer cannot be read', extra={'peer': row.key}
-                )
-                continue
-            if instance.name != self._own.name:
-                listed.append(instance)
+        listed = [peer for peer in read if peer.name != self._own.name]
         self._membership.apply_instances(listed)
 
 
@@ -204,16 +187,3 @@
         incarnation=0,
         presence=Presence.LIVE,
     )
-
-
-def _read_instance(row: StoredRow) -> ListedInstance | None:
-    try:
-        content: Mapping[str, object] = json.loads(row.content or b'')
-        return create_listed(
-            row.key,
-            str(content['zone']),
-            str(content['host']),
-            int(str(content['peer_port'])),
-        )
-    except (ValueError, TypeError, KeyError):
-        return None
--- a/damaskpoint/gateway/wiring.py
+++ b/damaskpoint/gateway/wiring.py
@@ -43,6 +43,7 @@
 from damaskpoint.platform import names
 from damaskpoint.platform.piece_caller import HttpPieceCaller
 from damaskpoint.platform.store import create_store
+from damaskpoint.platform.store_instances import StoreInstances
 from damaskpoint.settings import (
     InstanceOptions,
     MembershipOptions,
@@ -67,7 +68,9 @@
     Raises ``FailureError`` for settings that cannot be used.
     """
     registry = StateRegistry()
-    store = create_store(options.store.address, options.store.timeout_s)
+    store = create_store(
+        f'http://{options.store.address}', options.store.timeout_s
+    )
     membership = _create_membership(options)
     forwarding = _create_forwarding(options, membership, registry)
     shutdown = ShutdownState(
@@ -90,7 +93,7 @@
             shutdown=shutdown,
             followers=_create_followers(store, forwarding.catalog),
             membership=membership,
-            discovery=Discovery(store, own, membership),
+            discovery=Discovery(StoreInstances(store), own, membership),
             order_server=create_order_server(
                 forwarding.pool, membership.is_peer_host
             ),
--- a/damaskpoint/load/baseline.py
+++ b/damaskpoint/load/baseline.py
@@ -30,9 +30,9 @@
 from damaskpoint.load.events import EventParser
 from damaskpoint.load.fetching import fetch
 from damaskpoint.platform.base import Presence
-from damaskpoint.platform.http_instances import create_http_instance_list
-from damaskpoint.platform.http_objects import create_http_object_store
-from damaskpoint.platform.http_table import create_http_table
+from damaskpoint.platform.store import create_store
+from damaskpoint.platform.store_instances import StoreInstances
+from damaskpoint.platform.store_table import StoreObjects, StoreTable
 from damaskpoint.settings import load_options
 
 if TYPE_CHECKING:
@@ -277,16 +277,13 @@
 async def serve(options: Options) -> None:
     """Serve callers until the process ends."""
     client = AsyncHTTPClient(force_instance=True, max_clients=_MAX_CLIENTS)
+    store = create_store(options.platform.store_url, options.platform.timeout_s)
     follower = ConfigurationFollower(
-        create_http_table(options.platform, client),
-        ConfigurationFetcher(
-            create_http_object_store(options.platform, client)
-        ),
+        StoreTable(store),
+        ConfigurationFetcher(StoreObjects(store)),
         options.platform,
     )
-    rotation = Rotation(
-        create_http_instance_list(options.platform, client), follower
-    )
+    rotation = Rotation(StoreInstances(store), follower)
     shared = {'rotation': rotation, 'client': client}
     app = Application(
         [
--- a/damaskpoint/main/reconciler.py
+++ b/damaskpoint/main/reconciler.py
@@ -19,9 +19,9 @@
 from damaskpoint.observe.logs import set_up_logs
 from damaskpoint.observe.operator_app import create_operator_app
 from damaskpoint.observe.state import StateRegistry
-from damaskpoint.platform.http_instances import create_http_instance_list
-from damaskpoint.platform.http_objects import create_http_object_store
-from damaskpoint.platform.http_table import create_http_table
+from damaskpoint.platform.store import create_store
+from damaskpoint.platform.store_instances import StoreInstances
+from damaskpoint.platform.store_table import StoreObjects, StoreTable
 from damaskpoint.reconcile.engine_client import create_engine_client
 from damaskpoint.reconcile.process import ReconcilerParts, ReconcilerProcess
 
@@ -86,15 +86,15 @@
     client = AsyncHTTPClient(
         force_instance=True, max_clients=_MAX_CALLS_AT_ONCE
     )
-    table = create_http_table(options.platform, client)
-    object_store = create_http_object_store(options.platform, client)
-    follower = create_follower(table, object_store, options.platform)
+    store = create_store(options.platform.store_url, options.platform.timeout_s)
+    table = StoreTable(store)
+    follower = create_follower(table, StoreObjects(store), options.platform)
     registry = StateRegistry()
     registry.register('configuration', follower)
     return ReconcilerParts(
         options=options,
         table=table,
-        instances=create_http_instance_list(options.platform, client),
+        instances=StoreInstances(store),
         follower=follower,
         client=create_engine_client(
             client,
--- a/damaskpoint/settings.py
+++ b/damaskpoint/settings.py
@@ -50,14 +50,10 @@
 
 @final
 class PlatformOptions(Section):
-    """Where the platform's services are."""
-
-    table_url: str
-    """Base URL of the transactional table."""
-    objects_url: str
-    """Base URL of the object store."""
-    instances_url: str
-    """Base URL of the list of instances."""
+    """Where the platform's store is, and how it is read."""
+
+    store_url: str
+    """Base URL of the platform's store."""
     timeout_s: float = pydantic.Field(defaults.PLATFORM_TIMEOUT_S, gt=0)
     """Time after which a call to the platform counts as failed (seconds)."""
     configuration_poll_s: float = pydantic.Field(
@@ -220,7 +216,7 @@
     instance: InstanceOptions
     """Who this instance is."""
     platform: PlatformOptions
-    """Where the platform's services are."""
+    """Where the platform's store is, and how it is read."""
     membership: MembershipOptions = MembershipOptions()
     """How entries find and hear each other."""
     routing: RoutingOptions = RoutingOptions()
--- a/damaskpoint/sheet_tool/arguments.py
+++ b/damaskpoint/sheet_tool/arguments.py
@@ -48,11 +48,7 @@
     """Return the platform's options of the settings file or the flags."""
     if arguments.settings:
         return load_platform_options(arguments.settings)
-    return PlatformOptions(
-        table_url=arguments.table_url,
-        objects_url=arguments.objects_url or arguments.table_url,
-        instances_url=arguments.instances_url or arguments.table_url,
-    )
+    return PlatformOptions(store_url=arguments.store_url)
 
 
 def create_parser() -> argparse.ArgumentParser:
@@ -145,17 +141,7 @@
         help='settings file; its section `platform` is used',
     )
     source.add_argument(
-        '--table-url', metavar='URL', help='base URL of the table'
-    )
-    parent.add_argument(
-        '--objects-url',
-        metavar='URL',
-        help='base URL of the object store (default: the same)',
-    )
-    parent.add_argument(
-        '--instances-url',
-        metavar='URL',
-        help='base URL of the instance list (default: the same)',
+        '--store-url', metavar='URL', help="base URL of the platform's store"
     )
     parent.add_argument(
         '--platform-s',
--- a/damaskpoint/sheet_tool/tool.py
+++ b/damaskpoint/sheet_tool/tool.py
@@ -6,11 +6,10 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, final
 
-from tornado.httpclient import AsyncHTTPClient
 
-from damaskpoint.platform.http_instances import create_http_instance_list
-from damaskpoint.platform.http_objects import create_http_object_store
-from damaskpoint.platform.http_table import create_http_table
+from damaskpoint.platform.store import create_store
+from damaskpoint.platform.store_instances import StoreInstances
+from damaskpoint.platform.store_table import StoreObjects, StoreTable
 from damaskpoint.sheet_tool.acceptance import Acceptor
 from damaskpoint.sheet_tool.patience import Patience
 from damaskpoint.sheet_tool.probe import EntryProbe, create_entry_probe
@@ -42,14 +41,12 @@
 
 def create_tool(options: PlatformOptions) -> Tool:
     """Return a tool over the platform that the options name."""
-    client = AsyncHTTPClient(
-        force_instance=True, max_clients=_MAX_CALLS_AT_ONCE
-    )
-    table = create_http_table(options, client)
+    store = create_store(options.store_url, options.timeout_s)
+    table = StoreTable(store)
     return Tool(
         table=table,
-        acceptor=Acceptor(table, create_http_object_store(options, client)),
-        instances=create_http_instance_list(options, client),
+        acceptor=Acceptor(table, StoreObjects(store)),
+        instances=StoreInstances(store),
         probe=create_entry_probe(options.timeout_s),
         clock=time.monotonic,
     )
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -28,9 +28,7 @@
 from damaskpoint.settings import PlatformOptions
 from features.support.memory_platform import MemoryObjects, ScriptedTable
 
-_OPTIONS = PlatformOptions(
-    table_url='http://x', objects_url='http://x', instances_url='http://x'
-)
+_OPTIONS = PlatformOptions(store_url='http://x')
 _BOUND_S = 4.0
 
 
--- a/features/steps/order_steps.py
+++ b/features/steps/order_steps.py
@@ -28,7 +28,7 @@
 from damaskpoint.reconcile.progress import locate_lease
 from damaskpoint.settings import ReconcilerOptions
 from features.support.memory_platform import ScriptedTable, list_instance
-from standins.table import WriteBody
+from features.support.memory_table import WriteBody
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -9,7 +9,6 @@
 
 from behave import then
 from tornado import httpserver, testing, web
-from tornado.httpclient import AsyncHTTPClient
 
 from damaskpoint.errors import Failure
 from damaskpoint.platform.base import (
@@ -19,10 +18,9 @@
     RowKey,
     Write,
 )
-from damaskpoint.platform.http_instances import create_http_instance_list
-from damaskpoint.platform.http_objects import create_http_object_store
-from damaskpoint.platform.http_table import create_http_table
-from damaskpoint.settings import PlatformOptions
+from damaskpoint.platform.store import create_store
+from damaskpoint.platform.store_instances import StoreInstances
+from damaskpoint.platform.store_table import StoreObjects, StoreTable
 from standins.history import create_history
 from standins.platform import InstanceLog, Platform, create_platform_app
 from standins.platform_faults import PlatformControl, TableFault
@@ -45,19 +43,13 @@
 
 
 class Adapters:
-    """The three adapters on one base URL."""
+    """The three adapters on one store."""
 
     def __init__(self, url: str) -> None:
-        options = PlatformOptions(
-            table_url=url,
-            objects_url=url,
-            instances_url=url,
-            timeout_s=_TIMEOUT_S,
-        )
-        client = AsyncHTTPClient(force_instance=True)
-        self.table = create_http_table(options, client)
-        self.object_store = create_http_object_store(options, client)
-        self.instances = create_http_instance_list(options, client)
+        store = create_store(url, _TIMEOUT_S)
+        self.table = StoreTable(store)
+        self.object_store = StoreObjects(store)
+        self.instances = StoreInstances(store)
 
     async def call(self, name: str) -> object:
         """Make one call of the name in the feature's tables."""
--- a/features/steps/sheet_tool_steps.py
+++ b/features/steps/sheet_tool_steps.py
@@ -42,7 +42,7 @@
     WriteFault,
     list_instance,
 )
-from standins.table import WriteBody
+from features.support.memory_table import WriteBody
 
 if TYPE_CHECKING:
     from damaskpoint.platform.base import ListedInstance
--- a/features/support/cluster.py
+++ b/features/support/cluster.py
@@ -213,7 +213,7 @@
         status, said = await self.launcher.run(
             'damaskpoint.main.sheet',
             *words,
-            f'--table-url={self.platform_url}',
+            f'--store-url={self.platform_url}',
         )
         self.operator.record('tool', words=words, status=status, said=said)
         return status
@@ -248,9 +248,7 @@
             'peer_port': member.peer_port,
         },
         'platform': {
-            'table_url': member.platform_url,
-            'objects_url': member.platform_url,
-            'instances_url': member.platform_url,
+            'store_url': member.platform_url,
         },
         'membership': {'peers': peers},
     }
--- a/features/support/memory_platform.py
+++ b/features/support/memory_platform.py
@@ -22,7 +22,7 @@
     Table,
     Write,
 )
-from standins.table import MemoryTable, WriteBody
+from features.support.memory_table import MemoryTable, WriteBody
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Coroutine, Sequence
--- a/standins/table.py
+++ b/features/support/memory_table.py
@@ -1,4 +1,4 @@
-"""The transactional table of the platform, in memory."""
+"""A transactional table in memory, without a protocol."""
 
 from __future__ import annotations
 
@@ -19,20 +19,6 @@
     data: dict[str, object] | None = None
 
 
-@final
-class TransactBody(pydantic.BaseModel):
-    """The body of a transaction."""
-
-    writes: list[WriteBody]
-
-
-@final
-class ReadBody(pydantic.BaseModel):
-    """The body of a read."""
-
-    keys: list[tuple[str, str]]
-
-
 @dataclass(slots=True)
 class _Row:
     version: int
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -111,9 +111,7 @@
                 'peer_port': _PEER_PORT,
             },
             'platform': {
-                'table_url': url,
-                'objects_url': url,
-                'instances_url': url,
+                'store_url': url,
             },
             'shutdown': {'notice_s': 0.2, 'limit_s': _STOP_S},
         }
@@ -125,7 +123,7 @@
         words = [
             'apply',
             str(_SHEET),
-            '--table-url',
+            '--store-url',
             self._platform_url(),
         ]
         command = [sys.executable, '-m', 'damaskpoint.main.sheet', *words]
