--- a/damaskpoint/batching/queue.py
+++ b/damaskpoint/batching/queue.py
@@ -19,7 +19,7 @@
 # How long a piece waits for a runner of its own zone, by the bytes that
 # would cross zones (seconds a byte), and at most (seconds): about a call of
 # a stage for a megabyte.
-_HOME_WAIT_S_PER_BYTE: Final = 5e-7
+_HOME_WAIT_S_PER_BYTE: Final = 1e-6
 _MAX_HOME_WAIT_S: Final = 0.4
 # Time that each step of priority puts a piece behind others (seconds), and
 # the priority from which on steps do not count.
