Know requests that come back although deadlines differ; defer fewer

Requests that come back after a refusal were told by the one deadline that most callers of a route send.

A request now counts as one that comes back if its deadline is below four fifths of the usual one (the 90th percentile of the route's last requests), where at least half of them lie above that. Deferral needs three times the estimated time of the stages.

--- a/damaskpoint/forwarding/session.py
+++ b/damaskpoint/forwarding/session.py
@@ -35,7 +35,7 @@
 _MARGIN_SHARE: Final = 0.12
 # Multiple of the estimated time that the stages of a deferred request must
 # have: requests that come later go before it.
-_DEFERRED_FACTOR: Final = 2.0
+_DEFERRED_FACTOR: Final = 3.0
 # Part of the objective for which a late request is kept on.
 _LINGER_SHARE: Final = 0.5
 # Stands for a time that cannot be foreseen (seconds).
--- a/damaskpoint/forwarding/usual_deadlines.py
+++ b/damaskpoint/forwarding/usual_deadlines.py
@@ -1,7 +1,8 @@
 """Tells requests that come back after a refusal from new ones.
 
-Callers of one route mostly send the same deadline. One that comes back
-waits only for what is left of it, so the difference is its age.
+Callers of one route mostly send similar deadlines. One that comes back
+waits only for what is left of its own, so a clearly shorter one tells its
+age.
 """
 
 from __future__ import annotations
@@ -14,10 +15,14 @@
 
 # Requests of a route whose deadlines are compared: some seconds of traffic.
 _MEMORY: Final = 64
-# Share of them with the same deadline for it to count as the usual one, and
-# the requests that must have been seen: with fewer, nothing is certain.
-_USUAL_SHARE: Final = 0.4
+# Requests that must have been seen: with fewer, nothing is certain.
 _LEAST_SEEN: Final = 8
+# Place of the usual deadline among those seen, by length: few are longer.
+_USUAL_PLACE: Final = 0.9
+# Part of the usual deadline from which on one counts as a new request's, and
+# the share of such requests without which there is no usual one.
+_SIMILAR: Final = 0.8
+_LEAST_SIMILAR: Final = 0.5
 
 
 @final
@@ -39,11 +44,14 @@
         seen.append(terms.deadline_s)
 
     def find_age_s(self, route: str, terms: RequestTerms) -> float:
-        """Return how long ago a request's caller first asked."""
-        seen = self._seen_by_route.get(route, ())
+        """Return about how long ago a request's caller first asked."""
+        seen = sorted(self._seen_by_route.get(route, ()))
         if terms.deadline_s is None or len(seen) < _LEAST_SEEN:
             return float(0)
-        usual_s, count = collections.Counter(seen).most_common(1)[0]
-        if count < len(seen) * _USUAL_SHARE:
+        usual_s = seen[int(len(seen) * _USUAL_PLACE)]
+        similar = sum(1 for other_s in seen if other_s >= usual_s * _SIMILAR)
+        if similar < len(seen) * _LEAST_SIMILAR:
             return float(0)
-        return max(float(0), usual_s - terms.deadline_s)
+        if terms.deadline_s >= usual_s * _SIMILAR:
+            return float(0)
+        return usual_s - terms.deadline_s
