--- a/features/support/trials.py
+++ b/features/support/trials.py
@@ -4,6 +4,9 @@
 
 import asyncio
 import random
+import shutil
+import sys
+import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final
 
@@ -16,6 +19,7 @@
     Sections,
 )
 from features.support.faults import draw_schedule, run_schedule, space_schedule
+from features.support.launcher import ROOT
 from features.support.traffic import Traffic
 
 if TYPE_CHECKING:
@@ -27,6 +31,8 @@
     Operate = Callable[[Cluster, Traffic, random.Random], Operation]
 
 _LIMIT_S: Final = 150.0
+# Where the logs of failed trials are kept.
+_KEPT: Final = ROOT / 'out' / 'trials'
 _TRAFFIC_S: Final = 5.0
 # Sheets up to this number can be applied.
 _MODELS: Final = tuple(f'--model=model-{number}:1' for number in range(1, 9))
@@ -265,13 +271,24 @@
         entry_words=options.words,
     )
     try:
-        return await asyncio.wait_for(
+        result = await asyncio.wait_for(
             _run(cluster, promise, draw, options.faults), _LIMIT_S
         )
+        if result.violations and not options.module:
+            _keep_folder(cluster, options)
+        return result
     finally:
         cluster.close()
 
 
+def _keep_folder(cluster: Cluster, options: TrialOptions) -> None:
+    """Keep logs and histories of a trial of the product that failed."""
+    name = f'{options.promise}-{options.seed}-{time.time_ns()}'
+    kept = _KEPT / name.replace(' ', '-')
+    shutil.copytree(cluster.launcher.folder, kept)
+    sys.stdout.write(f'logs and histories are in {kept}\n')
+
+
 async def _run(
     cluster: Cluster,
     promise: Promise,
