Give the gateway's features an address of their own

The features asked for a free port of 127.0.0.1 and listened a moment later; other processes, now also the second behave process, take ports of that address. With that port taken on purpose a play in the loop shows the same: no start, no configuration, OSError 98 in the task.

The site now listens on a loopback address of its test process alone, as the launcher's processes do. Ruled out: the store's 429 (the step that failed is the one before it).

--- a/features/support/gateway_site.py
+++ b/features/support/gateway_site.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 import time
 from dataclasses import dataclass, field
@@ -22,7 +23,9 @@
 
     from damaskpoint.gateway.runtime import GatewayRuntime
 
-HOST: Final = '127.0.0.1'
+# An address of this test process alone, so that no other takes a port of it;
+# the launcher's processes have the ones before.
+HOST: Final = f'127.{20 + os.getpid() // 256 % 200}.{os.getpid() % 256}.251'
 KEY: Final = 'key-1'
 _WAIT_S: Final = 3.0
 _STEP_S: Final = 0.02
