Read the two lists of instances with one loop

The runners' table and the system's own were read by two copies of the same loop. Behaviour is unchanged: bad rows are logged and left out.

On this change: lint, mypy and the features platform, gateway, layout, standins and demo.

--- a/damaskpoint/platform/store_instances.py
+++ b/damaskpoint/platform/store_instances.py
@@ -15,8 +15,12 @@
 from damaskpoint.platform.store import RowChange
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from damaskpoint.platform.store import PlatformStore, StoredRow
 
+    _ReadRow = Callable[[StoredRow], ListedInstance | Failure]
+
 _LOG: Final = logging.getLogger(__name__)
 
 
@@ -45,31 +49,12 @@
         own = await self.fetch_peers()
         if isinstance(own, Failure):
             return own
-        read = await self._store.read_table(names.TABLE_RUNNERS)
-        if isinstance(read, Failure):
-            return read
-        listed = list(own)
-        for row in read.rows:
-            line = _read_runner(row)
-            if isinstance(line, Failure):
-                _note_unreadable(row, line)
-                continue
-            listed.append(line)
-        return tuple(listed)
+        runners = await self._read(names.TABLE_RUNNERS, _read_runner)
+        return runners if isinstance(runners, Failure) else own + runners
 
     async def fetch_peers(self) -> tuple[ListedInstance, ...] | Failure:
         """Return the system's own instances alone."""
-        read = await self._store.read_table(names.TABLE_PEERS)
-        if isinstance(read, Failure):
-            return read
-        listed = []
-        for row in read.rows:
-            line = _read_instance(row)
-            if isinstance(line, Failure):
-                _note_unreadable(row, line)
-                continue
-            listed.append(line)
-        return tuple(listed)
+        return await self._read(names.TABLE_PEERS, _read_instance)
 
     async def register(self, own: ListedInstance) -> Failure | None:
         """Write the row of an instance of the system."""
@@ -87,6 +72,22 @@
         """Remove the row of an instance of the system."""
         return await self._change(name, None)
 
+    async def _read(
+        self, table: str, read_row: _ReadRow
+    ) -> tuple[ListedInstance, ...] | Failure:
+        """Return the instances of a table; bad rows are logged."""
+        read = await self._store.read_table(table)
+        if isinstance(read, Failure):
+            return read
+        listed = []
+        for row in read.rows:
+            line = read_row(row)
+            if isinstance(line, Failure):
+                _note_unreadable(row, line)
+                continue
+            listed.append(line)
+        return tuple(listed)
+
     async def _change(self, name: str, content: bytes | None) -> Failure | None:
         change = RowChange(names.TABLE_PEERS, name, None, content)
         outcome = await self._store.change((change,))
