Bound late requests of a shutdown by run times, not whole answers

Cause: the drain accepted a late request if mean plus four deviations of the route's whole answers fitted into the time left. After a restart these are a few short answers, while the route's runs have a long tail, and the time that the stages and queues take now is not in it. The notice was 3.0 s and ended up to 50 ms later, so that the first late requests were still accepted without any check.

Change: the notice is 2.5 s; connections without a request are closed when the drain begins; late requests need a bound of at least 20 runs at the runner (twice the longest of 100) plus their stages; all are checked again before each send. At the limit, requests in progress get 503 or 502 instead of a closed connection.

Result: three scenarios of gateway_shutdown.feature fail on (a stream cut at the limit, an idle connection open until the end, no answer for a waiting request) and pass now.

--- a/damaskpoint/entry/shutdown.py
+++ b/damaskpoint/entry/shutdown.py
@@ -79,6 +79,12 @@
         """Return the seconds until the platform's limit for a shutdown."""
         return max(float(0), self._started_at + self._options.limit_s - now)
 
+    def is_draining_at(self, now: float) -> bool:
+        """Return whether the drain has begun, at or after its notice."""
+        if not self.is_shutting_down:
+            return False
+        return now - self._started_at >= self._notice_s()
+
     def check_ready(self) -> Failure | None:
         """Return why the load balancer must send no requests, or None."""
         if not self.is_shutting_down:
--- a/damaskpoint/forwarding/attempts.py
+++ b/damaskpoint/forwarding/attempts.py
@@ -77,6 +77,9 @@
             runner = self._chooser.choose(self._failed, time.monotonic())
             if runner is None or not self._take_from_budget():
                 break
+            refused = self._check_completion()
+            if refused is not None:
+                return refused
             failure = await self._try_runner(runner, results)
             if failure is None:
                 return None
@@ -86,6 +89,11 @@
                 self._possible_runs += 1
         return last_failure
 
+    def _check_completion(self) -> Failure | None:
+        return self._context.completion.check(
+            self._request, 0, time.monotonic()
+        )
+
     def _may_send(self, last_failure: Failure) -> bool:
         if last_failure.code is Code.RESULT_LOST:
             return False
@@ -127,7 +135,10 @@
             failure = await self._exchange(runner, results, began_at)
         finally:
             self._context.loads.end(runner.name)
-        if failure is not None and failure.ran is Ran.NO:
+        if failure is None:
+            took_s = time.monotonic() - began_at
+            self._context.completion.record_run(self._route.name, took_s)
+        elif failure.ran is Ran.NO:
             self.ran = ran_before
         self._record_attempt(runner, failure, began_at)
         return failure
--- a/damaskpoint/forwarding/context.py
+++ b/damaskpoint/forwarding/context.py
@@ -13,8 +13,8 @@
     from damaskpoint.batching.planner import Planner
     from damaskpoint.batching.pool import StagePool
     from damaskpoint.catalog.catalog import Catalog
-    from damaskpoint.forwarding.answer_times import AnswerTimes
     from damaskpoint.forwarding.budgets import ServiceBudgets
+    from damaskpoint.forwarding.completion import CompletionCheck
     from damaskpoint.forwarding.first_events import FirstEventTimes
     from damaskpoint.forwarding.sizes import RequestSizes
     from damaskpoint.forwarding.usual_deadlines import UsualDeadlines
@@ -44,7 +44,7 @@
     cold: ColdLimiter
     budgets: ServiceBudgets
     first_events: FirstEventTimes
-    answer_times: AnswerTimes
+    completion: CompletionCheck
     sizes: RequestSizes
     deadlines: UsualDeadlines
     planner: Planner
--- a/damaskpoint/forwarding/session.py
+++ b/damaskpoint/forwarding/session.py
@@ -46,7 +46,12 @@
 ANSWERED: Final = 'answered'
 # Codes whose status guarantees that the request did not run.
 _NOT_RUN_CODES: Final = frozenset(
-    (Code.DEADLINE_TOO_SHORT, Code.UPSTREAM_OVERLOADED, Code.NO_UPSTREAM)
+    (
+        Code.DEADLINE_TOO_SHORT,
+        Code.UPSTREAM_OVERLOADED,
+        Code.NO_UPSTREAM,
+        Code.SHUTTING_DOWN,
+    )
 )
 
 
@@ -68,6 +73,8 @@
         self._relay = Relay(answer, self._handle_answer_start)
         self._stages: StageRun | None = None
         self._attempts: Attempts | None = None
+        self._task: asyncio.Task[object] | None = None
+        self._is_interrupted = False
         context.sizes.record(request.route.name, request.metadata)
         self._lead_s = context.sizes.lead_s(
             request.route.name, request.metadata
@@ -75,12 +82,17 @@
 
     async def run(self) -> str:
         """Answer the request and return its end for logs and metrics."""
+        self._task = asyncio.current_task()
         left_s = self._request.ends_at - time.monotonic()
         try:
             async with asyncio.timeout(left_s):
                 failure = await self._serve()
         except TimeoutError:
             failure = Failure(Code.DEADLINE_PASSED, self._service)
+        except asyncio.CancelledError:
+            if not self._is_interrupted:
+                raise
+            failure = Failure(Code.SHUTTING_DOWN, 'the shutdown has ended')
         finally:
             if self._stages is not None:
                 self._stages.release()
@@ -95,6 +107,13 @@
         )
         return failure.code.value
 
+    def interrupt(self) -> None:
+        """End the request now, with a failure unless its answer has begun."""
+        if self._task is None or self._answer.is_ended:
+            return
+        self._is_interrupted = True
+        self._task.cancel()
+
     async def _serve(self) -> Failure | None:
         """Run the stages and send; repeat both if a result was lost."""
         failure = await self._serve_once()
@@ -109,6 +128,10 @@
         plan = self._plan_or_refuse(now)
         if isinstance(plan, Failure):
             return plan
+        stages_s = min(plan.stages_s, _MAX_ESTIMATE_S)
+        refused = self._context.completion.check(self._request, stages_s, now)
+        if refused is not None:
+            return refused
         results = await self._run_stages(plan)
         if isinstance(results, Failure):
             return results
--- a/damaskpoint/gateway/handler.py
+++ b/damaskpoint/gateway/handler.py
@@ -8,12 +8,11 @@
 from functools import partial
 from typing import TYPE_CHECKING, Final, final
 
-from damaskpoint.entry.shutdown import Phase
 from damaskpoint.errors import Code, Failure
 from damaskpoint.forwarding import metrics
 from damaskpoint.forwarding.caller_answer import CallerAnswer
 from damaskpoint.forwarding.request import CallerRequest
-from damaskpoint.forwarding.session import ANSWERED, Session
+from damaskpoint.forwarding.session import Session
 from damaskpoint.platform import requests
 
 if TYPE_CHECKING:
@@ -29,9 +28,8 @@
 _MS_PER_S: Final = 1000
 # Retry-After of an instance without a configuration (seconds).
 _NOT_READY_RETRY_AFTER_S: Final = 0.5
-# Retry-After of a draining instance (seconds). It is short, as the caller
-# opens a new connection, which the balancer routes to another instance.
-_SHUTDOWN_RETRY_AFTER_S: Final = 0.05
+# Maximum time for answering the requests that a shutdown interrupts (seconds).
+_INTERRUPT_TIMEOUT_S: Final = 0.2
 
 
 @final
@@ -45,6 +43,7 @@
         self._context = context
         self._shutdown = shutdown
         self._tasks: set[asyncio.Task[None]] = set()
+        self._sessions: set[Session] = set()
         self._is_closed = False
 
     def __call__(self, received: HTTPServerRequest) -> None:
@@ -65,6 +64,17 @@
         """Refuse all further requests by closing their connections."""
         self._is_closed = True
 
+    async def interrupt(self) -> None:
+        """Answer the requests in progress with a failure where possible.
+
+        Returns when they have ended, at the latest after a fixed time.
+        """
+        tasks = tuple(self._tasks)
+        for session in tuple(self._sessions):
+            session.interrupt()
+        if tasks:
+            await asyncio.wait(tasks, timeout=_INTERRUPT_TIMEOUT_S)
+
     @property
     def count(self) -> int:
         """Return the number of requests in progress."""
@@ -87,7 +97,7 @@
                     checked, _create_echo_headers(received)
                 )
             else:
-                outcome = await Session(self._context, checked, answer).run()
+                outcome = await self._run_session(checked, answer)
         except Exception as error:
             outcome = Code.INTERNAL.value
             _LOG.exception('request failed', extra={'error': repr(error)})
@@ -97,6 +107,16 @@
                 received, route, outcome, time.monotonic() - arrived_at
             )
 
+    async def _run_session(
+        self, request: CallerRequest, answer: CallerAnswer
+    ) -> str:
+        session = Session(self._context, request, answer)
+        self._sessions.add(session)
+        try:
+            return await session.run()
+        finally:
+            self._sessions.discard(session)
+
     def _validate(
         self, received: HTTPServerRequest, arrived_at: float
     ) -> CallerRequest | Failure:
@@ -125,9 +145,6 @@
         account = _find_account(configuration, route, metadata)
         if isinstance(account, Failure):
             return account
-        refused = self._check_shutdown(route, arrived_at)
-        if refused is not None:
-            return refused
         deadlines = self._context.deadlines
         deadlines.record(route.name, metadata)
         return CallerRequest(
@@ -143,25 +160,6 @@
             - deadlines.estimate_age_s(route.name, metadata),
         )
 
-    def _check_shutdown(self, route: Route, now: float) -> Failure | None:
-        """Refuse a request that the shutdown would interrupt.
-
-        All requests are served until the balancer has had time to notice
-        the shutdown.
-        """
-        if self._shutdown.phase is not Phase.DRAINING:
-            return None
-        bound_s = self._context.answer_times.bound_s(
-            route.name, route.timeout_s
-        )
-        if min(bound_s, route.timeout_s) <= self._shutdown.remaining_s(now):
-            return None
-        return Failure(
-            Code.SHUTTING_DOWN,
-            'too late for a whole answer',
-            retry_after_s=_SHUTDOWN_RETRY_AFTER_S,
-        )
-
     def _record(
         self,
         received: HTTPServerRequest,
@@ -171,8 +169,6 @@
     ) -> None:
         metrics.REQUESTS.inc({'route': route, 'end': outcome})
         metrics.REQUEST_SECONDS.observe({'route': route}, took_s)
-        if outcome == ANSWERED:
-            self._context.answer_times.record(route, took_s)
         configuration = self._context.catalog.configuration
         _LOG.info(
             'request ended',
--- a/damaskpoint/gateway/runtime.py
+++ b/damaskpoint/gateway/runtime.py
@@ -14,6 +14,7 @@
 from damaskpoint.entry.periodic import run_periodically
 from damaskpoint.entry.shutdown import PendingWork, Phase, ShutdownState
 from damaskpoint.errors import Code, Failure
+from damaskpoint.gateway.caller_server import CallerServer
 from damaskpoint.gateway.options import parse_address
 from damaskpoint.membership import facts
 from damaskpoint.observe.operator_app import (
@@ -91,7 +92,7 @@
         readiness = GatewayReadiness(
             components.forwarding.catalog, components.shutdown
         )
-        self._caller_server = httpserver.HTTPServer(
+        self._caller_server = CallerServer(
             components.handler,
             max_header_size=defaults.MAX_HEADER_BYTES,
             max_body_size=_INITIAL_MAX_BODY_BYTES,
@@ -155,14 +156,12 @@
             self._components.discovery.deregister()
         )
         self._tasks.append(deregistration)
-        while self._components.shutdown.phase is not Phase.STOPPED:
-            await asyncio.sleep(defaults.SHUTDOWN_STEP_S)
-            pending = PendingWork(self._components.handler.count, 0)
-            self._components.shutdown.advance(pending, time.monotonic())
+        await self._drain()
         # Nothing is awaited between the last check of the requests in progress
         # and this call, so no request can be forwarded in between and then
         # be interrupted.
         self._components.handler.close()
+        await self._components.handler.interrupt()
         await self._stop()
 
     def _start(self) -> None:
@@ -190,6 +189,19 @@
             },
         )
 
+    async def _drain(self) -> None:
+        """Serve until no request is left, or until the limit."""
+        shutdown = self._components.shutdown
+        while shutdown.phase is not Phase.STOPPED:
+            await asyncio.sleep(defaults.SHUTDOWN_STEP_S)
+            is_noticed = shutdown.phase is not Phase.NOTICE
+            pending = PendingWork(self._components.handler.count, 0)
+            shutdown.advance(pending, time.monotonic())
+            if shutdown.phase is Phase.DRAINING and not is_noticed:
+                # Callers find out before their next request, which would
+                # otherwise be refused.
+                self._caller_server.close_idle_connections()
+
     def _listen(self, server: httpserver.HTTPServer, address: str) -> None:
         host, port = parse_address(address)
         server.listen(port, host)
--- a/damaskpoint/gateway/wiring.py
+++ b/damaskpoint/gateway/wiring.py
@@ -24,8 +24,8 @@
 )
 from damaskpoint.entry.shutdown import ShutdownState
 from damaskpoint.errors import Failure, FailureError
-from damaskpoint.forwarding.answer_times import AnswerTimes
 from damaskpoint.forwarding.budgets import ServiceBudgets
+from damaskpoint.forwarding.completion import CompletionCheck
 from damaskpoint.forwarding.context import ForwardingContext, ForwardingOptions
 from damaskpoint.forwarding.first_events import FirstEventTimes
 from damaskpoint.forwarding.sizes import RequestSizes
@@ -60,7 +60,9 @@
 _SHUTDOWN_GRACE_SHARE = 0.9
 # Time in which the balancer removes an instance that is not ready (seconds):
 # two of its checks, one a second, and the connections already being opened.
-_BALANCER_NOTICE_S = 3.0
+# The platform excuses interrupted requests that were sent up to 3 s after the
+# signal, which includes their time in transit.
+_BALANCER_NOTICE_S = 2.5
 
 
 def create_gateway(options: GatewayOptions) -> GatewayRuntime:
@@ -73,13 +75,13 @@
         f'http://{options.store.address}', options.store.timeout_s
     )
     membership = _create_membership(options)
-    forwarding = _create_forwarding(options, membership, registry)
     shutdown = ShutdownState(
         ShutdownOptions(
             notice_s=_BALANCER_NOTICE_S,
             limit_s=options.bounds.grace_s * _SHUTDOWN_GRACE_SHARE,
         )
     )
+    forwarding = _create_forwarding(options, membership, shutdown, registry)
     registry.register('shutdown', shutdown)
     registry.register('membership', membership)
     handler = RequestHandler(forwarding, shutdown)
@@ -128,7 +130,10 @@
 
 
 def _create_forwarding(
-    options: GatewayOptions, membership: Membership, registry: StateRegistry
+    options: GatewayOptions,
+    membership: Membership,
+    shutdown: ShutdownState,
+    registry: StateRegistry,
 ) -> ForwardingContext:
     bounds = options.bounds
     own_name = options.instance.name
@@ -168,7 +173,7 @@
         ),
         budgets=budgets,
         first_events=FirstEventTimes(),
-        answer_times=AnswerTimes(),
+        completion=CompletionCheck(shutdown),
         sizes=RequestSizes(),
         deadlines=UsualDeadlines(),
         planner=Planner(catalog, pool, health, pledges),
--- /dev/null
+++ b/features/gateway_shutdown.feature
@@ -0,0 +1,41 @@
+Feature: A shutdown of the gateway answers each request or refuses it at once
+  The balancer needs up to 2 s to notice a shutdown. Requests that arrive
+  later, on connections that are still open, must not be interrupted.
+
+  Scenario: A late stream whose route had only a few short answers is refused
+    Given a site with a runner of each service
+    When 3 callers send GET /stream/one
+    Given the runner "model-1" takes 1 seconds
+    When a shutdown begins while a caller waits for a stream
+    And callers send GET /stream/two 2 s and 2.8 s later
+    Then the second one gets 503 immediately and may retry at another instance
+
+  Scenario: A connection without a request is closed before the drain
+    Given a site with a runner of each service
+    And the runner "model-1" takes 1 seconds
+    When a shutdown begins while a caller waits for a stream
+    Then an idle connection is closed between 2.2 s and 2.9 s later
+
+  Scenario: Each request that still waits at the end gets an answer
+    Given a site with a runner of each service
+    And the runner "plain-1" takes 20 seconds
+    And the runner "stage-1" takes 20 seconds
+    When a shutdown ends while callers wait for GET /safe/one and GET /staged/one
+    Then the first gets 502, and the second 503 as no runner has its request
+
+  Scenario Outline: Whether a request can be answered in time: <case>
+    Given a shutdown that began <age> s ago, with 2.5 s of notice of its 7.2 s
+    And <runs> runs of a route that took up to <longest> s, <mean> s on average
+    When a request with <left> s left, sent <sent> s after the signal, needs <stages> s for its stages
+    Then the shutdown check says <decision>
+
+    Examples:
+      | case                                   | age | runs | longest | mean | left | sent | stages | decision |
+      | its deadline ends before the shutdown  | 3   | 0    | 0       | 0    | 4    | 3    | 0      | accepted |
+      | few runs, sent late                    | 3   | 5    | 0.1     | 0.1  | 20   | 3    | 0      | refused  |
+      | few runs, sent before the notice       | 2   | 5    | 0.1     | 0.1  | 20   | 2    | 0      | accepted |
+      | short runs, sent late                  | 3   | 40   | 1       | 0.5  | 20   | 3    | 0      | accepted |
+      | short runs, sent late, stages ahead    | 3   | 40   | 1       | 0.5  | 20   | 3    | 3      | refused  |
+      | one long run among many, sent late     | 3   | 40   | 3       | 0.5  | 20   | 3    | 0      | refused  |
+      | one long run, sent before the notice   | 3   | 40   | 3       | 0.5  | 20   | 2    | 0      | accepted |
+      | its stages ended too late              | 7   | 40   | 3       | 0.5  | 20   | 2    | 0      | refused  |
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -321,21 +321,23 @@
 def send_later(
     context: Any, path: str, first_s: float, second_s: float
 ) -> None:
-    """Open two connections now and read the answer of the second request."""
+    """Send on a connection opened now, and on one opened for the second.
+
+    Keeps the answer of the second request.
+    """
 
     async def send() -> None:
-        opened = [
-            await asyncio.open_connection(HOST, context.site.port)
-            for _ in range(2)
-        ]
+        _, first = await asyncio.open_connection(HOST, context.site.port)
         await asyncio.sleep(first_s)
-        opened[0][1].write(_create_raw_request(path))
+        first.write(_create_raw_request(path))
         await asyncio.sleep(second_s - first_s)
+        reader, second = await asyncio.open_connection(HOST, context.site.port)
         began_at = time.monotonic()
-        opened[1][1].write(_create_raw_request(path))
-        context.answer = (await opened[1][0].readuntil(b'}')).decode()
+        second.write(_create_raw_request(path))
+        answer = await asyncio.wait_for(reader.readuntil(b'}'), _WAIT_S)
+        context.answer = answer.decode()
         context.took_s = time.monotonic() - began_at
-        for _, writer in opened:
+        for writer in (first, second):
             writer.close()
 
     run(context, send())
