Follow restores of the store, announced exits and pauses of runners

The store may come back from a copy some seconds old (header Store-Era); a runner may announce its exit in any answer (Server-Leaving) and ask for a pause with a 503 (Retry-After). The follower ordered what it read by version alone, so that versions assigned again hid changes, a runner seen as draining was used again and an evacuation ended; the other two headers were not read.

Change: answers of an older era count as lost; a higher era makes the whole table be read, and for 10 s what was known stays good where the copy says otherwise; then the table is read again and holds alone. Starts that drain, announced their exit or were removed are remembered. A gateway whose row is missing writes it again. Paused runners get no call, releases of results included; if all of a service are paused, requests are refused at once with the first end of a pause. Announced exits are marks in gossip.

--- /dev/null
+++ b/damaskpoint/balancing/signals.py
@@ -0,0 +1,54 @@
+"""Applies what runners say about themselves in the headers of answers."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Final, final
+
+if TYPE_CHECKING:
+    from damaskpoint.balancing.health import RunnerHealth
+    from damaskpoint.catalog.model import Runner
+    from damaskpoint.catalog.runners import RunnerTable
+    from damaskpoint.forwarding.metadata import AnswerMetadata
+
+_LOG: Final = logging.getLogger(__name__)
+
+
+@final
+class RunnerSignals:
+    """Passes cold times, announced exits and pauses to the runners' state."""
+
+    def __init__(self, runners: RunnerTable, health: RunnerHealth) -> None:
+        """Apply signals to this table and this health."""
+        self._runners = runners
+        self._health = health
+        self._unpublished: list[tuple[str, int]] = []
+
+    def record(
+        self, runner: Runner, metadata: AnswerMetadata, now: float
+    ) -> None:
+        """Apply the signals in an answer; ``now`` is monotonic seconds."""
+        if metadata.cold_left_s is not None:
+            self._runners.record_cold(runner.name, metadata.cold_left_s, now)
+        if metadata.pause_s is not None:
+            self._health.record_pause(runner.name, metadata.pause_s, now)
+            _LOG.info(
+                'runner asked for a pause',
+                extra={'runner': runner.name, 'pause_s': metadata.pause_s},
+            )
+        if not metadata.is_leaving:
+            return
+        if self._runners.mark_leaving(runner.name, runner.started_ms, now):
+            self._unpublished.append((runner.name, runner.started_ms))
+            _LOG.info(
+                'runner announced its exit', extra={'runner': runner.name}
+            )
+
+    def take_unpublished(self) -> list[tuple[str, int]]:
+        """Return name and start of runners that peers must be told of.
+
+        Each announced exit is returned once.
+        """
+        unpublished = self._unpublished
+        self._unpublished = []
+        return unpublished
--- a/damaskpoint/batching/base.py
+++ b/damaskpoint/batching/base.py
@@ -23,7 +23,8 @@
     ) -> tuple[PieceOutcome, ...] | Failure | None:
         """Return one outcome per piece, or None if the runner was full.
 
-        Fails if the call takes longer than ``timeout_s`` seconds.
+        Fails if the call takes longer than ``timeout_s`` seconds. A pause that
+        the runner asks for is recorded before the result is returned.
         """
 
     @abc.abstractmethod
--- a/damaskpoint/batching/group.py
+++ b/damaskpoint/batching/group.py
@@ -15,6 +15,7 @@
 from damaskpoint.batching.model import Piece, PieceOutcome, PieceReason
 from damaskpoint.batching.paces import NOMINAL_PACE
 from damaskpoint.batching.queue import IdleRunner, PieceQueue, sum_bytes
+from damaskpoint.batching.releaser import ResultReleaser
 from damaskpoint.errors import Failure
 
 if TYPE_CHECKING:
@@ -44,8 +45,6 @@
 _MIN_CALL_TIMEOUT_S: Final = 1.0
 # Calls in which a piece may fail before it is reported as failed.
 _MAX_ATTEMPTS: Final = 3
-# Delay in which releases of results are collected into one call (seconds).
-_RELEASE_DELAY_S: Final = 0.005
 
 
 @final
@@ -68,7 +67,7 @@
         self._capacity_by_runner: dict[str, RunnerCapacity] = {}
         self._waiters_by_ticket: dict[int, asyncio.Future[PieceOutcome]] = {}
         self._attempts_by_ticket: dict[int, int] = {}
-        self._released_by_runner: dict[str, list[str]] = {}
+        self._releaser = ResultReleaser(caller, health, self._handle_released)
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
 
@@ -100,19 +99,15 @@
 
     def release(self, runner: Runner, handles: Iterable[str]) -> None:
         """Release results at their runner after a short delay."""
-        released = self._released_by_runner.get(runner.name)
-        if released is None:
-            released = []
-            self._released_by_runner[runner.name] = released
-            self._spawn(self._send_release(runner))
-        released.extend(handles)
+        self._releaser.release(runner, handles)
 
     # Queries.
 
     @property
     def is_unused(self) -> bool:
         """Return whether no piece waits and no call is in flight."""
-        return not self._tasks and not len(self.queue)
+        is_idle = not self._tasks and self._releaser.is_idle
+        return is_idle and not len(self.queue)
 
     @property
     def pace(self) -> float:
@@ -152,12 +147,15 @@
         now = time.monotonic()
         runners = self._order_runners(now)
         for runner in runners:
-            self._drop_late(runner, now)
+            self._drop_late(self._find_capacity(runner.name).pace, now)
             if not len(self.queue):
                 return
             tickets = self._take_batch(runner, runners, now)
             if tickets:
                 self._spawn(self._call(runner, tickets))
+        pause_s = self._health.pause_left_s(self._find_runners(), now)
+        if pause_s is not None:
+            self._drop_late(NOMINAL_PACE, now + pause_s)
         if len(self.queue) and self._timer is None:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(_POLL_S, self._dispatch)
@@ -192,9 +190,9 @@
             capacity.start_memory_wait(now)
         return tickets
 
-    def _drop_late(self, runner: Runner, now: float) -> None:
-        pace = self._find_capacity(runner.name).pace
-        for ticket in self.queue.take_late(pace, now):
+    def _drop_late(self, pace: float, starts_at: float) -> None:
+        """Drop the pieces that are late if they start at this time."""
+        for ticket in self.queue.take_late(pace, starts_at):
             self._resolve(ticket, PieceOutcome(None, PieceReason.LATE))
 
     async def _call(self, runner: Runner, tickets: Sequence[Ticket]) -> None:
@@ -309,12 +307,8 @@
             if outcome.handle is not None and runner is not None:
                 self.release(runner, (outcome.handle,))
 
-    async def _send_release(self, runner: Runner) -> None:
-        await asyncio.sleep(_RELEASE_DELAY_S)
-        handles = self._released_by_runner.pop(runner.name)
-        await self._caller.release(runner, handles)
-        # The runner has freed the memory only after its answer.
-        self._find_capacity(runner.name).release(handles)
+    def _handle_released(self, runner: str, handles: Sequence[str]) -> None:
+        self._find_capacity(runner).release(handles)
         self._dispatch()
 
     def _find_capacity(self, runner: str) -> RunnerCapacity:
--- a/damaskpoint/batching/pool.py
+++ b/damaskpoint/batching/pool.py
@@ -64,7 +64,7 @@
         self._own_name = own_name
         self._catalog = catalog
         self.peers = peers
-        self._paces = paces
+        self.paces = paces
         self._health = health
         self._caller = caller
         self._client = client
@@ -182,7 +182,7 @@
             group = self._groups_by_name.get(group_name)
             if group is not None:
                 return group.pace
-        return self._paces.find(group_name, now)
+        return self.paces.find(group_name, now)
 
     def own_paces(self, now: float) -> list[PaceFact]:
         """Return the paces of the groups that this instance batches for."""
--- a/damaskpoint/catalog/catalog.py
+++ b/damaskpoint/catalog/catalog.py
@@ -15,24 +15,45 @@
 class Catalog(StateSource):
     """Current configuration and runners; times are monotonic seconds.
 
-    A version of the configuration is never replaced by an older one.
+    A version of the configuration is never replaced by an older one of the
+    same era of the store.
     """
 
     def __init__(self) -> None:
         """Create a catalog without a configuration and without runners."""
         self.configuration: Configuration | None = None
         self.runners = RunnerTable()
+        self._era = 0
         self._applied_at = float(0)
 
-    def apply(self, configuration: Configuration, now: float) -> bool:
-        """Apply a version if it is newer; return whether it was."""
+    def apply(self, configuration: Configuration, era: int, now: float) -> bool:
+        """Apply a version if it is newer; return whether it was.
+
+        In a later era any version is newer.
+        """
         current = self.configuration
-        if current is not None and configuration.version <= current.version:
-            return False
+        if current is not None:
+            known = (self._era, current.version)
+            if (era, configuration.version) <= known:
+                return False
         self.configuration = configuration
+        self._era = era
         self._applied_at = now
         return True
 
+    def apply_restored(
+        self, configuration: Configuration, era: int, now: float
+    ) -> bool:
+        """Apply a version of a restored copy; return whether it was newer.
+
+        The version in force stays if the copy has an older one: it was
+        acknowledged, and the operator writes it again.
+        """
+        current = self.configuration
+        if current is not None and configuration.version < current.version:
+            return False
+        return self.apply(configuration, era, now)
+
     def find_service(self, name: str) -> Service | None:
         """Return a service of the configuration in force, or None."""
         if self.configuration is None:
@@ -62,6 +83,7 @@
             version = self.configuration.version
         return {
             'version': version,
+            'era': self._era,
             'age_s': round(self.configuration_age_s(now), 3),
             'runners': self.runners.dump_state(now),
         }
--- a/damaskpoint/catalog/follower.py
+++ b/damaskpoint/catalog/follower.py
@@ -1,4 +1,9 @@
-"""Keeps the catalog up to date with the operator's and runners' tables."""
+"""Keeps the catalog up to date with the operator's and runners' tables.
+
+The store may be restored from a copy that is some seconds old. The operator
+and the runners then write their rows again. Until they have had the time,
+what was known before stays good where the copy says otherwise.
+"""
 
 from __future__ import annotations
 
@@ -18,7 +23,8 @@
     from collections.abc import Iterable
 
     from damaskpoint.catalog.catalog import Catalog
-    from damaskpoint.platform.store import PlatformStore, StoredRow
+    from damaskpoint.catalog.model import Configuration, Runner
+    from damaskpoint.platform.store import PlatformStore, Rows, StoredRow
 
 _LOG: Final = logging.getLogger(__name__)
 # Duration of one watch call (seconds). A connection may stop responding
@@ -31,17 +37,24 @@
 _INITIAL_BACKOFF_S: Final = 0.1
 _BACKOFF_GROWTH: Final = 2.0
 _MAX_BACKOFF_S: Final = 0.8
+# Time after the first read of a restored table for which what was known before
+# stays good (seconds). Then the table is read again, and holds alone.
+REWRITE_GRACE_S: Final = 10.0
 
 
 class TableSink(abc.ABC):
     """Consumer of the rows of one table."""
 
     @abc.abstractmethod
-    def replace(self, stored: Iterable[StoredRow], now: float) -> None:
+    def replace(self, read: Rows, now: float) -> None:
         """Replace all rows by those of the whole table."""
 
     @abc.abstractmethod
-    def update(self, stored: Iterable[StoredRow], now: float) -> None:
+    def restore(self, read: Rows, now: float) -> None:
+        """Apply the whole table, as restored from a copy some seconds old."""
+
+    @abc.abstractmethod
+    def update(self, read: Rows, now: float) -> None:
         """Apply the rows that changed."""
 
     @abc.abstractmethod
@@ -70,13 +83,17 @@
         # Table version that the sink has; None if the whole table must be
         # read.
         self._version: int | None = None
+        # Era of that version; None before the first read.
+        self._era: int | None = None
+        # When a restored table is due to be read again; None otherwise.
+        self._read_again_at: float | None = None
         self._backoff_s = _INITIAL_BACKOFF_S
         self._is_unreachable = False
 
     async def run(self) -> None:
         """Apply changes of the table until the task is cancelled."""
         while True:
-            failure = await self._advance()
+            failure = await self.advance()
             if failure is None:
                 self._backoff_s = _INITIAL_BACKOFF_S
                 continue
@@ -85,8 +102,9 @@
                 _MAX_BACKOFF_S, self._backoff_s * _BACKOFF_GROWTH
             )
 
-    async def _advance(self) -> Failure | None:
-        version = self._version
+    async def advance(self) -> Failure | None:
+        """Read the table or its changes once and apply them."""
+        version = self._choose_version(time.monotonic())
         if version is None:
             read = await self._store.read_table(self._table)
         else:
@@ -102,12 +120,43 @@
             _LOG.info('store reachable again', extra={'table': self._table})
         self._sink.record_read(now)
         if version is None:
-            self._sink.replace(read.rows, now)
+            self._apply_table(read, now)
+        elif read.era == self._era:
+            self._sink.update(read, now)
+            self._version = max(version, read.version)
         else:
-            self._sink.update(read.rows, now)
-        self._version = max(version or 0, read.version)
+            # The changes are those after a version of another era.
+            self._version = None
         return None
 
+    def _choose_version(self, now: float) -> int | None:
+        """Return the version to watch from; None to read the whole table."""
+        if self._read_again_at is not None and now >= self._read_again_at:
+            return None
+        if self._era is None or self._store.era > self._era:
+            return None
+        return self._version
+
+    def _apply_table(self, read: Rows, now: float) -> None:
+        if self._era is not None and read.era > self._era:
+            self._read_again_at = now + REWRITE_GRACE_S
+            _LOG.warning(
+                'store restored from a copy',
+                extra={
+                    'table': self._table,
+                    'era': read.era,
+                    'version': read.version,
+                    'version_before': self._version,
+                },
+            )
+        if self._read_again_at is not None and now < self._read_again_at:
+            self._sink.restore(read, now)
+        else:
+            self._read_again_at = None
+            self._sink.replace(read, now)
+        self._era = read.era
+        self._version = read.version
+
     def _handle_failure(self, failure: Failure, now: float) -> None:
         metrics.TABLE_FAILURES.inc(
             {'table': self._table, 'code': failure.code.value}
@@ -141,20 +190,24 @@
         self._catalog = catalog
         self._zones: frozenset[str] = frozenset()
 
-    def replace(self, stored: Iterable[StoredRow], now: float) -> None:
+    def replace(self, read: Rows, now: float) -> None:
         """Replace all rows by those of the whole table."""
-        stored = tuple(stored)
-        zones = frozenset(
-            _find_zone(row) for row in stored if row.content is not None
-        )
-        self._set_zones(zones - {''}, now)
-        self._apply_configuration(stored, now)
-
-    def update(self, stored: Iterable[StoredRow], now: float) -> None:
+        self._set_zones(_collect_zones(read.rows), now)
+        for configuration in self._read_configurations(read.rows):
+            if self._catalog.apply(configuration, read.era, now):
+                _log_configuration(configuration, read.era)
+
+    def restore(self, read: Rows, now: float) -> None:
+        """Keep evacuations and a newer configuration that the copy lacks."""
+        self._set_zones(self._zones | _collect_zones(read.rows), now)
+        for configuration in self._read_configurations(read.rows):
+            if self._catalog.apply_restored(configuration, read.era, now):
+                _log_configuration(configuration, read.era)
+
+    def update(self, read: Rows, now: float) -> None:
         """Apply the rows that changed."""
-        stored = tuple(stored)
         zones = set(self._zones)
-        for row in stored:
+        for row in read.rows:
             zone = _find_zone(row)
             if not zone:
                 continue
@@ -163,7 +216,9 @@
             else:
                 zones.add(zone)
         self._set_zones(frozenset(zones), now)
-        self._apply_configuration(stored, now)
+        for configuration in self._read_configurations(read.rows):
+            if self._catalog.apply(configuration, read.era, now):
+                _log_configuration(configuration, read.era)
 
     def record_outage(self, failure: Failure, now: float) -> None:
         """Do nothing: the last known rows stay in force."""
@@ -181,34 +236,26 @@
         self._zones = zones
         self._catalog.runners.evacuate(zones, now, self._catalog.max_cold_s())
 
-    def _apply_configuration(
-        self, stored: Iterable[StoredRow], now: float
-    ) -> None:
+    def _read_configurations(
+        self, stored: Iterable[StoredRow]
+    ) -> list[Configuration]:
+        """Return the valid configurations among the rows."""
+        configurations = []
         for row in stored:
-            if row.key == names.KEY_CONFIGURATION and row.content is not None:
-                self._apply_row(row.content, now)
-
-    def _apply_row(self, content: bytes, now: float) -> None:
-        read = _read_json(content)
-        if not isinstance(read, Failure):
-            read = rows.read_configuration(read)
-        if isinstance(read, Failure):
+            if row.key != names.KEY_CONFIGURATION or row.content is None:
+                continue
+            read = _read_json(row.content)
+            if not isinstance(read, Failure):
+                read = rows.read_configuration(read)
+            if not isinstance(read, Failure):
+                configurations.append(read)
+                continue
             metrics.BAD_ROWS.inc({'table': names.TABLE_OPERATOR})
             _LOG.error(
                 'invalid configuration, keeping the version in force',
                 extra={'reason': read.detail},
             )
-            return
-        if self._catalog.apply(read, now):
-            _LOG.info(
-                'configuration in force',
-                extra={
-                    'version': read.version,
-                    'hosts': len(read.routes_by_host),
-                    'services': len(read.services_by_name),
-                    'keys': len(read.accounts_by_key),
-                },
-            )
+        return configurations
 
 
 @final
@@ -219,41 +266,39 @@
         """Apply rows to this catalog."""
         self._runners = catalog.runners
 
-    def replace(self, stored: Iterable[StoredRow], now: float) -> None:
+    def replace(self, read: Rows, now: float) -> None:
         """Replace all rows by those of the whole table."""
-        stored = tuple(stored)
-        present = {row.key for row in stored}
+        present = {row.key for row in read.rows}
         for name in self._runners.names():
             if name not in present:
                 self._remove(name, now)
-        self.update(stored, now)
-
-    def update(self, stored: Iterable[StoredRow], now: float) -> None:
+        self.update(read, now)
+
+    def restore(self, read: Rows, now: float) -> None:
+        """Keep what is known of runners where the copy is older."""
+        runners = []
+        for row in read.rows:
+            runner = _read_runner(row)
+            if runner is not None:
+                runners.append(runner)
+        self._runners.restore(runners, now, REWRITE_GRACE_S)
+
+    def update(self, read: Rows, now: float) -> None:
         """Apply the rows that changed."""
-        for row in stored:
-            if row.content is None:
+        for row in read.rows:
+            runner = _read_runner(row)
+            if runner is None:
                 self._remove(row.key, now)
                 continue
-            read = _read_json(row.content)
-            if not isinstance(read, Failure):
-                read = rows.read_runner(row.key, read)
-            if isinstance(read, Failure):
-                metrics.BAD_ROWS.inc({'table': names.TABLE_RUNNERS})
-                _LOG.warning(
-                    'invalid runner entry, not using the runner',
-                    extra={'runner': row.key, 'reason': read.detail},
-                )
-                self._remove(row.key, now)
-                continue
-            self._runners.put(read, now)
+            self._runners.put(runner, now)
             _LOG.info(
                 'runner entry updated',
                 extra={
-                    'runner': read.name,
-                    'service': read.service,
-                    'zone': read.zone,
-                    'draining': read.is_draining,
-                    'cold_s': read.cold_left_s,
+                    'runner': runner.name,
+                    'service': runner.service,
+                    'zone': runner.zone,
+                    'draining': runner.is_draining,
+                    'cold_s': runner.cold_left_s,
                 },
             )
 
@@ -270,6 +315,41 @@
         _LOG.info('runner entry removed', extra={'runner': name})
 
 
+def _read_runner(row: StoredRow) -> Runner | None:
+    """Return the runner of a row; None if the row is removed or invalid."""
+    if row.content is None:
+        return None
+    read = _read_json(row.content)
+    if not isinstance(read, Failure):
+        read = rows.read_runner(row.key, read)
+    if not isinstance(read, Failure):
+        return read
+    metrics.BAD_ROWS.inc({'table': names.TABLE_RUNNERS})
+    _LOG.warning(
+        'invalid runner entry, not using the runner',
+        extra={'runner': row.key, 'reason': read.detail},
+    )
+    return None
+
+
+def _log_configuration(configuration: Configuration, era: int) -> None:
+    _LOG.info(
+        'configuration in force',
+        extra={
+            'version': configuration.version,
+            'era': era,
+            'hosts': len(configuration.routes_by_host),
+            'services': len(configuration.services_by_name),
+            'keys': len(configuration.accounts_by_key),
+        },
+    )
+
+
+def _collect_zones(stored: Iterable[StoredRow]) -> frozenset[str]:
+    zones = {_find_zone(row) for row in stored if row.content is not None}
+    return frozenset(zones - {''})
+
+
 def _find_zone(row: StoredRow) -> str:
     """Return the zone that a row evacuates, or an empty string."""
     if not row.key.startswith(names.KEY_PREFIX_EVACUATED):
--- a/damaskpoint/catalog/runners.py
+++ b/damaskpoint/catalog/runners.py
@@ -2,7 +2,8 @@
 
 After an outage the registry reports an entry as removed even if it only lapsed
 during the outage. Such runners stay in use until they are registered again, or
-until a grace period ends.
+until a grace period ends. The same holds after a restore of the registry from
+a copy; runners that are known to leave or to be gone stay excluded then.
 """
 
 from __future__ import annotations
@@ -10,9 +11,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, final
 
+from damaskpoint.catalog.leaving import StartMemory
 from damaskpoint.observe.state import StateSource
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from damaskpoint.catalog.model import Runner
 
 # Time after an outage until entries that lapsed in it are registered again
@@ -40,6 +44,8 @@
         self._states_by_name: dict[str, _RunnerState] = {}
         self._runners_by_service: dict[str, tuple[Runner, ...]] = {}
         self._evacuated_zones: frozenset[str] = frozenset()
+        self._leaving = StartMemory()
+        self._removed = StartMemory()
         self._is_reachable = False
         self._restored_at = float('-inf')
         self._read_at = float('-inf')
@@ -52,19 +58,55 @@
 
     def record_read(self, now: float) -> None:
         """Record that the registry was read."""
+        unread_s = now - self._read_at
         self._read_at = now
         if self._is_reachable:
             return
         self._is_reachable = True
         self._restored_at = now
+        for state in self._states_by_name.values():
+            if state.expires_at is not None:
+                # Entries are not registered again during an outage.
+                state.expires_at += unread_s
 
     def put(self, runner: Runner, now: float) -> None:
         """Add a runner, or replace its entry."""
+        if runner.is_draining and runner.started_ms:
+            self._leaving.add(runner.name, runner.started_ms, now)
         self._states_by_name[runner.name] = _RunnerState(
             runner, now + runner.cold_left_s
         )
+        self._removed.discard(runner.name)
         self._index()
 
+    def restore(
+        self, runners: Iterable[Runner], now: float, grace_s: float
+    ) -> None:
+        """Apply the entries of a registry that was restored from a copy.
+
+        Entries of a known start only change to draining, and missing ones
+        stay for ``grace_s`` seconds. Runners that were removed do not return.
+        """
+        present = set()
+        for runner in runners:
+            present.add(runner.name)
+            state = self._states_by_name.get(runner.name)
+            if _is_news(runner, state) and not self._removed.covers(runner):
+                self.put(runner, now)
+        for name, known in self._states_by_name.items():
+            if name not in present:
+                known.expires_at = now + grace_s
+
+    def mark_leaving(self, name: str, started_ms: int, now: float) -> bool:
+        """Exclude a start of a runner that announced its exit.
+
+        Returns whether this was not known.
+        """
+        if not self._leaving.add(name, started_ms, now):
+            return False
+        self._index()
+        return True
+
     def remove(self, name: str, now: float) -> None:
         """Remove a runner whose entry is no longer registered.
 
@@ -78,15 +120,17 @@
         if now < grace_end and not state.runner.is_draining:
             state.expires_at = grace_end
             return
-        self._states_by_name.pop(name)
-        self._index()
+        self._drop(state, now)
 
     def expire(self, now: float) -> None:
         """Drop removed runners whose grace period has ended."""
-        for name, state in tuple(self._states_by_name.items()):
+        self._leaving.expire(now)
+        self._removed.expire(now)
+        if not self._is_reachable:
+            return
+        for state in tuple(self._states_by_name.values()):
             if state.expires_at is not None and state.expires_at <= now:
-                self._states_by_name.pop(name)
-                self._index()
+                self._drop(state, now)
 
     def evacuate(
         self, zones: frozenset[str], now: float, cold_s: float
@@ -146,7 +190,9 @@
             runners_by_name[name] = {
                 'service': state.runner.service,
                 'zone': state.runner.zone,
+                'started_ms': state.runner.started_ms,
                 'draining': state.runner.is_draining,
+                'leaving': self._leaving.covers(state.runner),
                 'cold_s': round(max(float(0), state.cold_until - now), 3),
                 'lapsed': state.expires_at is not None,
             }
@@ -158,8 +204,17 @@
 
     # Helpers.
 
+    def _drop(self, state: _RunnerState, now: float) -> None:
+        runner = state.runner
+        self._states_by_name.pop(runner.name)
+        self._removed.add(runner.name, runner.started_ms, now)
+        if not runner.started_ms:
+            # Without a start time, the next entry may be another start.
+            self._leaving.discard(runner.name)
+        self._index()
+
     def _is_usable(self, runner: Runner) -> bool:
-        if runner.is_draining:
+        if runner.is_draining or self._leaving.covers(runner):
             return False
         return runner.zone not in self._evacuated_zones
 
@@ -178,3 +233,11 @@
 
 def _by_name(runner: Runner) -> str:
     return runner.name
+
+
+def _is_news(runner: Runner, state: _RunnerState | None) -> bool:
+    """Return whether an entry of a copy tells more than is known."""
+    if state is None or runner.started_ms > state.runner.started_ms:
+        return True
+    is_same = runner.started_ms == state.runner.started_ms
+    return is_same and runner.is_draining
--- a/damaskpoint/forwarding/choosing.py
+++ b/damaskpoint/forwarding/choosing.py
@@ -75,6 +75,7 @@
             runner
             for runner in context.catalog.runners.usable(self._service)
             if runner.name not in excluded
+            and not context.health.is_paused(runner.name, now)
         ]
         candidates = Candidates(
             usable,
--- a/damaskpoint/forwarding/context.py
+++ b/damaskpoint/forwarding/context.py
@@ -9,6 +9,7 @@
     from damaskpoint.balancing.cold_limit import ColdLimiter
     from damaskpoint.balancing.health import RunnerHealth
     from damaskpoint.balancing.loads import RunnerLoads
+    from damaskpoint.balancing.signals import RunnerSignals
     from damaskpoint.batching.base import Peers
     from damaskpoint.batching.planner import Planner
     from damaskpoint.batching.pool import StagePool
@@ -42,6 +43,7 @@
     health: RunnerHealth
     loads: RunnerLoads
     cold: ColdLimiter
+    signals: RunnerSignals
     budgets: ServiceBudgets
     first_events: FirstEventTimes
     completion: CompletionCheck
--- a/damaskpoint/forwarding/metadata.py
+++ b/damaskpoint/forwarding/metadata.py
@@ -63,3 +63,7 @@
     # Id of the answered request, if the answer contains it.
     request_id: str | None
     cold_left_s: float | None
+    # The runner is about to exit.
+    is_leaving: bool = False
+    # For how long the runner wants no further requests of this instance.
+    pause_s: float | None = None
--- a/damaskpoint/forwarding/sender.py
+++ b/damaskpoint/forwarding/sender.py
@@ -72,8 +72,8 @@
         # Closing the connection makes the runner stop its work.
         exchange.close()
         raise
-    metadata = requests.read_answer_metadata(head.headers)
-    _record_cold(context, runner, metadata)
+    metadata = requests.read_answer_metadata(head.status, head.headers)
+    context.signals.record(runner, metadata, time.monotonic())
     failure = _check_head(head, metadata, request_id)
     if failure is not None:
         exchange.close()
@@ -104,12 +104,3 @@
             Code.UPSTREAM_BROKEN, 'the answer has no seal', Ran.UNKNOWN
         )
     return None
-
-
-def _record_cold(
-    context: ForwardingContext, runner: Runner, metadata: AnswerMetadata
-) -> None:
-    if metadata.cold_left_s is not None:
-        context.catalog.runners.record_cold(
-            runner.name, metadata.cold_left_s, time.monotonic()
-        )
--- a/damaskpoint/forwarding/session.py
+++ b/damaskpoint/forwarding/session.py
@@ -125,6 +125,10 @@
 
     async def _serve_once(self) -> Failure | None:
         now = time.monotonic()
+        if self._find_pause_s(now):
+            return Failure(
+                Code.NO_UPSTREAM, 'all runners of a service asked for a pause'
+            )
         plan = self._plan_or_refuse(now)
         if isinstance(plan, Failure):
             return plan
@@ -143,6 +147,24 @@
         )
         return await self._attempts.run(results)
 
+    def _find_pause_s(self, now: float) -> float:
+        """Return how long a service has no runner because all are paused.
+
+        It is the longest such time over the services of the request.
+        """
+        context = self._context
+        metadata = self._request.metadata
+        services = {self._service}
+        for stage in self._request.route.stages:
+            if metadata.count_pieces(stage.index):
+                services.add(stage.service)
+        pause_s = float(0)
+        for service in services:
+            usable = context.catalog.runners.usable(service)
+            left_s = context.health.pause_left_s(usable, now)
+            pause_s = max(pause_s, left_s or 0)
+        return pause_s
+
     def _plan_or_refuse(self, now: float) -> Plan | Failure:
         """Return a plan that ends in time, or the failure of a refusal.
 
@@ -268,5 +290,9 @@
         code = failure.code
         if code not in _NOT_RUN_CODES:
             code = Code.NO_UPSTREAM
-        retry_after_s = failure.retry_after_s or _RETRY_AFTER_S
+        retry_after_s = (
+            failure.retry_after_s
+            or self._find_pause_s(time.monotonic())
+            or _RETRY_AFTER_S
+        )
         return replace(failure, code=code, retry_after_s=retry_after_s)
--- a/damaskpoint/gateway/peers.py
+++ b/damaskpoint/gateway/peers.py
@@ -14,11 +14,7 @@
 from damaskpoint.platform.base import ListedInstance, Presence
 
 if TYPE_CHECKING:
-    from damaskpoint.balancing.loads import RunnerLoads
-    from damaskpoint.batching.paces import PaceTable
-    from damaskpoint.batching.pledges import PledgeTable
-    from damaskpoint.batching.pool import StagePool
-    from damaskpoint.forwarding.budgets import ServiceBudgets
+    from damaskpoint.forwarding.context import ForwardingContext
     from damaskpoint.membership.service import Membership
     from damaskpoint.platform.store_instances import StoreInstances
 
@@ -62,34 +58,30 @@
 
 @final
 class GatewayListener(MembershipListener):
-    """Exchanges queue paces, pledges and loads with peers by gossip."""
+    """Exchanges paces, pledges, loads and marks with peers by gossip."""
 
     def __init__(
-        self,
-        membership: Membership,
-        pool: StagePool,
-        paces: PaceTable,
-        pledges: PledgeTable,
-        loads: RunnerLoads,
-        budgets: ServiceBudgets,
+        self, membership: Membership, context: ForwardingContext
     ) -> None:
-        """Connect the gossip of a membership with these components."""
+        """Connect the gossip of a membership with this context."""
         self._membership = membership
-        self._pool = pool
-        self._paces = paces
-        self._pledges = pledges
-        self._loads = loads
-        self._budgets = budgets
+        self._context = context
 
     def prepare_round(self, now: float) -> None:
         """Publish this instance's facts and refresh those of its peers."""
-        self._membership.publish_shares(self._loads.own_by_runner)
-        self._membership.publish_paces(self._pool.own_paces(now))
-        self._membership.publish_pledges(self._pledges.list_own())
-        self._loads.set_peer_counts(self._membership.view.work.sum_shares())
-        self._paces.expire(now)
-        self._pledges.expire(now)
-        self._budgets.set_instance_count(
+        context = self._context
+        for name, started_ms in context.signals.take_unpublished():
+            self._membership.publish_mark(
+                facts.MarkKind.LEAVING, name, started_ms
+            )
+        pledges = context.planner.pledges
+        self._membership.publish_shares(context.loads.own_by_runner)
+        self._membership.publish_paces(context.pool.own_paces(now))
+        self._membership.publish_pledges(pledges.list_own())
+        context.loads.set_peer_counts(self._membership.view.work.sum_shares())
+        context.pool.paces.expire(now)
+        pledges.expire(now)
+        context.budgets.set_instance_count(
             len(self._membership.live_peers(now)) + 1
         )
 
@@ -99,7 +91,11 @@
         """Do nothing: each instance follows the store itself."""
 
     def on_mark(self, mark: facts.Mark, now: float) -> None:
-        """Do nothing: each instance follows the store itself."""
+        """Exclude a runner that announced its exit to a peer."""
+        if mark.kind is facts.MarkKind.LEAVING:
+            self._context.catalog.runners.mark_leaving(
+                mark.subject, mark.incarnation, now
+            )
 
     def on_load(self, load: facts.LoadFact, now: float) -> None:
         """Do nothing: runners are not asked for their load."""
@@ -113,13 +109,13 @@
         self, peer: str, paces: tuple[facts.PaceFact, ...], now: float
     ) -> None:
         """Record how fast a peer's batching groups work."""
-        self._paces.record(paces, now)
+        self._context.pool.paces.record(paces, now)
 
     def on_pledges(
         self, peer: str, pledges: tuple[facts.PledgeFact, ...], now: float
     ) -> None:
         """Record the pieces that a peer's requests still need."""
-        self._pledges.record_peer(peer, pledges, now)
+        self._context.planner.pledges.record_peer(peer, pledges, now)
 
 
 @final
@@ -136,6 +132,7 @@
         self._instances = instances
         self._own_instance = own
         self._membership = membership
+        self._is_leaving = False
 
     async def run(self) -> None:
         """Register, then poll the table of peers until cancelled."""
@@ -143,11 +140,14 @@
             await asyncio.sleep(_INITIAL_READ_INTERVALS_S[0])
         pauses = iter(_INITIAL_READ_INTERVALS_S)
         while True:
-            await self._read()
+            if not await self._read() and not self._is_leaving:
+                # The store was restored from a copy without this row.
+                await self._register()
             await asyncio.sleep(next(pauses, _READ_INTERVAL_S))
 
     async def deregister(self) -> None:
         """Remove this instance's row; a failure is only logged."""
+        self._is_leaving = True
         failure = await self._instances.deregister(self._own_instance.name)
         if failure is not None:
             _LOG.warning(
@@ -164,15 +164,17 @@
             )
         return failure
 
-    async def _read(self) -> None:
+    async def _read(self) -> bool:
+        """Read the peers; return False if this instance's row is missing."""
         read = await self._instances.fetch_peers()
         if isinstance(read, Failure):
             _LOG.warning(
                 'reading the peers failed', extra={'reason': read.detail}
             )
-            return
+            return True
         listed = [peer for peer in read if peer.name != self._own_instance.name]
         self._membership.apply_instances(listed)
+        return self._own_instance in read
 
 
 def create_listed_instance(
--- a/damaskpoint/gateway/runtime.py
+++ b/damaskpoint/gateway/runtime.py
@@ -113,6 +113,12 @@
         """Return the catalog of the current configuration and runners."""
         return self._components.forwarding.catalog
 
+    @property
+    def has_live_peers(self) -> bool:
+        """Return whether a peer is live."""
+        now = time.monotonic()
+        return bool(self._components.membership.live_peers(now))
+
     @property
     def is_stopped(self) -> bool:
         """Return whether a shutdown has reached its last phase."""
--- a/damaskpoint/gateway/wiring.py
+++ b/damaskpoint/gateway/wiring.py
@@ -8,6 +8,7 @@
 from damaskpoint.balancing.cold_limit import ColdBound, ColdLimiter
 from damaskpoint.balancing.health import RunnerHealth
 from damaskpoint.balancing.loads import RunnerLoads
+from damaskpoint.balancing.signals import RunnerSignals
 from damaskpoint.batching.paces import PaceTable
 from damaskpoint.batching.peer_orders import (
     PieceOrderClient,
@@ -82,6 +83,7 @@
         )
     )
     forwarding = _create_forwarding(options, membership, shutdown, registry)
+    membership.add_listener(GatewayListener(membership, forwarding))
     registry.register('shutdown', shutdown)
     registry.register('membership', membership)
     handler = RequestHandler(forwarding, shutdown)
@@ -139,22 +141,19 @@
     own_name = options.instance.name
     catalog = Catalog()
     health = RunnerHealth()
+    signals = RunnerSignals(catalog.runners, health)
     loads = RunnerLoads()
-    paces = PaceTable()
-    pledges = PledgeTable()
     pool = StagePool(
         own_name,
         catalog,
         GatewayPeers(own_name, membership),
-        paces,
+        PaceTable(),
         health,
-        HttpPieceCaller(options.runners.connect_s, options.runners.silence_s),
+        HttpPieceCaller(
+            options.runners.connect_s, options.runners.silence_s, signals
+        ),
         PieceOrderClient(),
     )
-    budgets = ServiceBudgets(bounds.retry_ratio, bounds.retry_slack)
-    membership.add_listener(
-        GatewayListener(membership, pool, paces, pledges, loads, budgets)
-    )
     registry.register('catalog', catalog)
     registry.register('health', health)
     registry.register('stages', pool)
@@ -168,15 +167,16 @@
         catalog=catalog,
         health=health,
         loads=loads,
+        signals=signals,
         cold=ColdLimiter(
             own_name, ColdBound(bounds.cold_overshoot, bounds.cold_slack)
         ),
-        budgets=budgets,
+        budgets=ServiceBudgets(bounds.retry_ratio, bounds.retry_slack),
         first_events=FirstEventTimes(),
         completion=CompletionCheck(shutdown),
         sizes=RequestSizes(),
         deadlines=UsualDeadlines(),
-        planner=Planner(catalog, pool, health, pledges),
+        planner=Planner(catalog, pool, health, PledgeTable()),
         pool=pool,
         peers=pool.peers,
     )
--- a/damaskpoint/platform/http_call.py
+++ b/damaskpoint/platform/http_call.py
@@ -15,6 +15,8 @@
 if TYPE_CHECKING:
     from tornado.httpclient import AsyncHTTPClient, HTTPResponse
 
+    from damaskpoint.platform.era import StoreEra
+
 _MAX_DETAIL_CHARACTERS: Final = 200
 
 
@@ -38,10 +40,16 @@
 class PlatformCaller:
     """Sends calls through a given HTTP client."""
 
-    def __init__(self, client: AsyncHTTPClient, timeout_s: float) -> None:
-        """Send through this client; each call ends within ``timeout_s``."""
+    def __init__(
+        self, client: AsyncHTTPClient, timeout_s: float, era: StoreEra
+    ) -> None:
+        """Send through this client; each call ends within ``timeout_s``.
+
+        An answer of an older era than ``era`` is treated as lost.
+        """
         self._client = client
         self._timeout_s = timeout_s
+        self._era = era
 
     async def send(self, call: PlatformCall) -> HTTPResponse | Failure:
         """Return the answer if its status is expected, else a failure.
@@ -54,6 +62,9 @@
         if isinstance(answer, Failure):
             metrics.CALLS.inc({'service': call.service, 'end': 'lost'})
             return answer
+        if not self._era.accept(answer.headers):
+            metrics.CALLS.inc({'service': call.service, 'end': 'outdated'})
+            return lost_answer_failure(call, 'the answer is of an older era')
         metrics.CALLS.inc({'service': call.service, 'end': str(answer.code)})
         if answer.code in call.expected:
             return answer
--- a/damaskpoint/platform/names.py
+++ b/damaskpoint/platform/names.py
@@ -26,6 +26,9 @@
 SEAL: Final = 'Damaskpoint-Response-Seal'
 RUNNER_NAME: Final = 'Damaskpoint-Instance-Id'
 COLD_LEFT_MS: Final = 'Damaskpoint-Cold-Ms'
+LEAVING: Final = 'Server-Leaving'
+# Header of all answers of the store; counts its restores from a copy.
+STORE_ERA: Final = 'Store-Era'
 
 # Request headers that are not forwarded to a runner: those that only the
 # system may set, and those of one connection. Lower case.
--- a/damaskpoint/platform/piece_caller.py
+++ b/damaskpoint/platform/piece_caller.py
@@ -12,11 +12,12 @@
 from damaskpoint.batching.base import PieceCaller
 from damaskpoint.errors import Code, Failure, Ran
 from damaskpoint.forwarding import exchange
-from damaskpoint.platform import names, stage_calls
+from damaskpoint.platform import names, requests, stage_calls
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from damaskpoint.balancing.signals import RunnerSignals
     from damaskpoint.batching.model import Piece, PieceOutcome
     from damaskpoint.catalog.model import Runner
 
@@ -30,12 +31,15 @@
 class HttpPieceCaller(PieceCaller):
     """Calls runners on a new connection for each call."""
 
-    def __init__(self, connect_s: float, silence_s: float) -> None:
+    def __init__(
+        self, connect_s: float, silence_s: float, signals: RunnerSignals
+    ) -> None:
         """Use these timeouts, both in seconds.
 
         ``connect_s`` bounds connecting, ``silence_s`` the time that sent
         bytes may stay unacknowledged.
         """
+        self._signals = signals
         self._connect_s = connect_s
         self._silence_s = silence_s
 
@@ -90,6 +94,7 @@
             async with asyncio.timeout(timeout_s):
                 opened.send(exchange.RunnerRequest('POST', path, headers, body))
                 head = await opened.read_head()
+                self._record_signals(runner, head)
                 return head, await opened.read_body()
         except TimeoutError:
             return Failure(Code.UPSTREAM_TIMEOUT, path, Ran.UNKNOWN)
@@ -97,3 +102,9 @@
             return exchange.broken_answer_failure(error)
         finally:
             opened.close()
+
+    def _record_signals(
+        self, runner: Runner, head: exchange.AnswerHead
+    ) -> None:
+        metadata = requests.read_answer_metadata(head.status, head.headers)
+        self._signals.record(runner, metadata, time.monotonic())
--- a/damaskpoint/platform/requests.py
+++ b/damaskpoint/platform/requests.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import http
 import math
 from typing import TYPE_CHECKING, Final
 
+from damaskpoint import protocol
 from damaskpoint.errors import Code, Failure
 from damaskpoint.forwarding.metadata import (
     AnswerMetadata,
@@ -23,6 +25,7 @@
 _MS_PER_S: Final = 1000
 _MAX_ID_CHARACTERS: Final = 200
 _BEARER: Final = 'bearer '
+_LEAVING_VALUE: Final = '1'
 
 
 def read_request_metadata(headers: HTTPHeaders) -> RequestMetadata | Failure:
@@ -94,14 +97,16 @@
     headers.append((names.LAST_EVENT_ID, last_event_id))
 
 
-def read_answer_metadata(headers: HTTPHeaders) -> AnswerMetadata:
-    """Parse the headers of a runner's answer."""
+def read_answer_metadata(status: int, headers: HTTPHeaders) -> AnswerMetadata:
+    """Parse the status and the headers of a runner's answer."""
     cold_ms = headers.get(names.COLD_LEFT_MS, '')
     return AnswerMetadata(
         is_not_run=names.NOT_RUN in headers,
         is_sealed=names.SEAL in headers,
         request_id=headers.get(names.REQUEST_ID),
         cold_left_s=int(cold_ms) / _MS_PER_S if cold_ms.isdecimal() else None,
+        is_leaving=headers.get(names.LEAVING) == _LEAVING_VALUE,
+        pause_s=_read_pause_s(status, headers),
     )
 
 
@@ -119,6 +124,17 @@
     return (names.REQUEST_ID, request_id)
 
 
+def _read_pause_s(status: int, headers: HTTPHeaders) -> float | None:
+    if status != http.HTTPStatus.SERVICE_UNAVAILABLE:
+        return None
+    try:
+        pause_s = float(headers.get(protocol.HEADER_RETRY_AFTER, ''))
+    except ValueError:
+        return None
+    # The comparison also rejects NaN.
+    return pause_s if 0 < pause_s < float('inf') else None
+
+
 def _malformed_header(name: str) -> Failure:
     return Failure(Code.HEADER_MALFORMED, name)
 
--- a/damaskpoint/platform/store.py
+++ b/damaskpoint/platform/store.py
@@ -15,6 +15,7 @@
 
 from damaskpoint import defaults
 from damaskpoint.errors import Code, Failure
+from damaskpoint.platform.era import StoreEra
 from damaskpoint.platform.http_call import (
     PlatformCall,
     PlatformCaller,
@@ -55,6 +56,8 @@
 
     rows: tuple[StoredRow, ...]
     version: int
+    # Era of the store. Versions of different eras cannot be compared.
+    era: int = 0
     # Whether the range has more rows than were returned.
     is_truncated: bool = False
 
@@ -118,8 +121,8 @@
     """Reads, watches and writes tables and objects.
 
     Failures are those of ``PlatformCaller``; an answer that cannot be decoded
-    is treated as lost. ``PLATFORM_MISSING`` also means that the store no longer
-    has the history that a watch asked for.
+    is treated as lost. ``PLATFORM_MISSING`` also means that the store does not
+    have the history that a watch asked for, or never had it in its era.
     """
 
     def __init__(
@@ -129,9 +132,15 @@
         self._base_url = base_url
         self._client = client
         self._timeout_s = timeout_s
+        self._era = StoreEra()
 
     # Queries.
 
+    @property
+    def era(self) -> int:
+        """Return the highest era of any answer so far."""
+        return self._era.number
+
     async def read_range(self, row_range: RowRange) -> Rows | Failure:
         """Return rows in key order, as many as fit into one answer."""
         query = {'Table': row_range.table, 'part': ''}
@@ -147,13 +156,21 @@
         """Return all rows of a table."""
         found: list[StoredRow] = []
         start_key = ''
+        era = self._era.number
         while True:
             page = await self.read_range(RowRange(table, start_key))
             if isinstance(page, Failure):
                 return page
+            if page.era != era and start_key:
+                # The pages before this one are of a table that is gone.
+                era = page.era
+                found.clear()
+                start_key = ''
+                continue
+            era = page.era
             found.extend(page.rows)
             if not page.is_truncated or not page.rows:
-                return Rows(tuple(found), page.version)
+                return Rows(tuple(found), page.version, era)
             start_key = next_key(page.rows[-1].key)
 
     async def watch(
@@ -224,7 +241,9 @@
     async def _send(
         self, call: PlatformCall, wait_s: float = 0
     ) -> HTTPResponse | Failure:
-        caller = PlatformCaller(self._client, self._timeout_s + wait_s)
+        caller = PlatformCaller(
+            self._client, self._timeout_s + wait_s, self._era
+        )
         return await caller.send(call)
 
     async def _get(
@@ -242,7 +261,7 @@
         if answer.code == http.HTTPStatus.GONE:
             return Failure(Code.PLATFORM_MISSING, 'the history is gone')
         try:
-            return _read_rows(json.loads(answer.body))
+            return _read_rows(json.loads(answer.body), self._era.number)
         except _DECODE_ERRORS as error:
             return lost_answer_failure(
                 call, f'{Code.MESSAGE_MALFORMED.value}: {error}'
@@ -278,9 +297,9 @@
     )
 
 
-def _read_rows(body: Mapping[str, Any]) -> Rows:
+def _read_rows(body: Mapping[str, Any], era: int) -> Rows:
     rows = tuple(_read_row(row) for row in body['Rows'])
-    return Rows(rows, int(body['Ver']), bool(body.get('Truncated')))
+    return Rows(rows, int(body['Ver']), era, bool(body.get('Truncated')))
 
 
 def _read_row(row: Mapping[str, Any]) -> StoredRow:
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -250,10 +250,12 @@
 
 @when('{count:d} callers send GET {path}')
 def send_many(context: Any, count: int, path: str) -> None:
-    """Send requests one after another."""
-    context.answers = [
-        run(context, _send(context, 'GET', path)) for _ in range(count)
-    ]
+    """Send requests with different prompts one after another."""
+    context.answers = []
+    for number in range(count):
+        prompt = {'Damaskpoint_Prompt_Prefix': f'a{number}:10,cd:20'}
+        sending = _send(context, 'GET', path, **prompt)
+        context.answers.append(run(context, sending))
 
 
 @when('a caller disconnects once the runner "{name}" received its GET {path}')
--- a/features/steps/runner_table_steps.py
+++ b/features/steps/runner_table_steps.py
@@ -87,13 +87,13 @@
 def apply_version(context: Any, version: int) -> None:
     """Create a catalog with this version."""
     context.catalog = Catalog()
-    assert context.catalog.apply(_create_version(version), 0)
+    assert context.catalog.apply(_create_version(version), 0, 0)
 
 
 @when('the catalog is offered version {version:d}')
 def offer_version(context: Any, version: int) -> None:
     """Apply another version."""
-    context.catalog.apply(_create_version(version), 1)
+    context.catalog.apply(_create_version(version), 0, 1)
 
 
 @then('the version of the catalog is {version:d}')
--- a/features/support/gateway_site.py
+++ b/features/support/gateway_site.py
@@ -99,12 +99,19 @@
         """Create the gateway without starting it."""
         self.port = find_free_port()
         self.ready_port = find_free_port()
+        self.gateway = self.create_peer('g-1', self.port, self.ready_port)
+        return self.gateway
+
+    def create_peer(
+        self, name: str, port: int, ready_port: int
+    ) -> GatewayRuntime:
+        """Create a gateway of another name without starting it."""
         options = GatewayOptions.model_validate(
             {
-                'instance': {'name': 'g-1', 'zone': 'zone-1', 'host': HOST},
+                'instance': {'name': name, 'zone': 'zone-1', 'host': HOST},
                 'listen': {
-                    'callers': f'{HOST}:{self.port}',
-                    'readiness': f'{HOST}:{self.ready_port}',
+                    'callers': f'{HOST}:{port}',
+                    'readiness': f'{HOST}:{ready_port}',
                     'operator_port': find_free_port(),
                     'peer_port': find_free_port(),
                 },
@@ -118,8 +125,7 @@
                 },
             }
         )
-        self.gateway = create_gateway(options)
-        return self.gateway
+        return create_gateway(options)
 
     def stop(self) -> None:
         """Stop the stand-ins."""
--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -15,6 +15,14 @@
 _MS_PER_S = 1000
 
 
+@dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """The content of a store at one moment."""
+
+    version: int
+    rows: dict[tuple[str, str], dict[str, Any]]
+
+
 @dataclass(slots=True)
 class RowStore:
     """Tables of rows that share one version counter."""
@@ -25,6 +33,8 @@
     changes: list[dict[str, Any]] = field(default_factory=list)
     # Changes up to this version are discarded.
     discarded_version: int = 0
+    # Number of restores from a copy.
+    era: int = 0
     # HTTP status of all responses while the store fails; 0 when healthy.
     error_status: int = 0
     # Seconds to wait before a transaction is applied.
@@ -53,6 +63,17 @@
         self.changes.clear()
         self._notify_watchers()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the present content."""
+        return StoreCopy(self.version, dict(self.rows))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Lose all changes since a copy; versions are assigned again."""
+        self.version = copy.version
+        self.rows = dict(copy.rows)
+        self.era += 1
+        self.discard_changes()
+
     def read(
         self, table: str, first: str = '', last: str = ''
     ) -> list[dict[str, Any]]:
@@ -94,6 +115,10 @@
             if row['Table'] == table and row['Ver'] > version
         ]
 
+    def decode(self, row: dict[str, Any]) -> bytes:
+        """Return the content of a row."""
+        return base64.b64decode(row['Value'])
+
     def _commit(self, row: dict[str, Any]) -> None:
         self.version += 1
         self._apply({**row, 'Ver': self.version})
@@ -140,6 +165,11 @@
         """Keep the store to serve."""
         self.store = store
 
+    def flush(self, include_footers: bool = False) -> Any:
+        """Add the era at the time of the answer."""
+        self.set_header('Store-Era', str(self.store.era))
+        return super().flush(include_footers)
+
     def prepare(self) -> None:
         """Count the call; fail it while the store fails."""
         self.store.calls += 1
@@ -180,7 +210,7 @@
                 self.set_status(self.store.error_status)
                 self.finish()
                 return
-            if after < self.store.discarded_version:
+            if not self.store.discarded_version <= after <= self.store.version:
                 self.set_status(http.HTTPStatus.GONE)
                 self.finish()
                 return
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -33,9 +33,15 @@
     # Event number after which a stream's connection closes; 0 for never.
     cut_after_events: int = 0
     is_full: bool = False
+    # Seconds of the Retry-After header of a full runner's refusals, if any.
+    pause_s: float | None = None
+    # Whether all answers announce the runner's exit.
+    is_leaving: bool = False
     # Number of next pieces that fail.
     pieces_to_fail: int = 0
     status: int = http.HTTPStatus.OK
+    # Number of all requests and calls, refused ones included.
+    calls: int = 0
     # Headers and bodies of the requests that were run.
     requests: list[ReceivedRequest] = field(default_factory=list)
     # Ids of requests whose connection closed while they ran.
@@ -74,6 +80,9 @@
 
     def prepare(self) -> None:
         """Refuse a request for another runner, or any while full."""
+        self.state.calls += 1
+        if self.state.is_leaving:
+            self.set_header('Server-Leaving', '1')
         expected = self.request.headers.get(_EXPECT, self.state.name)
         if expected != self.state.name:
             self.set_status(_MISDIRECTED, 'Misdirected')
@@ -81,6 +90,8 @@
             return
         if self.state.is_full:
             self.set_header(_NOT_RUN, '1')
+            if self.state.pause_s is not None:
+                self.set_header('Retry-After', str(self.state.pause_s))
             self.set_status(http.HTTPStatus.SERVICE_UNAVAILABLE)
             self.finish()
 
