Let small results pass pieces that wait for memory at a runner

Change: pieces whose result is at most a twentieth of the size that a more urgent piece waits for may be taken past it.

The new scenarios of piece_queue.feature fail before.

--- a/damaskpoint/batching/queue.py
+++ b/damaskpoint/batching/queue.py
@@ -25,6 +25,9 @@
 # which the delay no longer grows; level 0 is the most urgent.
 _PRIORITY_LAG_S: Final = 0.2
 _MAX_PRIORITY: Final = 3
+# Size of a piece that may overtake one that waits for memory, as a share of the
+# latter's size.
+_NEGLIGIBLE_SHARE: Final = 0.05
 # Smallest share of the possible batch that is sent if the runner lacks memory
 # for the rest.
 _MIN_BATCH_SHARE: Final = 0.7
@@ -54,6 +57,27 @@
     allows_small_batch: bool
 
 
+@final
+class _FreeMemory:
+    """The memory of a runner that the pieces of a call may still use."""
+
+    def __init__(self, free_bytes: float) -> None:
+        self._free_bytes = free_bytes
+        self._max_piece_bytes = free_bytes
+
+    def take(self, size: int) -> bool:
+        """Use memory for a piece; return False if it has to wait for more."""
+        if size > self._free_bytes:
+            # Only pieces that need hardly any memory may overtake one that is
+            # waiting for it.
+            limit = size * _NEGLIGIBLE_SHARE
+            self._max_piece_bytes = min(self._max_piece_bytes, limit)
+        if size > min(self._free_bytes, self._max_piece_bytes):
+            return False
+        self._free_bytes -= size
+        return True
+
+
 @final
 class PieceQueue:
     """An ordered queue of pieces; times are monotonic seconds."""
@@ -112,10 +136,10 @@
 
         Returns none while it is better to wait for more free memory.
         """
+        memory = _FreeMemory(runner.free_bytes)
         taken: list[Ticket] = []
         remaining: list[Ticket] = []
         eligible = 0
-        free_bytes = runner.free_bytes
         for ticket in self._list_by_urgency(now):
             if len(taken) == self.limits.max_pieces or _waits_for_own_zone(
                 ticket, runner, now
@@ -123,15 +147,10 @@
                 remaining.append(ticket)
                 continue
             eligible += 1
-            size = ticket.piece.result_bytes
-            if size > free_bytes:
-                # No later piece may use the memory that a more urgent one
-                # is waiting for.
-                free_bytes = 0
+            if memory.take(ticket.piece.result_bytes):
+                taken.append(ticket)
+            else:
                 remaining.append(ticket)
-                continue
-            free_bytes -= size
-            taken.append(ticket)
         eligible = min(eligible, self.limits.max_pieces)
         if (
             len(taken) < eligible * _MIN_BATCH_SHARE
--- a/features/piece_queue.feature
+++ b/features/piece_queue.feature
@@ -35,6 +35,24 @@
       | it waited long enough | impatient | 100  | a     |
       | no memory             | impatient | 0    | -     |
 
+  Scenario Outline: A burst of requests with large results holds up no others: <case>
+    Given a queue for batches of 4 pieces
+    And these pieces wait
+      | name | priority | needed | ends | lead | bytes   | zone |
+      | a    | 0        | 1      | 9    | 0    | 100     | z    |
+      | b    | 0        | 2      | 9    | 0    | 100     | z    |
+      | c    | 0        | 3      | 9    | 0    | <c>     | z    |
+      | d    | 0        | 4      | 9    | 0    | <d>     | z    |
+    When a patient runner of zone z with <free> bytes free takes a batch at 0
+    Then the batch has the pieces <taken>
+
+    Examples:
+      | case                             | free | c  | d  | taken |
+      | small results pass a large one   | 150  | 1  | 5  | a c d |
+      | others wait behind the large one | 150  | 6  | 50 | -     |
+      | also behind a second one         | 150  | 90 | 1  | -     |
+      | no memory, not even for them     | 1    | 2  | 1  | -     |
+
   Scenario Outline: Pieces with large results wait for their zone: <case>
     Given a queue for batches of 4 pieces
     And these pieces wait
