Release the results of resumable streams when their answer starts

Cause: results that a resumable stream was made from stayed at their runners until its last event, in case it had to continue at another runner.

Change: results are released when the answer starts, for all routes. A resumable stream that breaks runs its stages again and continues with new results; the runs at runners are counted over all of it, so that the route's maximum holds.

--- a/damaskpoint/forwarding/attempts.py
+++ b/damaskpoint/forwarding/attempts.py
@@ -5,11 +5,13 @@
 import http
 import logging
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final, final
 
 from damaskpoint.catalog.model import RequestKind
 from damaskpoint.errors import Code, Failure, Ran
 from damaskpoint.forwarding import metrics
+from damaskpoint.forwarding.choosing import RunnerChooser
 from damaskpoint.forwarding.exchange import (
     BrokenAnswerError,
     RunnerRequest,
@@ -22,7 +24,6 @@
     from collections.abc import Sequence
 
     from damaskpoint.catalog.model import Runner
-    from damaskpoint.forwarding.choosing import RunnerChooser
     from damaskpoint.forwarding.context import ForwardingContext
     from damaskpoint.forwarding.relay import Relay
     from damaskpoint.forwarding.request import CallerRequest
@@ -49,7 +50,6 @@
         context: ForwardingContext,
         request: CallerRequest,
         service: str,
-        chooser: RunnerChooser,
         relay: Relay,
     ) -> None:
         """Prepare to send a request to the runners of a service."""
@@ -57,7 +57,7 @@
         self._request = request
         self._route = request.route
         self._service = service
-        self._chooser = chooser
+        self._chooser = RunnerChooser(context, service, request.metadata, None)
         self._relay = relay
         self._failed: set[str] = set()
         self._sends = 0
@@ -66,29 +66,42 @@
         # Whether a runner may have run the request; set before each send.
         self.ran = Ran.NO
 
-    async def run(self, results: Sequence[str]) -> Failure | None:
+    async def run(
+        self, zone: str | None, results: Sequence[str]
+    ) -> Failure | None:
         """Return None once the request is answered, else the last failure.
 
-        ``results`` are the handles of the stage results that the runner takes
-        as input.
+        Prefers runners of ``zone``. ``results`` are the handles of the stage
+        results that the runner takes as input. They are released when an
+        answer starts: a stream that can continue at another runner then fails
+        with ``RESULT_LOST`` and continues in another run with new results.
         """
+        self._chooser = RunnerChooser(
+            self._context, self._service, self._request.metadata, zone
+        )
+        had_started = self._relay.is_started
         last_failure = Failure(Code.NO_UPSTREAM, self._service)
         while self._may_send(last_failure):
-            runner = self._chooser.choose(self._failed, time.monotonic())
-            if runner is None or not self._take_from_budget():
-                break
-            refused = self._check_completion()
-            if refused is not None:
-                return refused
+            if results and self._relay.is_started and not had_started:
+                return replace(last_failure, code=Code.RESULT_LOST)
+            runner = self._choose_runner(last_failure)
+            if isinstance(runner, Failure):
+                return runner
             failure = await self._try_runner(runner, results)
             if failure is None:
                 return None
             last_failure = failure
             self._failed.add(runner.name)
-            if failure.ran is not Ran.NO:
-                self._possible_runs += 1
+            self._possible_runs += int(failure.ran is not Ran.NO)
         return last_failure
 
+    def _choose_runner(self, last_failure: Failure) -> Runner | Failure:
+        """Return the runner of the next send, or why there is none."""
+        runner = self._chooser.choose(self._failed, time.monotonic())
+        if runner is None or not self._take_from_budget():
+            return last_failure
+        return self._check_completion() or runner
+
     def _check_completion(self) -> Failure | None:
         return self._context.completion.check(
             self._request, 0, time.monotonic()
--- a/damaskpoint/forwarding/session.py
+++ b/damaskpoint/forwarding/session.py
@@ -12,7 +12,6 @@
 from damaskpoint.errors import Code, Failure, Ran
 from damaskpoint.forwarding import metrics
 from damaskpoint.forwarding.attempts import Attempts
-from damaskpoint.forwarding.choosing import RunnerChooser
 from damaskpoint.forwarding.relay import Relay
 from damaskpoint.platform import requests
 
@@ -40,6 +39,8 @@
 _DEFERRED_FACTOR: Final = 3.0
 # Time for which a late request continues, as a share of the objective.
 _OVERTIME_SHARE: Final = 0.5
+# How often the stages run again for a request whose results were lost.
+_MAX_REPEATS: Final = 2
 # Upper bound for estimates, which may be infinite (seconds).
 _MAX_ESTIMATE_S: Final = 1_000.0
 # Result of ``run`` for a request that was answered by a runner.
@@ -115,13 +116,16 @@
         self._task.cancel()
 
     async def _serve(self) -> Failure | None:
-        """Run the stages and send; repeat both if a result was lost."""
+        """Run the stages and send; repeat both if a result was lost.
+
+        A stream that broke at its runner continues with new results.
+        """
         failure = await self._serve_once()
-        if failure is None or failure.code is not Code.RESULT_LOST:
-            return failure
-        if self._answer.is_started:
-            return failure
-        return await self._serve_once()
+        for _ in range(_MAX_REPEATS):
+            if failure is None or failure.code is not Code.RESULT_LOST:
+                break
+            failure = await self._serve_once()
+        return failure
 
     async def _serve_once(self) -> Failure | None:
         now = time.monotonic()
@@ -139,13 +143,11 @@
         results = await self._run_stages(plan)
         if isinstance(results, Failure):
             return results
-        chooser = RunnerChooser(
-            self._context, self._service, self._request.metadata, plan.zone
-        )
-        self._attempts = Attempts(
-            self._context, self._request, self._service, chooser, self._relay
-        )
-        return await self._attempts.run(results)
+        if self._attempts is None:
+            self._attempts = Attempts(
+                self._context, self._request, self._service, self._relay
+            )
+        return await self._attempts.run(plan.zone, results)
 
     def _find_pause_s(self, now: float) -> float:
         """Return how long a service has no runner because all are paused.
@@ -173,6 +175,8 @@
         """
         request = self._request
         plan = self._create_plan(now, is_deferred=False)
+        if self._answer.is_started:
+            return plan
         late_s = self._estimate_lateness_s(plan, now)
         if not plan.stages_s or late_s <= 0:
             return plan
@@ -229,24 +233,13 @@
         if not any(request.metadata.piece_counts):
             return ()
         began_at = time.monotonic()
-        first_s = self._context.first_events.estimate_s(self._service)
-        work = StageWork(
-            route=request.route,
-            metadata=request.metadata,
-            plan=plan,
-            priority=request.route.priority,
-            ends_at=min(
-                request.starts_by,
-                (plan.due_at or request.due_at)
-                + request.route.objective_s * _OVERTIME_SHARE,
-            )
-            - first_s,
-            due_at=(plan.due_at or request.due_at) - first_s,
-            lead_s=self._lead_s,
-        )
         if self._stages is not None:
             self._stages.release()
-        self._stages = StageRun(work, self._context.planner, self._context.pool)
+        self._stages = StageRun(
+            self._create_stage_work(plan, began_at),
+            self._context.planner,
+            self._context.pool,
+        )
         results = await self._stages.run()
         took_s = time.monotonic() - began_at
         metrics.STAGES_SECONDS.observe({'route': request.route.name}, took_s)
@@ -264,6 +257,26 @@
         )
         return results
 
+    def _create_stage_work(self, plan: Plan, now: float) -> StageWork:
+        request = self._request
+        first_s = self._context.first_events.estimate_s(self._service)
+        due_at = plan.due_at or request.due_at
+        starts_by = request.starts_by
+        if self._answer.is_started:
+            # The stream is continued: its caller waits for the next event.
+            due_at = now + request.route.objective_s
+            starts_by = request.ends_at
+        overtime_s = request.route.objective_s * _OVERTIME_SHARE
+        return StageWork(
+            route=request.route,
+            metadata=request.metadata,
+            plan=plan,
+            priority=request.route.priority,
+            ends_at=min(starts_by, due_at + overtime_s) - first_s,
+            due_at=due_at - first_s,
+            lead_s=self._lead_s,
+        )
+
     def _handle_answer_start(self) -> None:
         """Record the time until the answer starts; release the results.
 
@@ -274,8 +287,9 @@
             {'route': route.name},
             time.monotonic() - self._request.arrived_at,
         )
-        # A stream that may be resumed elsewhere needs its input again.
-        if self._stages is not None and not route.is_repeatable:
+        # Results of a stream that may continue elsewhere are released too: they
+        # would occupy memory for much longer than it takes to make them again.
+        if self._stages is not None:
             self._stages.release()
 
     def _to_caller_failure(self, failure: Failure) -> Failure:
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -87,6 +87,22 @@
     When a caller sends POST /stream/one with the key "key-1"
     Then the stream has the events 1 to 5 once each
 
+  Scenario: The results of a resumable stream are released at its start
+    Given a site with a runner of each service
+    And the runner "model-1" takes 0.2 seconds
+    When a caller sends POST /resumable/one with the pieces "2"
+    Then the answer is 200 with the body of the runner
+    And the results were released 0.5 s before the end of the answer
+
+  Scenario: A resumable stream with stages continues with new results
+    Given a site with a runner of each service
+    And a second runner of the service "model"
+    And the runner "model-1" cuts streams after 2 events
+    And the runner "model-2" cuts streams after 3 events
+    When a caller sends POST /resumable/one with the pieces "2"
+    Then the stream has the events 1 to 5 once each
+    And the stages ran 2 times and no runner got more than one request
+
   Scenario: A stream that is not resumable is cut off, not ended cleanly
     Given a site with a runner of each service
     And the runner "model-1" cuts streams after 2 events
--- a/features/steps/gateway_answer_steps.py
+++ b/features/steps/gateway_answer_steps.py
@@ -144,6 +144,23 @@
     run(context, until(lambda: len(set(stage.released)) == 5))
 
 
+@then('the results were released {seconds:g} s before the end of the answer')
+def check_released_early(context: Any, seconds: float) -> None:
+    """Compare the time of the release with the end of the answer."""
+    stage = context.site.runners_by_name['stage-1']
+    assert len(stage.released) == 2, stage.released
+    assert context.answered_at - stage.released_at >= seconds
+
+
+@then('the stages ran {count:d} times and no runner got more than one request')
+def check_stage_runs(context: Any, count: int) -> None:
+    """Count the calls of the stage and the requests of each model runner."""
+    runners = context.site.runners_by_name
+    assert len(runners['stage-1'].batches) == count
+    for name in ('model-1', 'model-2'):
+        assert len(runners[name].requests) == 1, name
+
+
 @then('the stream has the events {first:d} to {last:d} once each')
 def check_events(context: Any, first: int, last: int) -> None:
     """Check the status and the ids of the events."""
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -230,9 +230,9 @@
 def send_pieces(context: Any, path: str, counts: str) -> None:
     """Send a request with stages."""
     context.path = path
-    context.answer = run(
-        context, _send(context, 'POST', path, Damaskpoint_Pieces=counts)
-    )
+    key = {'Damaskpoint_Pieces': counts, 'Damaskpoint_Piece_Key': 'input-1'}
+    context.answer = run(context, _send(context, 'POST', path, **key))
+    context.answered_at = time.monotonic()
 
 
 @when('a caller sends GET {path} with {header} set to "{text}"')
--- a/features/support/gateway_site.py
+++ b/features/support/gateway_site.py
@@ -156,6 +156,12 @@
                     {'Service': 'stage', 'After': [0], 'Bytes': 1000},
                 ],
             },
+            {
+                **_create_route('resumable', 'model', 2),
+                'Kind': 'stream',
+                'Resumable': True,
+                'Stages': [{'Service': 'stage', 'After': [], 'Bytes': 1000}],
+            },
         ],
         'Services': [
             {'Name': 'plain', 'MaxConns': 100},
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -6,6 +6,7 @@
 import http
 import itertools
 import json
+import time
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -49,6 +50,8 @@
     # Entries of each stage call.
     batches: list[Entries] = field(default_factory=list)
     released: list[str] = field(default_factory=list)
+    # Time of the last release (monotonic seconds).
+    released_at: float = 0
     handles: itertools.count[int] = field(default_factory=itertools.count)
 
 
@@ -165,5 +168,6 @@
 
     def post(self) -> None:
         """Record the handles of the released results."""
+        self.state.released_at = time.monotonic()
         self.state.released.extend(json.loads(self.request.body)['Handles'])
         self.finish()
