Watch the store for 20 s a call, and let the kernel probe its connections

Cause: each instance ended its two watches every 2 s, only to notice a connection that had gone silent, and read the table of peers every 5 s.

Change: watches wait 20 s. The kernel probes connections to the store after 1 s without traffic and closes them 1 s later, as it does for connections to runners. Peers are read every 30 s; gossip announces new ones. A new era of the store causes a read within a second, so that a lost row is written again. An outage now lengthens the grace of lapsed entries by its own duration only.

--- a/damaskpoint/catalog/follower.py
+++ b/damaskpoint/catalog/follower.py
@@ -27,10 +27,9 @@
     from damaskpoint.platform.store import PlatformStore, Rows, StoredRow
 
 _LOG: Final = logging.getLogger(__name__)
-# Duration of one watch call (seconds). A connection may stop responding
-# without being closed, which must be detected within the time for which the
-# platform counts an instance as in contact.
-WATCH_TIMEOUT_S: Final = 2.0
+# Duration of one watch call (seconds). Each call has a price, and a connection
+# that stops responding is closed by the kernel much earlier.
+WATCH_TIMEOUT_S: Final = 20.0
 # Backoff after a failed call: first value, growth factor and limit (seconds).
 # The store can handle only a few calls of each instance, and its recovery must
 # be detected quickly.
@@ -304,7 +303,7 @@
 
     def record_outage(self, failure: Failure, now: float) -> None:
         """Keep the known runners in use."""
-        self._runners.record_outage()
+        self._runners.record_outage(now)
 
     def record_read(self, now: float) -> None:
         """Start the grace period for lapsed entries after an outage."""
--- a/damaskpoint/catalog/runners.py
+++ b/damaskpoint/catalog/runners.py
@@ -47,18 +47,20 @@
         self._leaving = StartMemory()
         self._removed = StartMemory()
         self._is_reachable = False
+        self._unreachable_since = float('-inf')
         self._restored_at = float('-inf')
         self._read_at = float('-inf')
 
     # Commands.
 
-    def record_outage(self) -> None:
+    def record_outage(self, now: float) -> None:
         """Record that the registry cannot be read."""
+        if self._is_reachable:
+            self._unreachable_since = now
         self._is_reachable = False
 
     def record_read(self, now: float) -> None:
         """Record that the registry was read."""
-        unread_s = now - self._read_at
         self._read_at = now
         if self._is_reachable:
             return
@@ -67,7 +69,7 @@
         for state in self._states_by_name.values():
             if state.expires_at is not None:
                 # Entries are not registered again during an outage.
-                state.expires_at += unread_s
+                state.expires_at += now - self._unreachable_since
 
     def put(self, runner: Runner, now: float) -> None:
         """Add a runner, or replace its entry."""
--- a/damaskpoint/gateway/peers.py
+++ b/damaskpoint/gateway/peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import time
 from typing import TYPE_CHECKING, Final, final
 
 from damaskpoint import defaults
@@ -22,7 +23,10 @@
 # Intervals between reads of the table of peers (seconds): short at first, as
 # instances start together, then longer, as gossip announces new instances.
 _INITIAL_READ_INTERVALS_S: Final = (0.3, 0.7, 1.5, 3.0)
-_READ_INTERVAL_S: Final = 5.0
+_READ_INTERVAL_S: Final = 30.0
+# Interval at which the store's era is compared with that of the last read
+# (seconds); a restored store may lack this instance's row.
+_ERA_CHECK_INTERVAL_S: Final = 1.0
 # Time for which the set of live instances is cached (seconds): a fraction of
 # a round of gossip. It is cached because each request reads it many times.
 _LIVE_PEERS_CACHE_S: Final = 0.03
@@ -143,7 +147,7 @@
             if not await self._read() and not self._is_leaving:
                 # The store was restored from a copy without this row.
                 await self._register()
-            await asyncio.sleep(next(pauses, _READ_INTERVAL_S))
+            await self._pause(next(pauses, _READ_INTERVAL_S))
 
     async def deregister(self) -> None:
         """Remove this instance's row; a failure is only logged."""
@@ -155,6 +159,16 @@
                 extra={'reason': failure.detail},
             )
 
+    async def _pause(self, pause_s: float) -> None:
+        """Wait until the next read; shorter if the store was restored."""
+        era = self._instances.era
+        ends_at = time.monotonic() + pause_s
+        while self._instances.era == era:
+            left_s = ends_at - time.monotonic()
+            if left_s <= 0:
+                return
+            await asyncio.sleep(min(left_s, _ERA_CHECK_INTERVAL_S))
+
     async def _register(self) -> Failure | None:
         failure = await self._instances.register(self._own_instance)
         if failure is not None:
--- a/damaskpoint/platform/store.py
+++ b/damaskpoint/platform/store.py
@@ -21,6 +21,7 @@
     PlatformCaller,
     lost_answer_failure,
 )
+from damaskpoint.platform.live_connections import LiveConnections
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -113,6 +114,8 @@
         max_body_size=_MAX_BODY_BYTES,
         max_buffer_size=_MAX_BODY_BYTES,
     )
+    client.tcp_client.close()
+    client.tcp_client = LiveConnections()
     return PlatformStore(base_url.rstrip('/'), client, timeout_s)
 
 
--- a/damaskpoint/platform/store_instances.py
+++ b/damaskpoint/platform/store_instances.py
@@ -44,6 +44,11 @@
         """Read and write through this client of the store."""
         self._store = store
 
+    @property
+    def era(self) -> int:
+        """Return the highest era of any answer of the store so far."""
+        return self._store.era
+
     async def fetch(self) -> tuple[ListedInstance, ...] | Failure:
         """Return the current list: own instances first, then runners."""
         own = await self.fetch_peers()
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -40,3 +40,6 @@
       | soon   | None    |
       | nan    | None    |
       | -1     | None    |
+
+  Scenario: The kernel closes a silent connection to the store during a watch
+    Then a connection to the store is probed after 1 s and given up 1 s later
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import socket
 import time
 from typing import TYPE_CHECKING, Any
 
@@ -18,6 +19,7 @@
     RowKey,
     Write,
 )
+from damaskpoint.platform.live_connections import LiveConnections
 from damaskpoint.platform.store import create_store
 from damaskpoint.platform.store_instances import StoreInstances
 from damaskpoint.platform.store_table import StoreObjects, StoreTable
@@ -141,6 +143,28 @@
     _check_retry_after('', seconds)
 
 
+@then(
+    'a connection to the store is probed after {idle:d} s and given up'
+    ' {timeout:d} s later'
+)
+def check_probes(context: Any, idle: int, timeout: int) -> None:
+    """Check the options of a connection; loopback loses no packets."""
+
+    async def check() -> None:
+        listener, port = testing.bind_unused_port()
+        stream = await LiveConnections().connect('127.0.0.1', port)
+        assert stream.socket.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        options = [
+            stream.socket.getsockopt(socket.IPPROTO_TCP, option)
+            for option in (socket.TCP_KEEPIDLE, socket.TCP_USER_TIMEOUT)
+        ]
+        stream.close()
+        listener.close()
+        assert options == [idle, timeout * 1000], options
+
+    asyncio.run(check())
+
+
 def _check_retry_after(header: str, seconds: str) -> None:
     async def check(adapters: Adapters) -> None:
         failure = await adapters.call('table write')
@@ -192,8 +216,8 @@
     app: web.Application, check: Callable[[Adapters], Awaitable[None]]
 ) -> None:
     server = httpserver.HTTPServer(app)
-    socket, port = testing.bind_unused_port()
-    server.add_socket(socket)
+    listener, port = testing.bind_unused_port()
+    server.add_socket(listener)
     await check(Adapters(f'http://127.0.0.1:{port}'))
     server.stop()
     await server.close_all_connections()
--- a/features/steps/runner_table_steps.py
+++ b/features/steps/runner_table_steps.py
@@ -36,7 +36,7 @@
     context: Any, unreachable_from: float, now: float
 ) -> None:
     """Make the registry unreachable for a while."""
-    context.runners.record_outage()
+    context.runners.record_outage(unreachable_from)
     context.runners.record_read(now)
 
 
