Read changes of the store that come in quick succession together

Cause: each change of a table ended the watch of each instance, so that a release of runners or a storm of configurations cost a call an instance for each row; in an outage each instance tried both tables again about every 0.6 s.

Change: a watch begins 0.25 s after an answer with changes, and the backoff grows to 1.6 s, still less than the time after which an instance is held to its bounds again. Two scenarios of store_calls.feature fail before.

--- a/damaskpoint/catalog/follower.py
+++ b/damaskpoint/catalog/follower.py
@@ -35,7 +35,10 @@
 # be detected quickly.
 _INITIAL_BACKOFF_S: Final = 0.1
 _BACKOFF_GROWTH: Final = 2.0
-_MAX_BACKOFF_S: Final = 0.8
+_MAX_BACKOFF_S: Final = 1.6
+# Pause after an answer with changes (seconds), so that changes in quick
+# succession cost one call. All bounds on the use of changes are in seconds.
+_CHANGE_PAUSE_S: Final = 0.25
 # Time after the first read of a restored table for which what was known before
 # stays good (seconds). Then the table is read again, and holds alone.
 REWRITE_GRACE_S: Final = 10.0
@@ -88,6 +91,7 @@
         self._read_again_at: float | None = None
         self._backoff_s = _INITIAL_BACKOFF_S
         self._is_unreachable = False
+        self._pause_s = float(0)
 
     async def run(self) -> None:
         """Apply changes of the table until the task is cancelled."""
@@ -95,6 +99,7 @@
             failure = await self.advance()
             if failure is None:
                 self._backoff_s = _INITIAL_BACKOFF_S
+                await asyncio.sleep(self._pause_s)
                 continue
             await asyncio.sleep(self._backoff_s * random.uniform(0.5, 1))
             self._backoff_s = min(
@@ -118,6 +123,7 @@
             self._is_unreachable = False
             _LOG.info('store reachable again', extra={'table': self._table})
         self._sink.record_read(now)
+        self._pause_s = _CHANGE_PAUSE_S if read.rows else 0
         if version is None:
             self._apply_table(read, now)
         elif read.era == self._era:
--- /dev/null
+++ b/features/store_calls.feature
@@ -0,0 +1,19 @@
+Feature: The number of calls to the store follows neither time nor each change
+  Every call has a price, and a fleet of hundreds makes each of them hundreds
+  of times.
+
+  Scenario: Changes in quick succession are read together
+    Given a site with a runner of each service
+    When the entries of 10 runners change within 0.2 s
+    Then the gateway knows all of them after at most 4 calls
+
+  Scenario: Nothing is called while nothing changes
+    Given a site with a runner of each service
+    When the gateway has settled, and nothing changes for 3 s
+    Then it made no call in that time
+
+  Scenario: An outage costs few calls, and its end is noticed within 2 s
+    Given a site with a runner of each service
+    When the gateway has settled, and the store refuses all calls for 8 s
+    Then it made at most 26 calls in that time
+    And it knows a new runner within 2 s
