Keep a runner that found an input gone among those to choose from

Cause: since the sends of a request are counted over all runs of its stages, a runner that refused as a stage's result was gone also stayed excluded. With no other runner the request was refused, and its prompt was read again elsewhere.

Change: only failures of the runner itself exclude it. The scenario with one runner fails before.

--- a/damaskpoint/catalog/runners.py
+++ b/damaskpoint/catalog/runners.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, final
 
-from damaskpoint.catalog.leaving import StartMemory
+from damaskpoint.catalog.start_memory import StartMemory
 from damaskpoint.observe.state import StateSource
 
 if TYPE_CHECKING:
--- a/damaskpoint/forwarding/attempts.py
+++ b/damaskpoint/forwarding/attempts.py
@@ -91,7 +91,8 @@
             if failure is None:
                 return None
             last_failure = failure
-            self._failed.add(runner.name)
+            if failure.code is not Code.RESULT_LOST:
+                self._failed.add(runner.name)
             self._possible_runs += int(failure.ran is not Ran.NO)
         return last_failure
 
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -103,6 +103,12 @@
     Then the stream has the events 1 to 5 once each
     And the stages ran 2 times and no runner got more than one request
 
+  Scenario: A request whose inputs are gone runs its stages again
+    Given a site with a runner of each service
+    And the runner "model-1" finds the inputs of its next request gone
+    When a caller sends POST /staged/one with the pieces "1,1"
+    Then the answer is 200 with the body of the runner
+
   Scenario: A stream that is not resumable is cut off, not ended cleanly
     Given a site with a runner of each service
     And the runner "model-1" cuts streams after 2 events
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -85,6 +85,12 @@
     context.site.runners_by_name[name].pieces_to_fail = count
 
 
+@given('the runner "{name}" finds the inputs of its next request gone')
+def lose_inputs(context: Any, name: str) -> None:
+    """Make a runner refuse its next request for lack of an input."""
+    context.site.runners_by_name[name].inputs_to_lose = 1
+
+
 @given('the runner "{name}" takes {seconds:g} seconds')
 def slow_down(context: Any, name: str, seconds: float) -> None:
     """Set the time that a runner works on a request."""
--- a/features/steps/store_restore_steps.py
+++ b/features/steps/store_restore_steps.py
@@ -11,7 +11,7 @@
 from tornado import httpserver, netutil, web
 
 from damaskpoint.catalog.follower import OperatorSink, RunnerSink
-from damaskpoint.catalog.leaving import StartMemory
+from damaskpoint.catalog.start_memory import StartMemory
 from damaskpoint.errors import Failure
 from damaskpoint.platform.store import Rows, create_store
 from features.support.gateway_site import HOST, run
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -38,6 +38,8 @@
     pause_s: float | None = None
     # Whether all answers announce the runner's exit.
     is_leaving: bool = False
+    # Number of next requests that are refused as an input of theirs is gone.
+    inputs_to_lose: int = 0
     # Number of next pieces that fail.
     pieces_to_fail: int = 0
     status: int = http.HTTPStatus.OK
@@ -116,6 +118,9 @@
 
     async def _run(self) -> None:
         state = self.state
+        if state.inputs_to_lose:
+            self._refuse_without_inputs()
+            return
         headers = dict(self.request.headers.get_all())
         state.requests.append((headers, self.request.body))
         self.set_status(state.status)
@@ -127,6 +132,12 @@
             return
         await self._stream(int(headers.get('Last-Event-Id', '0')) + 1)
 
+    def _refuse_without_inputs(self) -> None:
+        self.state.inputs_to_lose -= 1
+        self.set_header(_NOT_RUN, '1')
+        self.set_status(http.HTTPStatus.CONFLICT)
+        self.finish()
+
     async def _stream(self, first: int) -> None:
         state = self.state
         self.set_header('Content-Type', 'text/event-stream')
