Bound connecting to the store by the timeout without the watch's wait

Cause: the connection of a watch could take as long as the watch itself.

Change: connecting has the timeout of a call (1 s); only the answer may take longer. A step fills a listener's queue, so that it drops new connections: a watch of 5 s took over 5 s before and ends within 1 s now.

--- a/damaskpoint/platform/http_call.py
+++ b/damaskpoint/platform/http_call.py
@@ -43,7 +43,7 @@
     def __init__(
         self, client: AsyncHTTPClient, timeout_s: float, era: StoreEra
     ) -> None:
-        """Send through this client; each call ends within ``timeout_s``.
+        """Send through this client; ``timeout_s`` bounds each call.
 
         An answer of an older era than ``era`` is treated as lost.
         """
@@ -51,14 +51,19 @@
         self._timeout_s = timeout_s
         self._era = era
 
-    async def send(self, call: PlatformCall) -> HTTPResponse | Failure:
+    async def send(
+        self, call: PlatformCall, wait_s: float = 0
+    ) -> HTTPResponse | Failure:
         """Return the answer if its status is expected, else a failure.
 
+        ``wait_s`` is added to the timeout, but not to that of the connection:
+        it is the time for which the platform may hold the answer back.
+
         Failures: ``PLATFORM_UNAVAILABLE`` if there was no answer, a 429 or a
         server error; ``PLATFORM_MISSING`` for a 404; ``INTERNAL`` for any
         other status, as the platform refused the request itself.
         """
-        answer = await self._fetch(call)
+        answer = await self._fetch(call, wait_s)
         if isinstance(answer, Failure):
             metrics.CALLS.inc({'service': call.service, 'end': 'lost'})
             return answer
@@ -70,13 +75,15 @@
             return answer
         return _to_failure(call, answer)
 
-    async def _fetch(self, call: PlatformCall) -> HTTPResponse | Failure:
+    async def _fetch(
+        self, call: PlatformCall, wait_s: float
+    ) -> HTTPResponse | Failure:
         request = HTTPRequest(
             call.url,
             method=call.method,
             body=call.body,
             connect_timeout=self._timeout_s,
-            request_timeout=self._timeout_s,
+            request_timeout=self._timeout_s + wait_s,
             follow_redirects=False,
             allow_nonstandard_methods=True,
         )
--- a/damaskpoint/platform/store.py
+++ b/damaskpoint/platform/store.py
@@ -244,10 +244,8 @@
     async def _send(
         self, call: PlatformCall, wait_s: float = 0
     ) -> HTTPResponse | Failure:
-        caller = PlatformCaller(
-            self._client, self._timeout_s + wait_s, self._era
-        )
-        return await caller.send(call)
+        caller = PlatformCaller(self._client, self._timeout_s, self._era)
+        return await caller.send(call, wait_s)
 
     async def _get(
         self, path: str, query: Mapping[str, str], wait_s: float
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -41,5 +41,8 @@
       | nan    | None    |
       | -1     | None    |
 
+  Scenario: A watch gives up a connection that is not established
+    Then a watch of 5 s at an address that answers no connection ends within 1 s
+
   Scenario: The kernel closes a silent connection to the store during a watch
     Then a connection to the store is probed after 1 s and given up 1 s later
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -165,6 +165,35 @@
     asyncio.run(check())
 
 
+@then(
+    'a watch of {wait:g} s at an address that answers no connection ends within'
+    ' {most:g} s'
+)
+def check_connect_timeout(context: Any, wait: float, most: float) -> None:
+    """Fill the queue of a listener, which then drops new connections."""
+
+    async def check() -> float:
+        listener = socket.create_server(('127.0.0.1', 0), backlog=0)
+        port = listener.getsockname()[1]
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(('127.0.0.1', port))
+        await asyncio.sleep(_TIMEOUT_S)
+        store = create_store(f'http://127.0.0.1:{port}', _TIMEOUT_S)
+        began_at = time.monotonic()
+        _check_failure(
+            await store.watch('t', 0, wait), 'platform_unavailable', 'no'
+        )
+        took_s = time.monotonic() - began_at
+        for opened in (listener, *fillers):
+            opened.close()
+        return took_s
+
+    took_s = asyncio.run(check())
+    assert took_s <= most, took_s
+
+
 def _check_retry_after(header: str, seconds: str) -> None:
     async def check(adapters: Adapters) -> None:
         failure = await adapters.call('table write')
