--- a/features/steps/store_calls_steps.py
+++ b/features/steps/store_calls_steps.py
@@ -13,7 +13,7 @@
 from standins.runner import RunnerState
 
 # Time for the first reads of a gateway, the last of its peers at 2.5 s.
-_SETTLE_S: Final = 6.0
+_SETTLE_S: Final = 8.0
 
 
 @when('the entries of {count:d} runners change within {seconds:g} s')
