--- a/damaskpoint/catalog/follower.py
+++ b/damaskpoint/catalog/follower.py
@@ -20,12 +20,14 @@
 from damaskpoint.platform import names, rows
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from damaskpoint.catalog.catalog import Catalog
     from damaskpoint.catalog.model import Configuration, Runner
     from damaskpoint.platform.store import PlatformStore, Rows, StoredRow
 
+    _ApplyConfiguration = Callable[[Configuration, int, float], bool]
+
 _LOG: Final = logging.getLogger(__name__)
 # Duration of one watch call (seconds). Each call has a price, and a connection
 # that stops responding is closed by the kernel much earlier.
@@ -201,16 +203,12 @@
     def replace(self, read: Rows, now: float) -> None:
         """Replace all rows by those of the whole table."""
         self._set_zones(_collect_zones(read.rows), now)
-        for configuration in self._read_configurations(read.rows):
-            if self._catalog.apply(configuration, read.era, now):
-                _log_configuration(configuration, read.era)
+        self._apply_configurations(read, self._catalog.apply, now)
 
     def restore(self, read: Rows, now: float) -> None:
         """Keep evacuations and a newer configuration that the copy lacks."""
         self._set_zones(self._zones | _collect_zones(read.rows), now)
-        for configuration in self._read_configurations(read.rows):
-            if self._catalog.apply_restored(configuration, read.era, now):
-                _log_configuration(configuration, read.era)
+        self._apply_configurations(read, self._catalog.apply_restored, now)
 
     def update(self, read: Rows, now: float) -> None:
         """Apply the rows that changed."""
@@ -224,9 +222,7 @@
             else:
                 zones.add(zone)
         self._set_zones(frozenset(zones), now)
-        for configuration in self._read_configurations(read.rows):
-            if self._catalog.apply(configuration, read.era, now):
-                _log_configuration(configuration, read.era)
+        self._apply_configurations(read, self._catalog.apply, now)
 
     def record_outage(self, failure: Failure, now: float) -> None:
         """Do nothing: the last known rows stay in force."""
@@ -244,6 +240,13 @@
         self._zones = zones
         self._catalog.runners.evacuate(zones, now, self._catalog.max_cold_s())
 
+    def _apply_configurations(
+        self, read: Rows, apply: _ApplyConfiguration, now: float
+    ) -> None:
+        for configuration in self._read_configurations(read.rows):
+            if apply(configuration, read.era, now):
+                _log_configuration(configuration, read.era)
+
     def _read_configurations(
         self, stored: Iterable[StoredRow]
     ) -> list[Configuration]:
--- a/damaskpoint/forwarding/exchange.py
+++ b/damaskpoint/forwarding/exchange.py
@@ -249,4 +249,5 @@
 
 def _ignore_write_error(written: object) -> None:
     """Retrieve the exception of a write; reading reports the failure."""
+    # A future; the callback's parameter has no common type in typeshed.
     written.exception()  # type: ignore[attr-defined]
--- a/damaskpoint/gateway/caller_server.py
+++ b/damaskpoint/gateway/caller_server.py
@@ -25,6 +25,7 @@
         self, server_conn: object, request_conn: httputil.HTTPConnection
     ) -> httputil.HTTPMessageDelegate:
         """Wait for the next request of a connection, which is idle so far."""
+        # tornado declares the interface, but always passes this class.
         self._idle_connections[server_conn] = request_conn  # type: ignore[assignment]
         return _RequestStart(
             super().start_request(server_conn, request_conn),
--- a/damaskpoint/gateway/handler.py
+++ b/damaskpoint/gateway/handler.py
@@ -48,6 +48,7 @@
 
     def __call__(self, received: HTTPServerRequest) -> None:
         """Start serving a request whose body has been read."""
+        # tornado declares the interface, but always passes this class.
         connection: HTTP1Connection = received.connection  # type: ignore[assignment]
         arrived_at = time.monotonic()
         if self._is_closed:
@@ -83,6 +84,7 @@
     async def _serve(
         self, received: HTTPServerRequest, arrived_at: float
     ) -> None:
+        # tornado declares the interface, but always passes this class.
         connection: HTTP1Connection = received.connection  # type: ignore[assignment]
         answer = CallerAnswer(
             connection, lambda: self._shutdown.is_shutting_down
