--- a/damaskpoint/forwarding/attempts.py
+++ b/damaskpoint/forwarding/attempts.py
@@ -25,6 +25,7 @@
 
     from damaskpoint.catalog.model import Runner
     from damaskpoint.forwarding.context import ForwardingContext
+    from damaskpoint.forwarding.exchange import Exchange
     from damaskpoint.forwarding.relay import Relay
     from damaskpoint.forwarding.request import CallerRequest
     from damaskpoint.forwarding.sender import OpenAnswer
@@ -63,6 +64,8 @@
         self._sends = 0
         # Number of runners that may have run the request.
         self._possible_runs = 0
+        # Fields of the last answer for the log; empty if it had no head.
+        self._answer_fields: dict[str, object] = {}
         # Whether a runner may have run the request; set before each send.
         self.ran = Ran.NO
 
@@ -144,6 +147,7 @@
         began_at = time.monotonic()
         ran_before = self.ran
         self.ran = Ran.UNKNOWN
+        self._answer_fields = {}
         self._context.loads.begin(runner.name)
         try:
             failure = await self._exchange(runner, results, began_at)
@@ -176,6 +180,7 @@
             return broken_answer_failure(error)
         finally:
             open_answer.exchange.close()
+            self._record_ending(open_answer.exchange)
 
     async def _handle_answer(
         self, open_answer: OpenAnswer, began_at: float
@@ -232,6 +237,19 @@
             request.method, request.target, headers, request.body
         )
 
+    def _record_ending(self, exchange: Exchange) -> None:
+        framing = exchange.framing.value
+        ending = exchange.ending.value
+        self._answer_fields = {
+            'framing': framing,
+            'ending': ending,
+            'body_bytes': exchange.body_bytes,
+            'partial_event_bytes': self._relay.partial_event_bytes,
+        }
+        metrics.RUNNER_ANSWERS.inc(
+            {'service': self._service, 'framing': framing, 'ending': ending}
+        )
+
     def _record_attempt(
         self, runner: Runner, failure: Failure | None, began_at: float
     ) -> None:
@@ -254,5 +272,6 @@
                 'entries_age_ms': round(
                     self._context.catalog.runners.age_s(now) * _MS
                 ),
+                **self._answer_fields,
             },
         )
--- a/damaskpoint/forwarding/events.py
+++ b/damaskpoint/forwarding/events.py
@@ -30,6 +30,11 @@
         self._update_last_id(whole)
         return whole
 
+    @property
+    def pending_bytes(self) -> int:
+        """Return the number of bytes after the last complete event."""
+        return len(self._buffer)
+
     def take_remainder(self) -> bytes:
         """Return and clear the bytes after the last complete event."""
         rest = self._buffer
--- a/damaskpoint/forwarding/exchange.py
+++ b/damaskpoint/forwarding/exchange.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import enum
 import http
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, final
@@ -44,6 +45,33 @@
     """An answer ended early or is not valid HTTP; the message has details."""
 
 
+@final
+@enum.unique
+class Framing(enum.Enum):
+    """How an answer marks the end of its body."""
+
+    UNKNOWN = 'unknown'
+    NO_BODY = 'no_body'
+    LENGTH = 'length'
+    CHUNKS = 'chunks'
+    CLOSE = 'close'
+
+
+@final
+@enum.unique
+class Ending(enum.Enum):
+    """How the reading of an answer ended."""
+
+    # The answer was not read to its end.
+    UNREAD = 'unread'
+    # The framing marked the end.
+    COMPLETE = 'complete'
+    # The peer closed the connection; the end of a body framed by ``CLOSE``.
+    CLOSED = 'closed'
+    SOCKET_ERROR = 'socket_error'
+    MALFORMED = 'malformed'
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class RunnerRequest:
@@ -100,11 +128,13 @@
     def __init__(self, stream: iostream.IOStream) -> None:
         """Take ownership of a new connection."""
         self._stream = stream
+        self.framing = Framing.UNKNOWN
+        self.ending = Ending.UNREAD
+        # Bytes of the body read so far.
+        self.body_bytes = 0
         self._method = ''
-        # Bytes left of the body or its current chunk; None if the body extends
-        # to the end of the connection.
-        self._body_remaining: int | None = 0
-        self._is_chunked = False
+        # Bytes left of a body with a length, or of the current chunk.
+        self._body_remaining = 0
         self._is_ended = False
 
     def send(self, request: RunnerRequest) -> None:
@@ -129,7 +159,7 @@
                     break
             self._start_body(head)
         except _READ_ERRORS as error:
-            raise BrokenAnswerError(f'head: {error}') from error
+            raise self._break_off('head', error) from error
         return head
 
     async def read_chunk(self) -> bytes:
@@ -140,13 +170,11 @@
         if self._is_ended:
             return b''
         try:
-            if self._is_chunked:
-                return await self._read_chunked()
-            if self._body_remaining is None:
-                return await self._read_until_close()
-            return await self._read_counted(self._body_remaining)
+            chunk = await self._read_part()
         except _READ_ERRORS as error:
-            raise BrokenAnswerError(f'body: {error}') from error
+            raise self._break_off('body', error) from error
+        self.body_bytes += len(chunk)
+        return chunk
 
     async def read_body(self) -> bytes:
         """Return the complete body; raises ``BrokenAnswerError``."""
@@ -165,6 +193,14 @@
         """Close the connection; the runner then stops its work."""
         self._stream.close()
 
+    def _break_off(self, part: str, error: Exception) -> BrokenAnswerError:
+        """Record why the answer ended early; return the error to raise."""
+        self.ending = _classify(error)
+        detail = str(error)
+        if isinstance(error, iostream.StreamClosedError) and error.real_error:
+            detail = f'{detail}: {error.real_error}'
+        return BrokenAnswerError(f'{part}: {detail}')
+
     async def _read_head(self) -> AnswerHead:
         raw = await self._stream.read_until(
             _HEAD_END, max_bytes=defaults.MAX_HEADER_BYTES
@@ -176,29 +212,45 @@
 
     def _start_body(self, head: AnswerHead) -> None:
         if self._method == 'HEAD' or head.status in _BODILESS:
-            self._is_ended = True
+            self.framing = Framing.NO_BODY
+            self._end(Ending.COMPLETE)
             return
         coding = head.headers.get('Transfer-Encoding', '').lower()
         if coding:
             if coding != 'chunked':
                 raise ValueError(f'transfer coding {coding!r}')
-            self._is_chunked = True
+            self.framing = Framing.CHUNKS
             return
         length = head.headers.get('Content-Length')
         if length is None:
-            self._body_remaining = None
+            self.framing = Framing.CLOSE
             return
         if not length.isdecimal():
             raise ValueError(f'length {length!r}')
+        self.framing = Framing.LENGTH
         self._body_remaining = int(length)
-        self._is_ended = self._body_remaining == 0
+        if not self._body_remaining:
+            self._end(Ending.COMPLETE)
+
+    def _end(self, ending: Ending) -> None:
+        """Mark the body as read to its end."""
+        self.ending = ending
+        self._is_ended = True
 
-    async def _read_counted(self, left: int) -> bytes:
+    async def _read_part(self) -> bytes:
+        if self.framing is Framing.CHUNKS:
+            return await self._read_chunked()
+        if self.framing is Framing.CLOSE:
+            return await self._read_until_close()
+        return await self._read_counted()
+
+    async def _read_counted(self) -> bytes:
         chunk = await self._stream.read_bytes(
-            min(left, _CHUNK_BYTES), partial=True
+            min(self._body_remaining, _CHUNK_BYTES), partial=True
         )
-        self._body_remaining = left - len(chunk)
-        self._is_ended = self._body_remaining == 0
+        self._body_remaining -= len(chunk)
+        if not self._body_remaining:
+            self._end(Ending.COMPLETE)
         return chunk
 
     async def _read_until_close(self) -> bytes:
@@ -208,7 +260,7 @@
             # After a connection reset, bytes may be missing.
             if error.real_error is not None:
                 raise
-        self._is_ended = True
+        self._end(Ending.CLOSED)
         return b''
 
     async def _read_chunked(self) -> bytes:
@@ -222,7 +274,7 @@
             self._body_remaining = int(size_text, _HEX)
         if not self._body_remaining:
             await self._skip_trailers()
-            self._is_ended = True
+            self._end(Ending.COMPLETE)
             return b''
         chunk = await self._stream.read_bytes(
             min(self._body_remaining, _CHUNK_BYTES), partial=True
@@ -242,6 +294,17 @@
                 return
 
 
+def _classify(error: Exception) -> Ending:
+    """Return the ending that an error of a read means."""
+    if not isinstance(error, iostream.StreamClosedError):
+        return Ending.MALFORMED
+    if error.real_error is None:
+        return Ending.CLOSED
+    if isinstance(error.real_error, OSError):
+        return Ending.SOCKET_ERROR
+    return Ending.MALFORMED
+
+
 def broken_answer_failure(error: BrokenAnswerError) -> Failure:
     """Return the failure of a request whose answer is broken."""
     return Failure(Code.UPSTREAM_BROKEN, str(error), Ran.UNKNOWN)
--- a/damaskpoint/forwarding/metrics.py
+++ b/damaskpoint/forwarding/metrics.py
@@ -31,3 +31,7 @@
     'damaskpoint_sends_total',
     'Requests sent to runners, by service and end.',
 )
+RUNNER_ANSWERS: Final = Counter(
+    'damaskpoint_runner_answers_total',
+    'Answers of runners, by service, framing of the body and its ending.',
+)
--- a/damaskpoint/forwarding/relay.py
+++ b/damaskpoint/forwarding/relay.py
@@ -27,6 +27,8 @@
         self._answer = answer
         self._on_start = on_start
         self._splitter = EventSplitter()
+        # Bytes after the last complete event of the last stream.
+        self.partial_event_bytes = 0
 
     @property
     def is_started(self) -> bool:
@@ -62,8 +64,10 @@
         try:
             await self._forward_chunks(open_answer)
         except BrokenAnswerError:
+            self.partial_event_bytes = self._splitter.pending_bytes
             self._splitter.discard_remainder()
             raise
+        self.partial_event_bytes = self._splitter.pending_bytes
         rest = self._splitter.take_remainder()
         if rest or not self.is_started:
             await self._write(open_answer, rest)
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -119,14 +119,8 @@
         await reader.readuntil(b'\r\n\r\n')
         writer.close()
 
-    server = await asyncio.start_server(serve, HOST, 0)
+    server = await context.site.replace_runner(name, 'model', serve)
     context.closers.append(server.close)
-    site = context.site
-    site.ports_by_name[name] = server.sockets[0].getsockname()[1]
-    site.register(name, 'model')
-    runners = _catalog(site).runners
-    port = site.ports_by_name[name]
-    await until(lambda: runners.find(name).port == port)
 
 
 @given('the entry of "{name}" has the state draining')
--- a/features/support/gateway_site.py
+++ b/features/support/gateway_site.py
@@ -17,12 +17,17 @@
 from standins.runner import RunnerState, create_runner_server
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from tornado.httpserver import HTTPServer
 
+    from damaskpoint.catalog.runners import RunnerTable
     from damaskpoint.gateway.runtime import GatewayRuntime
 
+    Serve = Callable[
+        [asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]
+    ]
+
 # A loopback address that only this test process uses, so that no other process
 # can take one of its ports; the launcher's processes use lower addresses.
 HOST: Final = f'127.{20 + os.getpid() // 256 % 200}.{os.getpid() % 256}.251'
@@ -95,6 +100,22 @@
         self.ports_by_name[state.name] = port
         self.register(state.name, service)
 
+    async def replace_runner(
+        self, name: str, service: str, serve: Serve
+    ) -> asyncio.Server:
+        """Register a raw server under the name of a runner.
+
+        Waits until the gateway uses it; the caller must close the server.
+        """
+        server = await asyncio.start_server(serve, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        self.ports_by_name[name] = port
+        self.register(name, service)
+        assert self.gateway is not None
+        runners = self.gateway.catalog.runners
+        await until(lambda: _find_port(runners, name) == port)
+        return server
+
     def register(self, name: str, service: str, **changes: object) -> None:
         """Write a runner's entry; ``changes`` replace its fields."""
         entry = {
@@ -159,6 +180,11 @@
         return int(sockets[0].getsockname()[1])
 
 
+def _find_port(runners: RunnerTable, name: str) -> int | None:
+    runner = runners.find(name)
+    return runner.port if runner else None
+
+
 def create_configuration(version: int) -> dict[str, Any]:
     """Return a configuration with a route of each kind."""
     return {
