Match the examples of an outline with their entries in KNOWN-RED.txt

behave ends the name of an example with a space, while the names that are read from KNOWN-RED.txt are stripped, so that no example could be listed.

--- a/features/run_all.py
+++ b/features/run_all.py
@@ -85,7 +85,8 @@
         for element in feature.get('elements', ()):
             if element['type'] == 'background':
                 continue
-            name = f'{feature["name"]}: {element["name"]}'
+            # behave ends the names of the examples of an outline with a space.
+            name = f'{feature["name"]}: {element["name"]}'.strip()
             statuses_by_name[name] = element['status']
     return statuses_by_name
 
