Add failing tests of streams that break off and look complete

A stand-in writes the bytes of an answer; what the gateway makes of it is checked from the caller's side.

--- a/features/runner_answers.feature
+++ b/features/runner_answers.feature
@@ -19,3 +19,27 @@
       | chunks  | 2 events and a part | close | closed       | 14      | body: Stream is closed                                    |
       | length  | 5 events            | close | complete     | 0       |                                                           |
       | length  | 2 events and a part | close | closed       | 14      | body: Stream is closed                                    |
+
+  # Guards against a broken stream that its caller takes for a whole one.
+  Scenario Outline: A stream that breaks off never looks complete: <framing>, <sent>, <end>
+    Given a site with a runner of each service
+    And the runner "model-1" sends <sent> framed by <framing>, then a <end>
+    When a caller sends POST /staged/one with the pieces "0,0"
+    Then the answer does not look complete
+
+    Examples:
+      | framing           | sent                | end   |
+      | close             | 2 events and a part | close |
+      | close             | 0 events and a part | close |
+      | close             | 0 events            | close |
+      | close             | 2 events            | reset |
+      | close             | 2 events and a part | reset |
+      | close             | 0 events            | reset |
+      | chunks            | 2 events            | close |
+      | chunks            | 2 events and a part | close |
+      | ended chunks      | 2 events and a part | close |
+      | half-ended chunks | 2 events            | close |
+      | chunks            | 2 events            | reset |
+      | length            | 2 events            | close |
+      | length            | 2 events and a part | close |
+      | length of all     | 2 events and a part | close |
--- a/features/steps/runner_answer_steps.py
+++ b/features/steps/runner_answer_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import http
 import logging
 from typing import Any, Final
 
@@ -10,6 +11,8 @@
 from features.support.gateway_site import run
 from standins.raw_runner import RawEnd, RawRunner
 
+# Code by which tornado's client reports a connection that closed early.
+_CUT: Final = 599
 _EVENTS: Final = 5
 _PART: Final = b'id: 3\ndata: pi'
 _SEND_LOGGER: Final = 'damaskpoint.forwarding.attempts'
@@ -68,17 +71,27 @@
 def _frame(
     parts: list[bytes], framing: str, is_whole: bool
 ) -> tuple[bytes, bytes]:
-    """Return head and body of an answer that ends after the given parts."""
-    if framing == 'chunks':
+    """Return head and body of an answer that ends after the given parts.
+
+    Framed by ``ended chunks`` or the ``length of all``, it ends as complete
+    even if the parts are not all of the stream; ``half-ended chunks`` lack the
+    last bytes of the end.
+    """
+    body = b''.join(parts)
+    if framing.endswith('chunks'):
+        is_ended = is_whole or framing == 'ended chunks'
         chunks = [b'%x\r\n%b\r\n' % (len(part), part) for part in parts]
-        ending = b'0\r\n\r\n' if is_whole else b''
+        ending = b'0\r\n\r\n' if is_ended else b''
+        if framing == 'half-ended chunks':
+            ending = b'0\r\n'
         head = f'{_HEAD}Transfer-Encoding: chunked\r\n'
         return head.encode(), b''.join(chunks) + ending
-    if framing == 'length':
-        length = sum(len(_create_event(number)) for number in range(1, 6))
-        head = f'{_HEAD}Content-Length: {length}\r\n'
-        return head.encode(), b''.join(parts)
-    return _HEAD.encode(), b''.join(parts)
+    if framing.startswith('length'):
+        events = map(_create_event, range(1, _EVENTS + 1))
+        is_ended = framing == 'length of all'
+        length = len(body) if is_ended else sum(map(len, events))
+        return f'{_HEAD}Content-Length: {length}\r\n'.encode(), body
+    return _HEAD.encode(), body
 
 
 @then('the send is logged with the framing {framing} and the ending {ending}')
@@ -104,3 +117,11 @@
 def check_whole(context: Any, count: int) -> None:
     """Check that the last send ended without a failure."""
     check_partial(context, count, '')
+
+
+@then('the answer does not look complete')
+def check_broken(context: Any) -> None:
+    """Check for a cut connection, or a failure if no event was forwarded."""
+    code = context.answer.code
+    assert code in {_CUT, http.HTTPStatus.BAD_GATEWAY}, code
+    assert code == _CUT or b'id: ' not in context.answer.body
