Treat a stream that ends inside an event as broken off

Cause: at the end of a body Relay.forward_events sent the bytes after the last complete event and ended the answer. With a length or chunks, the framing had shown that the body was complete. An answer with neither ends with its connection, and the connection of a runner that crashes is closed too: Exchange took the close as the end of the body, and nothing checked the stream itself.

Change: a stream that ends inside an event is broken off, whatever its framing says, and so is one without length and chunks that closes before its first event; the latter also ended a stream that another runner should have continued. The caller gets 502 if nothing was forwarded, a cut connection otherwise, and a resumable stream continues at another runner. As the end of an event now decides, the splitter knows all line ends of the format (LF, CRLF, CR).

Streams that end after an event still reach the caller byte by byte, in seven cases.

Not covered: a connection that closes exactly between two events of an answer without length and chunks. Nothing in such an answer shows it.

--- a/damaskpoint/forwarding/attempts.py
+++ b/damaskpoint/forwarding/attempts.py
@@ -186,6 +186,7 @@
         self, open_answer: OpenAnswer, began_at: float
     ) -> Failure | None:
         head = open_answer.head
+        self._relay.begin_answer()
         if head.is_success and self._route.kind is RequestKind.STREAM:
             took_s = time.monotonic() - began_at
             self._context.first_events.record(self._service, took_s)
--- a/damaskpoint/forwarding/events.py
+++ b/damaskpoint/forwarding/events.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+import re
 from typing import Final, final
 
-_EVENT_END: Final = b'\n\n'
+# Two line ends in a row; the groups are atomic, as a CR with its LF is one.
+_EVENT_END: Final = re.compile(rb'(?>\r\n|\n|\r)(?>\r\n|\n|\r)')
+_LINE_ENDS: Final = b'\r\n'
 _ID_FIELD: Final = b'id:'
 
 
@@ -15,35 +18,36 @@
     def __init__(self) -> None:
         """Start before the first event."""
         self._buffer = b''
+        # Whether the current answer has had a complete event.
+        self.has_events = False
         self.last_id: str | None = None
 
+    def begin_answer(self) -> None:
+        """Expect another answer, which continues after the last event."""
+        self._buffer = b''
+        self.has_events = False
+
     def feed(self, chunk: bytes) -> bytes:
         """Add bytes of the stream; return those of all complete events."""
         joined = self._buffer + chunk
-        end = joined.rfind(_EVENT_END)
-        if end < 0:
-            self._buffer = joined
-            return b''
-        end += len(_EVENT_END)
+        end = 0
+        for match in _EVENT_END.finditer(joined):
+            end = match.end()
         whole = joined[:end]
         self._buffer = joined[end:]
+        self.has_events = self.has_events or bool(whole)
         self._update_last_id(whole)
         return whole
 
     @property
-    def pending_bytes(self) -> int:
-        """Return the number of bytes after the last complete event."""
-        return len(self._buffer)
-
-    def take_remainder(self) -> bytes:
-        """Return and clear the bytes after the last complete event."""
-        rest = self._buffer
-        self._buffer = b''
-        return rest
+    def pending(self) -> bytes:
+        """Return the bytes after the last complete event."""
+        return self._buffer
 
-    def discard_remainder(self) -> None:
-        """Discard the bytes of an incomplete event."""
-        self._buffer = b''
+    @property
+    def is_inside_event(self) -> bool:
+        """Return whether an event has begun and is not complete."""
+        return bool(self._buffer.strip(_LINE_ENDS))
 
     def _update_last_id(self, whole: bytes) -> None:
         for line in reversed(whole.splitlines()):
--- a/damaskpoint/forwarding/relay.py
+++ b/damaskpoint/forwarding/relay.py
@@ -6,7 +6,7 @@
 
 from damaskpoint.errors import Code, Failure, Ran
 from damaskpoint.forwarding.events import EventSplitter
-from damaskpoint.forwarding.exchange import BrokenAnswerError
+from damaskpoint.forwarding.exchange import BrokenAnswerError, Framing
 from damaskpoint.platform import requests
 
 if TYPE_CHECKING:
@@ -27,8 +27,6 @@
         self._answer = answer
         self._on_start = on_start
         self._splitter = EventSplitter()
-        # Bytes after the last complete event of the last stream.
-        self.partial_event_bytes = 0
 
     @property
     def is_started(self) -> bool:
@@ -40,6 +38,15 @@
         """Return the id of the last forwarded event."""
         return self._splitter.last_id
 
+    @property
+    def partial_event_bytes(self) -> int:
+        """Return the bytes of the answer after its last complete event."""
+        return len(self._splitter.pending)
+
+    def begin_answer(self) -> None:
+        """Expect the answer of another runner."""
+        self._splitter.begin_answer()
+
     async def forward_whole(self, open_answer: OpenAnswer) -> Failure | None:
         """Forward an answer once it has been read completely.
 
@@ -59,16 +66,12 @@
         """Forward events as they arrive, until the stream ends.
 
         Raises ``BrokenAnswerError`` if the stream ends early; the caller then
-        has received only complete events.
+        has received only complete events. A stream that ends inside an event
+        is broken even if its framing says that it is complete.
         """
-        try:
-            await self._forward_chunks(open_answer)
-        except BrokenAnswerError:
-            self.partial_event_bytes = self._splitter.pending_bytes
-            self._splitter.discard_remainder()
-            raise
-        self.partial_event_bytes = self._splitter.pending_bytes
-        rest = self._splitter.take_remainder()
+        await self._forward_chunks(open_answer)
+        self._check_end(open_answer.exchange.framing)
+        rest = self._splitter.pending
         if rest or not self.is_started:
             await self._write(open_answer, rest)
         await self._answer.finish()
@@ -82,6 +85,13 @@
             if whole:
                 await self._write(open_answer, whole)
 
+    def _check_end(self, framing: Framing) -> None:
+        """Raise ``BrokenAnswerError`` if the stream cannot be complete."""
+        if self._splitter.is_inside_event:
+            raise BrokenAnswerError('body: ended inside an event')
+        if framing is Framing.CLOSE and not self._splitter.has_events:
+            raise BrokenAnswerError('body: closed before the first event')
+
     async def _write(self, open_answer: OpenAnswer, whole: bytes) -> None:
         if self.is_started:
             await self._answer.write(whole)
--- a/features/runner_answers.feature
+++ b/features/runner_answers.feature
@@ -43,3 +43,54 @@
       | length            | 2 events            | close |
       | length            | 2 events and a part | close |
       | length of all     | 2 events and a part | close |
+
+  # Guards against cutting a whole stream that only its connection ends.
+  Scenario Outline: A stream that ends after an event is complete: <framing>, <events>
+    Given a site with a runner of each service
+    And the runner "model-1" sends <events> framed by <framing>, then a close
+    When a caller sends POST /staged/one with the pieces "0,0"
+    Then the answer is the whole stream
+
+    Examples:
+      | framing | events                    |
+      | close   | 5 events                  |
+      | close   | 5 events with CRLF        |
+      | close   | 5 events with CR          |
+      | close   | 5 events and a blank line |
+      | chunks  | 5 events                  |
+      | chunks  | 5 events with CRLF        |
+      | length  | 5 events                  |
+
+  # Guards against ending a stream at a runner that never continued it.
+  Scenario Outline: A broken stream continues at another runner: <sent>, <end>
+    Given a site with a runner of each service
+    And a second runner of the service "model"
+    And the runner "model-1" sends <sent> framed by <framing>, then a <end>
+    When 8 callers send POST /stream/one
+    Then each stream has the events 1 to 5 once each
+
+    Examples:
+      | framing | sent                | end   |
+      | close   | 2 events and a part | close |
+      | close   | 2 events            | reset |
+      | close   | 0 events            | close |
+      | chunks  | 2 events and a part | close |
+
+  Scenario: A stream that no runner continues is cut
+    Given a site with a runner of each service
+    And a second runner of the service "model"
+    And the runner "model-2" cuts streams after 2 events
+    And the runner "model-1" sends 0 events framed by close, then a close
+    When 8 callers send POST /stream/one
+    Then none of the answers looks complete
+
+  Scenario Outline: A plain answer without a length ends with its connection: <end>
+    Given a site with a runner of each service
+    And the runner "plain-1" sends a plain answer without a length, then a <end>
+    When a caller sends POST /unsafe/one with the key "key-1"
+    Then the answer is <status>
+
+    Examples:
+      | end   | status |
+      | close | 200    |
+      | reset | 502    |
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -248,13 +248,13 @@
     send_header(context, path, header, '')
 
 
-@when('{count:d} callers send GET {path}')
-def send_many(context: Any, count: int, path: str) -> None:
+@when('{count:d} callers send {method} {path}')
+def send_many(context: Any, count: int, method: str, path: str) -> None:
     """Send requests with different prompts one after another."""
     context.answers = []
     for number in range(count):
         prompt = {'Damaskpoint_Prompt_Prefix': f'a{number}:10,cd:20'}
-        sending = _send(context, 'GET', path, **prompt)
+        sending = _send(context, method, path, **prompt)
         context.answers.append(run(context, sending))
 
 
--- a/features/steps/runner_answer_steps.py
+++ b/features/steps/runner_answer_steps.py
@@ -8,6 +8,7 @@
 
 from behave import given, then
 
+from features.steps.gateway_answer_steps import check_events
 from features.support.gateway_site import run
 from standins.raw_runner import RawEnd, RawRunner
 
@@ -15,6 +16,14 @@
 _CUT: Final = 599
 _EVENTS: Final = 5
 _PART: Final = b'id: 3\ndata: pi'
+# How a whole stream may end its lines, and be followed by a blank one.
+_LINE_VARIANTS: Final = {
+    ' with CRLF': lambda parts: [
+        part.replace(b'\n', b'\r\n') for part in parts
+    ],
+    ' with CR': lambda parts: [part.replace(b'\n', b'\r') for part in parts],
+    ' and a blank line': lambda parts: [*parts, b'\n'],
+}
 _SEND_LOGGER: Final = 'damaskpoint.forwarding.attempts'
 _HEAD: Final = 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
 
@@ -47,19 +56,32 @@
     context: Any, name: str, sent: str, framing: str, end: str
 ) -> None:
     """Replace a runner by one that writes the bytes of a stream."""
-    count = int(sent.split()[0])
-    events = [_create_event(number) for number in range(1, count + 1)]
-    parts = [*events, _PART] if sent.endswith('and a part') else events
-    is_whole = count == _EVENTS and parts is events
+    count, _, variant = sent.partition(' events')
+    parts = [_create_event(number) for number in range(1, int(count) + 1)]
+    is_whole = int(count) == _EVENTS
+    if variant == ' and a part':
+        is_whole = False
+        parts.append(_PART)
+    elif variant:
+        parts = _LINE_VARIANTS[variant](parts)
+    context.sent_body = b''.join(parts)
     head, body = _frame(parts, framing, is_whole)
-    context.raw_runner = RawRunner(head, body, RawEnd(end))
-    _replace(context, name)
+    _replace(context, name, 'model', RawRunner(head, body, RawEnd(end)))
 
 
-def _replace(context: Any, name: str) -> None:
+@given(
+    'the runner "{name}" sends a plain answer without a length, then a {end}'
+)
+def answer_plain(context: Any, name: str, end: str) -> None:
+    """Replace a runner by one whose plain answers have no length."""
+    runner = RawRunner(b'HTTP/1.1 200 OK\r\n', b'an answer', RawEnd(end))
+    _replace(context, name, 'plain', runner)
+
+
+def _replace(context: Any, name: str, service: str, runner: RawRunner) -> None:
+    context.raw_runner = runner
     server = run(
-        context,
-        context.site.replace_runner(name, 'model', context.raw_runner.serve),
+        context, context.site.replace_runner(name, service, runner.serve)
     )
     context.closers.append(server.close)
 
@@ -122,6 +144,33 @@
 @then('the answer does not look complete')
 def check_broken(context: Any) -> None:
     """Check for a cut connection, or a failure if no event was forwarded."""
-    code = context.answer.code
-    assert code in {_CUT, http.HTTPStatus.BAD_GATEWAY}, code
-    assert code == _CUT or b'id: ' not in context.answer.body
+    _check_broken(context.answer)
+
+
+@then('none of the answers looks complete')
+def check_all_broken(context: Any) -> None:
+    """Check each answer, and that the raw runner was asked."""
+    assert context.raw_runner.request_heads
+    for answer in context.answers:
+        _check_broken(answer)
+
+
+def _check_broken(answer: Any) -> None:
+    assert answer.code in {_CUT, http.HTTPStatus.BAD_GATEWAY}, answer.code
+    assert answer.code == _CUT or b'id: ' not in answer.body
+
+
+@then('each stream has the events {first:d} to {last:d} once each')
+def check_all_events(context: Any, first: int, last: int) -> None:
+    """Check each stream, and that the raw runner was asked."""
+    assert context.raw_runner.request_heads
+    for answer in context.answers:
+        context.answer = answer
+        check_events(context, first, last)
+
+
+@then('the answer is the whole stream')
+def check_whole_stream(context: Any) -> None:
+    """Check that all bytes of the stream were forwarded unchanged."""
+    assert context.answer.code == http.HTTPStatus.OK, context.answer.code
+    assert context.answer.body == context.sent_body, context.answer.body
