Bound what a runner may send before its answer is given up

A runner in trouble may send bytes without end, in a head or a body. Three places had no bound, and each kept the event loop from all other work while bytes had arrived: interim answers (1xx), the trailers of a chunked body, and an event of a stream that is never complete, whose buffer grew as well and was copied with each read.

Change: at most ten interim answers, trailers of at most the size of a head, events of at most 64 KiB (the bound that entries have). The connection is closed then, and the answer is broken. Heads, the line of a chunk's size and bodies that are read whole had bounds already; the tests now show that.

Evidence: An answer without end is abandoned, eight cases over a stand-in that writes from a thread of its own until the caller closes. Now all eight answers fail within 0.8 s, the runner sees the close, and another request is answered within 0.5 s. Events without end, which are answers, stop at the deadline before and after.

--- a/damaskpoint/forwarding/events.py
+++ b/damaskpoint/forwarding/events.py
@@ -5,6 +5,8 @@
 import re
 from typing import Final, final
 
+from damaskpoint import defaults
+
 # Two line ends in a row; the groups are atomic, as a CR with its LF is one.
 _EVENT_END: Final = re.compile(rb'(?>\r\n|\n|\r)(?>\r\n|\n|\r)')
 _LINE_ENDS: Final = b'\r\n'
@@ -35,7 +37,8 @@
             end = match.end()
         whole = joined[:end]
         self._buffer = joined[end:]
-        self.has_events = self.has_events or bool(whole)
+        if whole.strip(_LINE_ENDS):
+            self.has_events = True
         self._update_last_id(whole)
         return whole
 
@@ -44,6 +47,11 @@
         """Return the bytes after the last complete event."""
         return self._buffer
 
+    @property
+    def is_event_too_long(self) -> bool:
+        """Return whether the incomplete event is longer than allowed."""
+        return len(self._buffer) > defaults.MAX_EVENT_BYTES
+
     @property
     def is_inside_event(self) -> bool:
         """Return whether an event has begun and is not complete."""
--- a/damaskpoint/forwarding/exchange.py
+++ b/damaskpoint/forwarding/exchange.py
@@ -24,6 +24,8 @@
 
 _CHUNK_BYTES: Final = 65_536
 _MAX_CHUNK_LINE_BYTES: Final = 1_024
+# Maximum number of 1xx answers before the final one.
+_MAX_INTERIM_ANSWERS: Final = 10
 _HEAD_END: Final = b'\r\n\r\n'
 _LINE_END: Final = b'\r\n'
 _HEX: Final = 16
@@ -153,10 +155,7 @@
         Raises ``BrokenAnswerError`` if it is missing or malformed.
         """
         try:
-            while True:
-                head = await self._read_head()
-                if head.status >= http.HTTPStatus.OK:
-                    break
+            head = await self._read_final_head()
             self._start_body(head)
         except _READ_ERRORS as error:
             raise self._break_off('head', error) from error
@@ -201,6 +200,13 @@
             detail = f'{detail}: {error.real_error}'
         return BrokenAnswerError(f'{part}: {detail}')
 
+    async def _read_final_head(self) -> AnswerHead:
+        for _ in range(_MAX_INTERIM_ANSWERS + 1):
+            head = await self._read_head()
+            if head.status >= http.HTTPStatus.OK:
+                return head
+        raise ValueError('too many interim answers')
+
     async def _read_head(self) -> AnswerHead:
         raw = await self._stream.read_until(
             _HEAD_END, max_bytes=defaults.MAX_HEADER_BYTES
@@ -286,12 +292,15 @@
         return chunk
 
     async def _skip_trailers(self) -> None:
-        while True:
+        left_bytes = defaults.MAX_HEADER_BYTES
+        while left_bytes > 0:
             line = await self._stream.read_until(
                 _LINE_END, _MAX_CHUNK_LINE_BYTES
             )
             if line == _LINE_END:
                 return
+            left_bytes -= len(line)
+        raise ValueError('trailers too long')
 
 
 def _classify(error: Exception) -> Ending:
--- a/damaskpoint/forwarding/relay.py
+++ b/damaskpoint/forwarding/relay.py
@@ -82,6 +82,8 @@
             if not chunk:
                 return
             whole = self._splitter.feed(chunk)
+            if self._splitter.is_event_too_long:
+                raise BrokenAnswerError('body: an event is too long')
             if whole:
                 await self._write(open_answer, whole)
 
--- a/features/runner_answers.feature
+++ b/features/runner_answers.feature
@@ -94,3 +94,31 @@
       | end   | status |
       | close | 200    |
       | reset | 502    |
+
+  # Guards against memory and time lost to a runner that never stops sending.
+  Scenario Outline: An answer without end is abandoned: <part>
+    Given a site with a runner of each service
+    And the runner "<name>" sends <part> without end
+    When a caller sends POST <path> while another sends GET /none/one
+    Then the first answer is a failure within 0.8 s
+    And the runner sees the close within 0.8 s
+    And the other request is answered within 0.5 s
+
+    Examples:
+      | name    | path        | part                    |
+      | model-1 | /staged/one | bytes instead of a head |
+      | model-1 | /staged/one | a header                |
+      | model-1 | /staged/one | interim heads           |
+      | model-1 | /staged/one | an unframed event       |
+      | model-1 | /staged/one | an event in chunks      |
+      | model-1 | /staged/one | a chunk's size          |
+      | model-1 | /staged/one | trailers                |
+      | plain-1 | /unsafe/one | an unframed answer      |
+
+  # Guards against an event loop that serves one fast stream alone.
+  Scenario: Events without end stop at the deadline and delay no other request
+    Given a site with a runner of each service
+    And the runner "model-1" sends events without end
+    When a caller sends POST /staged/one while another sends GET /none/one
+    Then the runner sees the close within 1.3 s
+    And the other request is answered within 0.5 s
--- /dev/null
+++ b/features/steps/endless_answer_steps.py
@@ -0,0 +1,92 @@
+"""Steps on runners whose answers do not end."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any, Final
+
+from behave import given, then, when
+
+from features.steps.gateway_steps import send_request
+from features.support.gateway_site import HOST, run, until
+from standins.endless_runner import EndlessRunner
+
+_MAX_BYTES: Final = 16 * 1_048_576
+_MAX_STREAM_BYTES: Final = 256 * 1_048_576
+_BLOCK_BYTES: Final = 65_536
+_DEADLINE_MS: Final = '1000'
+# Time after which the other request is sent (seconds).
+_OTHER_DELAY_S: Final = 0.1
+_OK: Final = b'HTTP/1.1 200 OK\r\nDamaskpoint-Response-Seal: seal-of-raw\r\n'
+_CHUNKED: Final = _OK + b'Transfer-Encoding: chunked\r\n\r\n'
+_INTERIM: Final = b'HTTP/1.1 103 Early Hints\r\n\r\n'
+_CHUNK: Final = b'4000\r\n' + b'x' * 0x4000 + b'\r\n'
+_EVENT: Final = b'id: 1\ndata: piece\n\n'
+# Beginning and repeated part of each answer.
+_ANSWERS: Final = {
+    'bytes instead of a head': (b'', b'x'),
+    'a header': (_OK + b'X-Long: ', b'x'),
+    'interim heads': (b'', _INTERIM),
+    'an unframed event': (_OK + b'\r\ndata: ', b'x'),
+    'an event in chunks': (_CHUNKED + b'6\r\ndata: \r\n', _CHUNK),
+    "a chunk's size": (_CHUNKED, b'0'),
+    'trailers': (_CHUNKED + b'0\r\n', b'X-More: x\r\n'),
+    'an unframed answer': (_OK + b'\r\n', b'x'),
+    'events': (_OK + b'\r\n', _EVENT),
+}
+
+
+@given('the runner "{name}" sends {part} without end')
+def send_endlessly(context: Any, name: str, part: str) -> None:
+    """Replace a runner by one that never stops sending."""
+    beginning, unit = _ANSWERS[part]
+    repeated = unit * (_BLOCK_BYTES // len(unit))
+    max_bytes = _MAX_STREAM_BYTES if part == 'events' else _MAX_BYTES
+    runner = EndlessRunner(HOST, beginning, repeated, max_bytes)
+    context.closers.append(runner.close)
+    context.endless = runner
+    service = name.partition('-')[0]
+    run(context, context.site.move_runner(name, service, runner.port))
+
+
+@when('a caller sends POST {path} while another sends GET {other}')
+def send_both(context: Any, path: str, other: str) -> None:
+    """Send a request to the endless runner, and one that needs no runner."""
+
+    async def send() -> None:
+        context.sent_at = time.monotonic()
+        first = asyncio.ensure_future(
+            send_request(
+                context, 'POST', path, Damaskpoint_Deadline_Ms=_DEADLINE_MS
+            )
+        )
+        await asyncio.sleep(_OTHER_DELAY_S)
+        other_sent_at = time.monotonic()
+        await send_request(context, 'GET', other)
+        context.other_took_s = time.monotonic() - other_sent_at
+        context.answer = await first
+        context.took_s = time.monotonic() - context.sent_at
+
+    run(context, send())
+
+
+@then('the first answer is a failure within {seconds:g} s')
+def check_failure(context: Any, seconds: float) -> None:
+    """Check that the request failed, not after its deadline."""
+    assert context.answer.code >= 500, context.answer.code
+    assert context.took_s < seconds, context.took_s
+
+
+@then('the runner sees the close within {seconds:g} s')
+def check_abandoned(context: Any, seconds: float) -> None:
+    """Wait until the runner has noticed that its connection is closed."""
+    run(context, until(lambda: context.endless.abandoned_at))
+    took_s = context.endless.abandoned_at[0] - context.sent_at
+    assert took_s < seconds, took_s
+
+
+@then('the other request is answered within {seconds:g} s')
+def check_other(context: Any, seconds: float) -> None:
+    """Check the time of the request that needed no runner."""
+    assert context.other_took_s < seconds, context.other_took_s
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -185,9 +185,10 @@
     run(context, until(lambda: catalog.configuration.version == 2))
 
 
-async def _send(
+async def send_request(
     context: Any, method: str, path: str, **headers: str
 ) -> httpclient.HTTPResponse:
+    """Send a request and return its answer; 599 if it was cut."""
     client = simple_httpclient.SimpleAsyncHTTPClient(force_instance=True)
     named = {
         'Host': 'host-1',
@@ -222,7 +223,8 @@
     """Send a request and keep the answer."""
     context.path = path
     context.answer = run(
-        context, _send(context, method, path, Authorization=f'Bearer {key}')
+        context,
+        send_request(context, method, path, Authorization=f'Bearer {key}'),
     )
 
 
@@ -231,7 +233,7 @@
     """Send a request with stages."""
     context.path = path
     key = {'Damaskpoint_Pieces': counts, 'Damaskpoint_Piece_Key': 'input-1'}
-    context.answer = run(context, _send(context, 'POST', path, **key))
+    context.answer = run(context, send_request(context, 'POST', path, **key))
     context.answered_at = time.monotonic()
 
 
@@ -239,7 +241,9 @@
 def send_header(context: Any, path: str, header: str, text: str) -> None:
     """Send a request with a header of its own."""
     name = header.replace('-', '_')
-    context.answer = run(context, _send(context, 'GET', path, **{name: text}))
+    context.answer = run(
+        context, send_request(context, 'GET', path, **{name: text})
+    )
 
 
 @when('a caller sends GET {path} with {header} set to ""')
@@ -254,7 +258,7 @@
     context.answers = []
     for number in range(count):
         prompt = {'Damaskpoint_Prompt_Prefix': f'a{number}:10,cd:20'}
-        sending = _send(context, method, path, **prompt)
+        sending = send_request(context, method, path, **prompt)
         context.answers.append(run(context, sending))
 
 
@@ -311,7 +315,9 @@
     """Begin a shutdown once the runner has the request."""
 
     async def stop() -> None:
-        context.waiting = asyncio.ensure_future(_send(context, 'GET', path))
+        context.waiting = asyncio.ensure_future(
+            send_request(context, 'GET', path)
+        )
         plain = context.site.runners_by_name['plain-1']
         await until(lambda: plain.requests)
         context.site.gateway.begin_shutdown()
--- a/features/support/gateway_site.py
+++ b/features/support/gateway_site.py
@@ -109,12 +109,16 @@
         """
         server = await asyncio.start_server(serve, HOST, 0)
         port = server.sockets[0].getsockname()[1]
+        await self.move_runner(name, service, port)
+        return server
+
+    async def move_runner(self, name: str, service: str, port: int) -> None:
+        """Register a runner with another port; wait until it is known."""
         self.ports_by_name[name] = port
         self.register(name, service)
         assert self.gateway is not None
         runners = self.gateway.catalog.runners
         await until(lambda: _find_port(runners, name) == port)
-        return server
 
     def register(self, name: str, service: str, **changes: object) -> None:
         """Write a runner's entry; ``changes`` replace its fields."""
--- a/standins/raw_runner.py
+++ b/standins/raw_runner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import enum
 import socket
 import struct
@@ -24,8 +23,6 @@
 
     CLOSE = 'close'
     RESET = 'reset'
-    # Sends the body again and again until the caller closes.
-    REPEAT = 'repeat'
 
 
 @dataclass(slots=True)
@@ -41,8 +38,6 @@
     end: RawEnd
     # Headers of the requests, as received.
     request_heads: list[str] = field(default_factory=list)
-    # Whether the caller closed a connection before the end of the answer.
-    is_abandoned: bool = False
 
     async def serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -57,30 +52,12 @@
             'Damaskpoint-Response-Seal: seal-of-raw\r\n\r\n'
         )
         writer.write(self.head + own_headers.encode() + self.body)
-        with contextlib.suppress(ConnectionError):
-            await self._end(writer)
-        writer.close()
-
-    async def _end(self, writer: asyncio.StreamWriter) -> None:
         await writer.drain()
         if self.end is RawEnd.RESET:
             await asyncio.sleep(_RESET_DELAY_S)
             sock = writer.get_extra_info('socket')
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESETS)
-            return
-        while self.end is RawEnd.REPEAT:
-            if writer.is_closing():
-                self.is_abandoned = True
-                return
-            writer.write(self.body)
-            await self._drain(writer)
-
-    async def _drain(self, writer: asyncio.StreamWriter) -> None:
-        try:
-            await writer.drain()
-        except ConnectionError:
-            self.is_abandoned = True
-            raise
+        writer.close()
 
 
 def _find(request: str, prefix: str) -> str | None:
