Let other tasks run while an answer is read that has arrived

A read of bytes that are already in the buffer does not wait, so a body in tiny chunks, or a peer that sends as fast as it is read, kept the event loop to itself. Timeouts, gossip and all other requests of the instance wait meanwhile.

Change: Exchange yields after each 64 KiB, each read counting as 4 KiB more. The splitter searches for the end of the last event from the end of its bytes; the search for each event added in took most of a read of 64 KiB.

Events are complete at any split of the stream, for LF, CRLF and CR, pins the search.

--- a/damaskpoint/forwarding/events.py
+++ b/damaskpoint/forwarding/events.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import re
 from typing import Final, final
 
 from damaskpoint import defaults
 
-# Two line ends in a row; the groups are atomic, as a CR with its LF is one.
-_EVENT_END: Final = re.compile(rb'(?>\r\n|\n|\r)(?>\r\n|\n|\r)')
+# Two line ends in a row, each of them CR, LF or CR LF; an LF that completes the
+# second one may follow.
+_EVENT_ENDS: Final = (b'\n\n', b'\n\r', b'\r\r')
 _LINE_ENDS: Final = b'\r\n'
 _ID_FIELD: Final = b'id:'
 
@@ -32,9 +32,7 @@
     def feed(self, chunk: bytes) -> bytes:
         """Add bytes of the stream; return those of all complete events."""
         joined = self._buffer + chunk
-        end = 0
-        for match in _EVENT_END.finditer(joined):
-            end = match.end()
+        end = _find_last_end(joined)
         whole = joined[:end]
         self._buffer = joined[end:]
         if whole.strip(_LINE_ENDS):
@@ -62,3 +60,14 @@
             if line.startswith(_ID_FIELD):
                 self.last_id = line[len(_ID_FIELD) :].strip().decode('latin-1')
                 return
+
+
+def _find_last_end(joined: bytes) -> int:
+    """Return the index after the last complete event, 0 if there is none."""
+    start = max(joined.rfind(ending) for ending in _EVENT_ENDS)
+    if start < 0:
+        return 0
+    end = start + 2
+    if joined.startswith(b'\r\n', end - 1):
+        end += 1
+    return end
--- a/damaskpoint/forwarding/exchange.py
+++ b/damaskpoint/forwarding/exchange.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import enum
 import http
 from dataclasses import dataclass
@@ -26,6 +27,11 @@
 _MAX_CHUNK_LINE_BYTES: Final = 1_024
 # Maximum number of 1xx answers before the final one.
 _MAX_INTERIM_ANSWERS: Final = 10
+# Bytes after which the event loop runs other tasks, and what a read adds to
+# those that it returned: a read of bytes that have already arrived does not
+# wait, so that a fast peer could occupy the loop.
+_BYTES_PER_YIELD: Final = 65_536
+_READ_COST_BYTES: Final = 4_096
 _HEAD_END: Final = b'\r\n\r\n'
 _LINE_END: Final = b'\r\n'
 _HEX: Final = 16
@@ -134,6 +140,7 @@
         self.ending = Ending.UNREAD
         # Bytes of the body read so far.
         self.body_bytes = 0
+        self._unyielded_bytes = 0
         self._method = ''
         # Bytes left of a body with a length, or of the current chunk.
         self._body_remaining = 0
@@ -168,11 +175,15 @@
         """
         if self._is_ended:
             return b''
+        if self._unyielded_bytes >= _BYTES_PER_YIELD:
+            self._unyielded_bytes = 0
+            await asyncio.sleep(0)
         try:
             chunk = await self._read_part()
         except _READ_ERRORS as error:
             raise self._break_off('body', error) from error
         self.body_bytes += len(chunk)
+        self._unyielded_bytes += len(chunk) + _READ_COST_BYTES
         return chunk
 
     async def read_body(self) -> bytes:
--- a/features/runner_answers.feature
+++ b/features/runner_answers.feature
@@ -122,3 +122,26 @@
     When a caller sends POST /staged/one while another sends GET /none/one
     Then the runner sees the close within 1.3 s
     And the other request is answered within 0.5 s
+
+  # Guards against a body in tiny chunks that occupies the event loop.
+  Scenario: Reading a body of many chunks lets other tasks run
+    Given a connection on which a body of 2000 chunks has arrived
+    When the body is read while another task counts its turns
+    Then the other task had at least 100 turns
+
+  # Guards against an event end that is missed where reads split the stream.
+  Scenario Outline: Events are complete at any split of the stream: <line end>
+    Given a stream of 5 events with <line end>
+    When it is split at each place, and into single bytes
+    Then all of its bytes are complete events up to the id 5
+
+    Examples:
+      | line end |
+      | LF       |
+      | CRLF     |
+      | CR       |
+
+  Scenario: A cut stream is complete only between events
+    Given a stream of 5 events with CRLF
+    When it is cut at each place
+    Then it is complete only after the last line end of an event
--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -8,9 +8,12 @@
 
 from behave import given, then, when
 
+from damaskpoint.errors import Failure
+from damaskpoint.forwarding.exchange import RunnerRequest, open_exchange
 from features.steps.gateway_steps import send_request
 from features.support.gateway_site import HOST, run, until
 from standins.endless_runner import EndlessRunner
+from standins.raw_runner import RawEnd, RawRunner
 
 _MAX_BYTES: Final = 16 * 1_048_576
 _MAX_STREAM_BYTES: Final = 256 * 1_048_576
@@ -18,6 +21,9 @@
 _DEADLINE_MS: Final = '1000'
 # Time after which the other request is sent (seconds).
 _OTHER_DELAY_S: Final = 0.1
+_CONNECT_S: Final = 1.0
+# Time until bytes on loopback have surely arrived (seconds).
+_ARRIVAL_S: Final = 0.1
 _OK: Final = b'HTTP/1.1 200 OK\r\nDamaskpoint-Response-Seal: seal-of-raw\r\n'
 _CHUNKED: Final = _OK + b'Transfer-Encoding: chunked\r\n\r\n'
 _INTERIM: Final = b'HTTP/1.1 103 Early Hints\r\n\r\n'
@@ -90,3 +96,51 @@
 def check_other(context: Any, seconds: float) -> None:
     """Check the time of the request that needed no runner."""
     assert context.other_took_s < seconds, context.other_took_s
+
+
+@given('a connection on which a body of {count:d} chunks has arrived')
+def open_chunked(context: Any, count: int) -> None:
+    """Send a request to a runner whose body has chunks of one byte."""
+    body = b'1\r\nx\r\n' * count + b'0\r\n\r\n'
+    head = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n'
+    context.chunk_count = count
+
+    async def send() -> None:
+        runner = RawRunner(head, body, RawEnd.CLOSE)
+        server = await asyncio.start_server(runner.serve, HOST, 0)
+        context.closers.append(server.close)
+        address = server.sockets[0].getsockname()[:2]
+        exchange = await open_exchange(address, _CONNECT_S, _CONNECT_S)
+        assert not isinstance(exchange, Failure)
+        exchange.send(RunnerRequest('GET', '/', (), b''))
+        await exchange.read_head()
+        await asyncio.sleep(_ARRIVAL_S)
+        context.exchange = exchange
+
+    run(context, send())
+
+
+@when('the body is read while another task counts its turns')
+def read_and_count(context: Any) -> None:
+    """Read the body; the other task runs once in each turn of the loop."""
+    context.turns = 0
+
+    async def count_turns() -> None:
+        while True:
+            context.turns += 1
+            await asyncio.sleep(0)
+
+    async def read() -> None:
+        counting = asyncio.ensure_future(count_turns())
+        body = await context.exchange.read_body()
+        counting.cancel()
+        context.exchange.close()
+        assert len(body) == context.chunk_count, len(body)
+
+    run(context, read())
+
+
+@then('the other task had at least {count:d} turns')
+def check_turns(context: Any, count: int) -> None:
+    """Check that the reader did not occupy the event loop."""
+    assert context.turns >= count, context.turns
--- a/features/steps/runner_answer_steps.py
+++ b/features/steps/runner_answer_steps.py
@@ -6,8 +6,9 @@
 import logging
 from typing import Any, Final
 
-from behave import given, then
+from behave import given, then, when
 
+from damaskpoint.forwarding.events import EventSplitter
 from features.steps.gateway_answer_steps import check_events
 from features.support.gateway_site import run
 from standins.raw_runner import RawEnd, RawRunner
@@ -16,14 +17,7 @@
 _CUT: Final = 599
 _EVENTS: Final = 5
 _PART: Final = b'id: 3\ndata: pi'
-# How a whole stream may end its lines, and be followed by a blank one.
-_LINE_VARIANTS: Final = {
-    ' with CRLF': lambda parts: [
-        part.replace(b'\n', b'\r\n') for part in parts
-    ],
-    ' with CR': lambda parts: [part.replace(b'\n', b'\r') for part in parts],
-    ' and a blank line': lambda parts: [*parts, b'\n'],
-}
+_LINE_ENDS_BY_NAME: Final = {'LF': b'\n', 'CRLF': b'\r\n', 'CR': b'\r'}
 _SEND_LOGGER: Final = 'damaskpoint.forwarding.attempts'
 _HEAD: Final = 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
 
@@ -51,19 +45,80 @@
     context.closers.append(lambda: logger.removeHandler(context.send_log))
 
 
+@given('a stream of {count:d} events with {line_end}')
+def create_stream(context: Any, count: int, line_end: str) -> None:
+    """Keep the events of a stream and all of its bytes."""
+    context.events = _create_events(count, _LINE_ENDS_BY_NAME[line_end])
+    context.stream = b''.join(context.events)
+
+
+@when('it is split at each place, and into single bytes')
+def split_stream(context: Any) -> None:
+    """Feed the stream in two parts, for each split, and byte by byte."""
+    stream = context.stream
+    splits = [
+        [stream[:place], stream[place:]] for place in range(1, len(stream))
+    ]
+    splits.append([bytes((byte,)) for byte in stream])
+    context.split_results = []
+    for parts in splits:
+        splitter = EventSplitter()
+        fed = b''.join(splitter.feed(part) for part in parts)
+        context.split_results.append((splitter, fed))
+
+
+@then('all of its bytes are complete events up to the id {last_id}')
+def check_splits(context: Any, last_id: str) -> None:
+    """Check the bytes of events and what remains, for each split."""
+    for splitter, fed in context.split_results:
+        assert fed + splitter.pending == context.stream
+        assert not splitter.is_inside_event, splitter.pending
+        assert splitter.last_id == last_id, splitter.last_id
+
+
+@when('it is cut at each place')
+def cut_stream(context: Any) -> None:
+    """Feed each beginning of the stream."""
+    context.are_inside = [
+        _is_cut_inside(context.stream, place)
+        for place in range(len(context.stream))
+    ]
+
+
+def _is_cut_inside(stream: bytes, place: int) -> bool:
+    splitter = EventSplitter()
+    splitter.feed(stream[:place])
+    return splitter.is_inside_event
+
+
+@then('it is complete only after the last line end of an event')
+def check_cuts(context: Any) -> None:
+    """Compare with the places at which an event is complete.
+
+    An event with CR LF is complete from the CR of its empty line on.
+    """
+    complete = {0}
+    end = 0
+    for event in context.events:
+        end += len(event)
+        complete.update((end - 1, end))
+    for place, is_inside in enumerate(context.are_inside):
+        assert is_inside == (place not in complete), place
+
+
 @given('the runner "{name}" sends {sent} framed by {framing}, then a {end}')
 def answer_raw(
     context: Any, name: str, sent: str, framing: str, end: str
 ) -> None:
     """Replace a runner by one that writes the bytes of a stream."""
     count, _, variant = sent.partition(' events')
-    parts = [_create_event(number) for number in range(1, int(count) + 1)]
-    is_whole = int(count) == _EVENTS
+    line_end = _LINE_ENDS_BY_NAME.get(variant.removeprefix(' with '), b'\n')
+    parts = _create_events(int(count), line_end)
+    is_whole = len(parts) == _EVENTS
     if variant == ' and a part':
-        is_whole = False
         parts.append(_PART)
-    elif variant:
-        parts = _LINE_VARIANTS[variant](parts)
+    if variant == ' and a blank line':
+        parts.append(b'\n')
     context.sent_body = b''.join(parts)
     head, body = _frame(parts, framing, is_whole)
     _replace(context, name, 'model', RawRunner(head, body, RawEnd(end)))
@@ -86,8 +141,12 @@
     context.closers.append(server.close)
 
 
-def _create_event(number: int) -> bytes:
-    return f'id: {number}\ndata: piece\n\n'.encode()
+def _create_events(count: int, line_end: bytes = b'\n') -> list[bytes]:
+    events = [
+        f'id: {number}\ndata: piece\n\n'.encode()
+        for number in range(1, count + 1)
+    ]
+    return [event.replace(b'\n', line_end) for event in events]
 
 
 def _frame(
@@ -109,9 +168,8 @@
         head = f'{_HEAD}Transfer-Encoding: chunked\r\n'
         return head.encode(), b''.join(chunks) + ending
     if framing.startswith('length'):
-        events = map(_create_event, range(1, _EVENTS + 1))
         is_ended = framing == 'length of all'
-        length = len(body) if is_ended else sum(map(len, events))
+        length = sum(map(len, parts if is_ended else _create_events(_EVENTS)))
         return f'{_HEAD}Content-Length: {length}\r\n'.encode(), body
     return _HEAD.encode(), body
 
