Reset the connection of an HTTP/1.0 caller whose answer is cut

A stream to a caller that speaks HTTP/1.0 has neither a length nor chunks, and abort closed the connection as the end of a whole answer does, so that the caller took a cut stream for a whole one. With Connection: keep-alive the connection stayed open after a whole one, without any end.

Change: abort resets the connection of such an answer, finish closes it. Other answers are cut as before, since their framing shows it and a reset could drop events that are on their way.

Evidence: A caller that knows no chunks sees how a stream ended, four cases; three fail before (two closes, one connection without end), four pass now.

--- a/damaskpoint/forwarding/caller_answer.py
+++ b/damaskpoint/forwarding/caller_answer.py
@@ -4,6 +4,8 @@
 
 import http
 import json
+import socket
+import struct
 from typing import TYPE_CHECKING, Final, final
 
 from tornado import httputil, iostream
@@ -18,6 +20,8 @@
     from damaskpoint.errors import Failure
 
 _MAX_DETAIL_CHARS: Final = 200
+# Value of SO_LINGER with which a close resets the connection.
+_LINGER_RESETS: Final = struct.pack('ii', 1, 0)
 
 
 @final
@@ -25,11 +29,21 @@
     """The answer on a caller's connection, complete or visibly truncated."""
 
     def __init__(
-        self, connection: HTTP1Connection, is_leaving: Callable[[], bool]
+        self,
+        connection: HTTP1Connection,
+        is_leaving: Callable[[], bool],
+        *,
+        accepts_chunks: bool = True,
     ) -> None:
-        """Answer on a connection; request its closure if ``is_leaving()``."""
+        """Answer on a connection; request its closure if ``is_leaving()``.
+
+        ``accepts_chunks`` is false for a caller that speaks HTTP/1.0.
+        """
         self._connection = connection
         self._is_leaving = is_leaving
+        # Whether the end of the answer is marked by its length or chunks, not
+        # by the end of the connection.
+        self._is_delimited = accepts_chunks
         self.is_started = False
         self.is_ended = False
 
@@ -69,6 +83,8 @@
         answer_headers = httputil.HTTPHeaders()
         for name, value in headers:
             answer_headers.add(name, value)
+        if 'Content-Length' in answer_headers:
+            self._is_delimited = True
         if self._is_leaving():
             answer_headers['Connection'] = 'close'
         line = httputil.ResponseStartLine(
@@ -95,11 +111,22 @@
             self._connection.finish()
         except iostream.StreamClosedError:
             self.abort()
+            return
+        if not self._is_delimited:
+            self._connection.stream.close()
 
     def abort(self) -> None:
-        """Close the connection, so that the answer is visibly incomplete."""
+        """Close the connection, so that the answer is visibly incomplete.
+
+        It is reset if a plain close would end the answer as complete.
+        """
         self.is_ended = True
-        self._connection.stream.close()
+        stream = self._connection.stream
+        if not self._is_delimited and not stream.closed():
+            stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESETS
+            )
+        stream.close()
 
 
 def _find_reason(status: int) -> str:
--- a/damaskpoint/gateway/handler.py
+++ b/damaskpoint/gateway/handler.py
@@ -26,6 +26,7 @@
 
 _LOG: Final = logging.getLogger(__name__)
 _MS_PER_S: Final = 1000
+_VERSION_WITHOUT_CHUNKS: Final = 'HTTP/1.0'
 # Retry-After of an instance without a configuration (seconds).
 _NOT_READY_RETRY_AFTER_S: Final = 0.5
 # Maximum time for answering the requests that a shutdown interrupts (seconds).
@@ -87,7 +88,9 @@
         # tornado declares the interface, but always passes this class.
         connection: HTTP1Connection = received.connection  # type: ignore[assignment]
         answer = CallerAnswer(
-            connection, lambda: self._shutdown.is_shutting_down
+            connection,
+            lambda: self._shutdown.is_shutting_down,
+            accepts_chunks=received.version != _VERSION_WITHOUT_CHUNKS,
         )
         checked = self._validate(received, arrived_at)
         route = '' if isinstance(checked, Failure) else checked.route.name
--- a/features/runner_answers.feature
+++ b/features/runner_answers.feature
@@ -145,3 +145,17 @@
     Given a stream of 5 events with CRLF
     When it is cut at each place
     Then it is complete only after the last line end of an event
+
+  # Guards against a cut answer that an HTTP/1.0 caller takes for a whole one.
+  Scenario Outline: A caller that knows no chunks sees how a stream ended: <sent>
+    Given a site with a runner of each service
+    And the runner "model-1" sends <sent> framed by chunks, then a close
+    When an HTTP/1.0 caller sends POST /staged/one and <connection>
+    Then its connection ends by a <ending>
+
+    Examples:
+      | sent                | connection      | ending |
+      | 5 events            | expects a close | close  |
+      | 5 events            | asks to keep it | close  |
+      | 2 events and a part | expects a close | reset  |
+      | 2 events and a part | asks to keep it | reset  |
--- a/features/steps/runner_answer_steps.py
+++ b/features/steps/runner_answer_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import http
 import logging
 from typing import Any, Final
@@ -10,12 +11,13 @@
 
 from damaskpoint.forwarding.events import EventSplitter
 from features.steps.gateway_answer_steps import check_events
-from features.support.gateway_site import run
+from features.support.gateway_site import HOST, KEY, run
 from standins.raw_runner import RawEnd, RawRunner
 
 # Code by which tornado's client reports a connection that closed early.
 _CUT: Final = 599
 _EVENTS: Final = 5
+_WAIT_S: Final = 3.0
 _PART: Final = b'id: 3\ndata: pi'
 _LINE_ENDS_BY_NAME: Final = {'LF': b'\n', 'CRLF': b'\r\n', 'CR': b'\r'}
 _SEND_LOGGER: Final = 'damaskpoint.forwarding.attempts'
@@ -232,3 +234,37 @@
     """Check that all bytes of the stream were forwarded unchanged."""
     assert context.answer.code == http.HTTPStatus.OK, context.answer.code
     assert context.answer.body == context.sent_body, context.answer.body
+
+
+@when('an HTTP/1.0 caller sends POST {path} and {wish}')
+def send_old(context: Any, path: str, wish: str) -> None:
+    """Read the answer of an HTTP/1.0 request until its connection ends."""
+    keep = 'Connection: keep-alive\r\n' if wish == 'asks to keep it' else ''
+    request = (
+        f'POST {path} HTTP/1.0\r\nHost: host-1\r\n{keep}'
+        f'Authorization: Bearer {KEY}\r\nContent-Length: 0\r\n'
+        'Damaskpoint-Request-Id: id-1\r\n\r\n'
+    )
+
+    async def send() -> None:
+        reader, writer = await asyncio.open_connection(HOST, context.site.port)
+        writer.write(request.encode())
+        context.answer_bytes = b''
+        context.connection_end = 'close'
+        try:
+            while part := await asyncio.wait_for(reader.read(100), _WAIT_S):
+                context.answer_bytes += part
+        except ConnectionResetError:
+            context.connection_end = 'reset'
+        writer.close()
+
+    run(context, send())
+
+
+@then('its connection ends by a {end}')
+def check_old(context: Any, end: str) -> None:
+    """Check how the connection ended; a close means all events."""
+    assert context.connection_end == end, context.connection_end
+    if end == 'close':
+        assert context.answer_bytes.startswith(b'HTTP/1.1 200')
+        assert context.answer_bytes.endswith(context.sent_body)
