Return a failure for a call whose answer has a head without end

A head longer than its bound ends a call of tornado's HTTP client with an UnsatisfiableReadError, which is neither an HTTPClientError nor an OSError. No caller caught it: the task of a load poll ended, and as its name stayed among the polls in flight, the upstream was never polled again; reads of the store, calls of peers and of engines, and the tools ended in the same way.

Change: one tuple of errors, in http_errors, that all six callers catch. The client of reports is created in one place.

Evidence: A call whose answer has no end fails, for the client of reports, engines, the store, peers, dumps and the load tool: with a header without end all six raise before, all return a failure now. Ten cases pass.

--- a/damaskpoint/load/fetching.py
+++ b/damaskpoint/load/fetching.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from tornado.httpclient import HTTPError
+from damaskpoint.http_errors import HTTP_CALL_ERRORS
 
 if TYPE_CHECKING:
     from tornado.httpclient import (
@@ -20,5 +20,5 @@
     """Return a response of any status; None if there was none."""
     try:
         return await client.fetch(request, raise_error=False)
-    except (OSError, HTTPError):
+    except HTTP_CALL_ERRORS:
         return None
--- a/damaskpoint/main/reconciler.py
+++ b/damaskpoint/main/reconciler.py
@@ -9,9 +9,8 @@
 import time
 from typing import TYPE_CHECKING, Final
 
-from tornado.httpclient import AsyncHTTPClient
-
 from damaskpoint.config.follower import create_follower
+from damaskpoint.forwarding.report_client import create_report_client
 from damaskpoint.main.common_arguments import (
     add_instance_arguments,
     read_options,
@@ -89,9 +88,7 @@
 
 
 def _create_dependencies(options: Options) -> ReconcilerDependencies:
-    client = AsyncHTTPClient(
-        force_instance=True, max_clients=_MAX_CONCURRENT_CALLS
-    )
+    client = create_report_client(_MAX_CONCURRENT_CALLS)
     store = create_store(options.platform.store_url, options.platform.timeout_s)
     table = StoreTable(store)
     follower = create_follower(table, StoreObjects(store), options.platform)
--- a/damaskpoint/observe/dump_fetch.py
+++ b/damaskpoint/observe/dump_fetch.py
@@ -11,12 +11,13 @@
 
 from damaskpoint import defaults
 from damaskpoint.errors import Code, Failure
+from damaskpoint.http_errors import HTTP_CALL_ERRORS
 from damaskpoint.observe.operator_app import PATH_METRICS, PATH_STATE
 
 if TYPE_CHECKING:
     from damaskpoint.membership.facts import Address
 
-_FETCH_ERRORS: Final = (httpclient.HTTPError, OSError, ValueError)
+_FETCH_ERRORS: Final = (*HTTP_CALL_ERRORS, ValueError)
 
 
 async def fetch_state(
--- a/damaskpoint/platform/http_call.py
+++ b/damaskpoint/platform/http_call.py
@@ -6,10 +6,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, final
 
-from tornado.httpclient import HTTPClientError, HTTPRequest
+from tornado.httpclient import HTTPRequest
 
 from damaskpoint import protocol
 from damaskpoint.errors import Code, Failure, Ran
+from damaskpoint.http_errors import HTTP_CALL_ERRORS
 from damaskpoint.platform import metrics
 
 if TYPE_CHECKING:
@@ -92,7 +93,7 @@
         except ConnectionRefusedError as error:
             # The call was never sent.
             return Failure(Code.PLATFORM_UNAVAILABLE, str(error))
-        except (HTTPClientError, OSError) as error:
+        except HTTP_CALL_ERRORS as error:
             return lost_answer_failure(call, str(error))
 
 
--- a/damaskpoint/reconcile/engine_client.py
+++ b/damaskpoint/reconcile/engine_client.py
@@ -10,10 +10,11 @@
 from typing import TYPE_CHECKING, Any, Final, final
 
 import pydantic
-from tornado.httpclient import HTTPClientError, HTTPRequest
+from tornado.httpclient import HTTPRequest
 
 from damaskpoint import protocol
 from damaskpoint.errors import Code, Failure, FailureError, Ran
+from damaskpoint.http_errors import HTTP_CALL_ERRORS
 from damaskpoint.reconcile.planner import EngineModel, EngineState
 
 if TYPE_CHECKING:
@@ -157,7 +158,7 @@
             response = await self._client.fetch(request, raise_error=False)
         except FailureError as error:
             return error.failure
-        except (HTTPClientError, OSError) as error:
+        except HTTP_CALL_ERRORS as error:
             return Failure(Code.UPSTREAM_UNREACHABLE, str(error), Ran.UNKNOWN)
         if response.code == http.HTTPStatus.OK:
             return response
--- a/damaskpoint/routing/poller.py
+++ b/damaskpoint/routing/poller.py
@@ -9,10 +9,11 @@
 import asyncio
 from typing import TYPE_CHECKING, final
 
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 from tornado.ioloop import PeriodicCallback
 
 from damaskpoint.errors import Code, Failure
+from damaskpoint.http_errors import HTTP_CALL_ERRORS
 from damaskpoint.routing import metrics
 from damaskpoint.routing.report import LoadReport, PeerReport, parse_report
 
@@ -95,7 +96,7 @@
 
     async def _poll(self, upstream: Upstream) -> None:
         requested_at = self._clock()
-        fetched = await self._fetch(upstream)
+        fetched = await fetch_report(self._client, upstream, self._options)
         self._polls_by_name.pop(upstream.name, None)
         now = self._clock()
         if isinstance(fetched, LoadReport):
@@ -111,20 +112,23 @@
             return
         self._core.observations.record_unreachable(upstream.name, now)
 
-    async def _fetch(self, upstream: Upstream) -> LoadReport | Failure | None:
-        """Return the report; None if the connection was refused."""
-        request = HTTPRequest(
-            f'http://{upstream.host}:{upstream.port}/v1/load',
-            connect_timeout=self._options.connect_timeout_s,
-            request_timeout=self._options.load_report_bound_s,
-        )
-        try:
-            response = await self._client.fetch(request)
-        except ConnectionRefusedError:
-            return None
-        except (HTTPClientError, OSError) as error:
-            return Failure(Code.UPSTREAM_UNREACHABLE, str(error))
-        return parse_report(response.body)
+
+async def fetch_report(
+    client: AsyncHTTPClient, upstream: Upstream, options: RoutingOptions
+) -> LoadReport | Failure | None:
+    """Return the report; None if the connection was refused."""
+    request = HTTPRequest(
+        f'http://{upstream.host}:{upstream.port}/v1/load',
+        connect_timeout=options.connect_timeout_s,
+        request_timeout=options.load_report_bound_s,
+    )
+    try:
+        response = await client.fetch(request)
+    except ConnectionRefusedError:
+        return None
+    except HTTP_CALL_ERRORS as error:
+        return Failure(Code.UPSTREAM_UNREACHABLE, str(error))
+    return parse_report(response.body)
 
 
 def find_polled(core: RoutingCore, ranks: EntryRanks) -> tuple[Upstream, ...]:
--- a/damaskpoint/routing/wiring.py
+++ b/damaskpoint/routing/wiring.py
@@ -5,8 +5,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, final
 
-from tornado.httpclient import AsyncHTTPClient
-
+from damaskpoint.forwarding.report_client import create_report_client
 from damaskpoint.routing.borrower import Borrower
 from damaskpoint.routing.choice import ChoicePolicy, TwoChoices
 from damaskpoint.routing.claims import LeaseOptions
@@ -141,7 +140,7 @@
         is_guarded=is_guarded,
     )
     borrower = Borrower(core, ranks, identity.name, clock)
-    client = AsyncHTTPClient(force_instance=True, max_clients=_MAX_POLLS)
+    client = create_report_client(_MAX_POLLS)
     return Routing(
         directory,
         ranks,
--- a/damaskpoint/wire/peer_client.py
+++ b/damaskpoint/wire/peer_client.py
@@ -11,6 +11,7 @@
 
 from damaskpoint import defaults, protocol
 from damaskpoint.errors import Code, Failure
+from damaskpoint.http_errors import HTTP_CALL_ERRORS
 from damaskpoint.wire import codec, metrics
 from damaskpoint.wire.generated.peer import Peer, ttypes
 
@@ -146,7 +147,7 @@
         )
         try:
             response = await self._client.fetch(request, raise_error=False)
-        except (httpclient.HTTPClientError, OSError) as error:
+        except HTTP_CALL_ERRORS as error:
             return Failure(Code.PEER_UNREACHABLE, f'{address}: {error}')
         if response.code != http.HTTPStatus.OK:
             detail = f'{address}: HTTP {response.code}'
--- a/features/runner_answers.feature
+++ b/features/runner_answers.feature
@@ -159,3 +159,23 @@
       | 5 events            | asks to keep it | close  |
       | 2 events and a part | expects a close | reset  |
       | 2 events and a part | asks to keep it | reset  |
+
+  # Guards against tasks that end with an error which no caller handles, and
+  # against memory lost to an answer that never ends.
+  Scenario Outline: A call whose answer has no end fails: <client>, <part>
+    Given an upstream that sends <part> without end
+    When the <client> client calls it
+    Then the call fails, and the upstream sees the close within 1.5 s
+
+    Examples:
+      | client | part               |
+      | report | a header           |
+      | report | interim heads      |
+      | report | a chunk's size     |
+      | engine | a header           |
+      | store  | a header           |
+      | store  | an unframed answer |
+      | peer   | a header           |
+      | peer   | an unframed answer |
+      | dump   | a header           |
+      | load   | a header           |
--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -3,15 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import time
 from typing import Any, Final
 
 from behave import given, then, when
+from tornado import httpclient
 
-from damaskpoint.errors import Failure
+from damaskpoint.errors import Code, Failure
 from damaskpoint.forwarding.exchange import RunnerRequest, open_exchange
+from damaskpoint.forwarding.report_client import create_report_client
+from damaskpoint.load.fetching import fetch
+from damaskpoint.membership.facts import Address
+from damaskpoint.observe.dump_fetch import fetch_metrics
+from damaskpoint.platform.store import create_store
+from damaskpoint.reconcile.engine_client import create_engine_client
+from damaskpoint.routing.base import Upstream
+from damaskpoint.routing.poller import fetch_report
+from damaskpoint.settings import RoutingOptions
+from damaskpoint.wire.peer_client import create_peer_client
 from features.steps.gateway_steps import send_request
 from features.support.gateway_site import HOST, run, until
+from features.support.memory_platform import list_instance
 from standins.endless_runner import EndlessRunner
 from standins.raw_runner import RawEnd, RawRunner
 
@@ -21,6 +34,7 @@
 _DEADLINE_MS: Final = '1000'
 # Time after which the other request is sent (seconds).
 _OTHER_DELAY_S: Final = 0.1
+_CALL_S: Final = 1.0
 _CONNECT_S: Final = 1.0
 # Time until bytes on loopback have surely arrived (seconds).
 _ARRIVAL_S: Final = 0.1
@@ -46,14 +60,20 @@
 @given('the runner "{name}" sends {part} without end')
 def send_endlessly(context: Any, name: str, part: str) -> None:
     """Replace a runner by one that never stops sending."""
+    start_endless(context, part)
+    service = name.partition('-')[0]
+    run(context, context.site.move_runner(name, service, context.endless.port))
+
+
+@given('an upstream that sends {part} without end')
+def start_endless(context: Any, part: str) -> None:
+    """Start a runner that never stops sending."""
     beginning, unit = _ANSWERS[part]
     repeated = unit * (_BLOCK_BYTES // len(unit))
     max_bytes = _MAX_STREAM_BYTES if part == 'events' else _MAX_BYTES
     runner = EndlessRunner(HOST, beginning, repeated, max_bytes)
     context.closers.append(runner.close)
     context.endless = runner
-    service = name.partition('-')[0]
-    run(context, context.site.move_runner(name, service, runner.port))
 
 
 @when('a caller sends POST {path} while another sends GET {other}')
@@ -144,3 +164,59 @@
 def check_turns(context: Any, count: int) -> None:
     """Check that the reader did not occupy the event loop."""
     assert context.turns >= count, context.turns
+
+
+async def _read_report(port: int) -> object:
+    upstream = Upstream('u', 'p', 'z', HOST, port, 1)
+    return await fetch_report(
+        create_report_client(1), upstream, RoutingOptions()
+    )
+
+
+async def _read_engine(port: int) -> object:
+    engine = dataclasses.replace(list_instance('e', 'p'), host=HOST, port=port)
+    client = create_engine_client(create_report_client(1), _CALL_S, _CALL_S)
+    return await client.read_state(engine)
+
+
+async def _read_store(port: int) -> object:
+    return await create_store(f'http://{HOST}:{port}', _CALL_S).read_table('t')
+
+
+async def _ask_peer(port: int) -> object:
+    return await create_peer_client(_CALL_S).get_in_force(Address(HOST, port))
+
+
+async def _read_dump(port: int) -> object:
+    return await fetch_metrics(Address(HOST, port), _CALL_S)
+
+
+async def _send_load(port: int) -> object:
+    request = httpclient.HTTPRequest(f'http://{HOST}:{port}/')
+    answer = await fetch(httpclient.AsyncHTTPClient(), request)
+    return answer or Failure(Code.UPSTREAM_BROKEN)
+
+
+_CALLS_BY_CLIENT: Final = {
+    'report': _read_report,
+    'engine': _read_engine,
+    'store': _read_store,
+    'peer': _ask_peer,
+    'dump': _read_dump,
+    'load': _send_load,
+}
+
+
+@when('the {client} client calls it')
+def call_endless(context: Any, client: str) -> None:
+    """Make a call with one of the clients."""
+    context.sent_at = time.monotonic()
+    call = _CALLS_BY_CLIENT[client]
+    context.outcome = run(context, call(context.endless.port))
+
+
+@then('the call fails, and the upstream sees the close within {seconds:g} s')
+def check_call_failed(context: Any, seconds: float) -> None:
+    """Check that the call returned a failure and closed its connection."""
+    assert isinstance(context.outcome, Failure), context.outcome
+    check_abandoned(context, seconds)
