Bound the reports of load and state that are read from upstreams

Entries poll up to 256 upstreams at a time, reconcilers up to 64, with the default bound of tornado's client, 100 MB a body. An upstream that sends its report without end had that much kept by each poll until the timeout.

Change: a report has at most 1 MiB.

Evidence: three more cases of A call whose answer has no end fails (report and engine); all three fail without the bound, pass with it.

--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -21,6 +21,8 @@
 MAX_JSON_DEPTH: Final = 32
 MAX_KEY_CHARACTERS: Final = 128
 MAX_ANSWER_BYTES: Final = 8_388_608
+# Answers with the load or the state of an upstream.
+MAX_REPORT_BYTES: Final = 1_048_576
 MAX_EVENT_BYTES: Final = 65_536
 DEADLINE_MS: Final = 3_000
 MAX_DEADLINE_MS: Final = 600_000
--- a/features/runner_answers.feature
+++ b/features/runner_answers.feature
@@ -171,8 +171,11 @@
       | client | part               |
       | report | a header           |
       | report | interim heads      |
+      | report | an unframed answer |
+      | report | an event in chunks |
       | report | a chunk's size     |
       | engine | a header           |
+      | engine | an unframed answer |
       | store  | a header           |
       | store  | an unframed answer |
       | peer   | a header           |
