--- a/damaskpoint/forwarding/events.py
+++ b/damaskpoint/forwarding/events.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-import re
 from typing import Final, final
 
-# Two line ends in a row; the groups are atomic, as a CR with its LF is one.
-_EVENT_END: Final = re.compile(rb'(?>\r\n|\n|\r)(?>\r\n|\n|\r)')
+from damaskpoint import defaults
+
+# Two line ends in a row, each of them CR, LF or CR LF; an LF that completes the
+# second one may follow.
+_EVENT_ENDS: Final = (b'\n\n', b'\n\r', b'\r\r')
 _LINE_ENDS: Final = b'\r\n'
 _ID_FIELD: Final = b'id:'
 
@@ -30,12 +32,11 @@
     def feed(self, chunk: bytes) -> bytes:
         """Add bytes of the stream; return those of all complete events."""
         joined = self._buffer + chunk
-        end = 0
-        for match in _EVENT_END.finditer(joined):
-            end = match.end()
+        end = _find_last_end(joined)
         whole = joined[:end]
         self._buffer = joined[end:]
-        self.has_events = self.has_events or bool(whole)
+        if whole.strip(_LINE_ENDS):
+            self.has_events = True
         self._update_last_id(whole)
         return whole
 
@@ -44,6 +45,11 @@
         """Return the bytes after the last complete event."""
         return self._buffer
 
+    @property
+    def is_event_too_long(self) -> bool:
+        """Return whether the incomplete event is longer than allowed."""
+        return len(self._buffer) > defaults.MAX_EVENT_BYTES
+
     @property
     def is_inside_event(self) -> bool:
         """Return whether an event has begun and is not complete."""
@@ -54,3 +60,14 @@
             if line.startswith(_ID_FIELD):
                 self.last_id = line[len(_ID_FIELD) :].strip().decode('latin-1')
                 return
+
+
+def _find_last_end(joined: bytes) -> int:
+    """Return the index after the last complete event, 0 if there is none."""
+    start = max(joined.rfind(ending) for ending in _EVENT_ENDS)
+    if start < 0:
+        return 0
+    end = start + 2
+    if joined.startswith(b'\r\n', end - 1):
+        end += 1
+    return end
--- a/features/runner_answers.feature
+++ b/features/runner_answers.feature
@@ -94,3 +94,91 @@
       | end   | status |
       | close | 200    |
       | reset | 502    |
+
+  # Guards against memory and time lost to a runner that never stops sending.
+  Scenario Outline: An answer without end is abandoned: <part>
+    Given a site with a runner of each service
+    And the runner "<name>" sends <part> without end
+    When a caller sends POST <path> while another sends GET /none/one
+    Then the first answer is a failure within 0.8 s
+    And the runner sees the close within 0.8 s
+    And the other request is answered within 0.5 s
+
+    Examples:
+      | name    | path        | part                    |
+      | model-1 | /staged/one | bytes instead of a head |
+      | model-1 | /staged/one | a header                |
+      | model-1 | /staged/one | interim heads           |
+      | model-1 | /staged/one | an unframed event       |
+      | model-1 | /staged/one | an event in chunks      |
+      | model-1 | /staged/one | a chunk's size          |
+      | model-1 | /staged/one | trailers                |
+      | plain-1 | /unsafe/one | an unframed answer      |
+
+  # Guards against an event loop that serves one fast stream alone.
+  Scenario: Events without end stop at the deadline and delay no other request
+    Given a site with a runner of each service
+    And the runner "model-1" sends events without end
+    When a caller sends POST /staged/one while another sends GET /none/one
+    Then the runner sees the close within 1.3 s
+    And the other request is answered within 0.5 s
+
+  # Guards against a body in tiny chunks that occupies the event loop.
+  Scenario: Reading a body of many chunks lets other tasks run
+    Given a connection on which a body of 2000 chunks has arrived
+    When the body is read while another task counts its turns
+    Then the other task had at least 100 turns
+
+  # Guards against an event end that is missed where reads split the stream.
+  Scenario Outline: Events are complete at any split of the stream: <line end>
+    Given a stream of 5 events with <line end>
+    When it is split at each place, and into single bytes
+    Then all of its bytes are complete events up to the id 5
+
+    Examples:
+      | line end |
+      | LF       |
+      | CRLF     |
+      | CR       |
+
+  Scenario: A cut stream is complete only between events
+    Given a stream of 5 events with CRLF
+    When it is cut at each place
+    Then it is complete only after the last line end of an event
+
+  # Guards against a cut answer that an HTTP/1.0 caller takes for a whole one.
+  Scenario Outline: A caller that knows no chunks sees how a stream ended: <sent>
+    Given a site with a runner of each service
+    And the runner "model-1" sends <sent> framed by chunks, then a close
+    When an HTTP/1.0 caller sends POST /staged/one and <connection>
+    Then its connection ends by a <ending>
+
+    Examples:
+      | sent                | connection      | ending |
+      | 5 events            | expects a close | close  |
+      | 5 events            | asks to keep it | close  |
+      | 2 events and a part | expects a close | reset  |
+      | 2 events and a part | asks to keep it | reset  |
+
+  # Guards against tasks that end with an error which no caller handles, and
+  # against memory lost to an answer that never ends.
+  Scenario Outline: A call whose answer has no end fails: <client>, <part>
+    Given an upstream that sends <part> without end
+    When the <client> client calls it
+    Then the call fails, and the upstream sees the close within 1.5 s
+
+    Examples:
+      | client | part               |
+      | report | a header           |
+      | report | interim heads      |
+      | report | an unframed answer |
+      | report | an event in chunks |
+      | report | a chunk's size     |
+      | engine | a header           |
+      | engine | an unframed answer |
+      | store  | a header           |
+      | store  | an unframed answer |
+      | peer   | a header           |
+      | peer   | an unframed answer |
+      | dump   | a header           |
+      | load   | a header           |
