Log for how long a failed call to the store was waited for

The lines said that a table could not be read, not whether the call had just been sent or was a watch of 20 s, nor how old the table was then.

No change of what is called and when.

--- a/damaskpoint/catalog/follower.py
+++ b/damaskpoint/catalog/follower.py
@@ -11,12 +11,14 @@
 import asyncio
 import json
 import logging
+import math
 import random
 import time
 from typing import TYPE_CHECKING, Final, final
 
 from damaskpoint.catalog import metrics
 from damaskpoint.errors import Code, Failure
+from damaskpoint.observe.state import StateSource
 from damaskpoint.platform import names, rows
 
 if TYPE_CHECKING:
@@ -74,7 +76,7 @@
 
 
 @final
-class TableFollower:
+class TableFollower(StateSource):
     """Keeps one sink up to date with one table."""
 
     def __init__(
@@ -92,9 +94,17 @@
         # When a restored table is due to be read again; None otherwise.
         self._read_again_at: float | None = None
         self._backoff_s = _INITIAL_BACKOFF_S
-        self._is_unreachable = False
+        # When the first of the failed calls was sent; None while calls succeed.
+        self._unreachable_since: float | None = None
+        self._sent_at = float('-inf')
+        self._read_at = float('-inf')
         self._pause_s = float(0)
 
+    @property
+    def table(self) -> str:
+        """Return the name of the table."""
+        return self._table
+
     async def run(self) -> None:
         """Apply changes of the table until the task is cancelled."""
         while True:
@@ -113,7 +123,8 @@
 
     async def advance(self) -> Failure | None:
         """Read the table or its changes once and apply them."""
-        version = self._choose_version(time.monotonic())
+        self._sent_at = time.monotonic()
+        version = self._choose_version(self._sent_at)
         if version is None:
             read = await self._store.read_table(self._table)
         else:
@@ -124,9 +135,7 @@
         if isinstance(read, Failure):
             self._handle_failure(read, now)
             return read
-        if self._is_unreachable:
-            self._is_unreachable = False
-            _LOG.info('store reachable again', extra={'table': self._table})
+        self._record_success(now)
         self._sink.record_read(now)
         self._pause_s = _CHANGE_PAUSE_S if read.rows else 0
         if version is None:
@@ -139,6 +148,20 @@
             self._version = None
         return None
 
+    def age_s(self, now: float) -> float:
+        """Return how long ago the table was read; infinite before that."""
+        return now - self._read_at
+
+    def dump_state(self, now: float) -> dict[str, object]:
+        """Return the position in the table and the age of the last read."""
+        return {
+            'version': self._version,
+            'era': self._era,
+            'age_s': _round_age(self.age_s(now)),
+            'call_age_s': _round_age(now - self._sent_at),
+            'reachable': self._unreachable_since is None,
+        }
+
     def _choose_version(self, now: float) -> int | None:
         """Return the version to watch from; None to read the whole table."""
         if self._read_again_at is not None and now >= self._read_again_at:
@@ -178,18 +201,34 @@
             )
             self._version = None
             return
-        if not self._is_unreachable:
-            self._is_unreachable = True
+        if self._unreachable_since is None:
+            self._unreachable_since = self._sent_at
             _LOG.warning(
                 'store unreachable',
                 extra={
                     'table': self._table,
                     'code': failure.code.value,
                     'reason': failure.detail,
+                    'version': self._version,
+                    'call_age_s': round(now - self._sent_at, 3),
+                    'age_s': _round_age(self.age_s(now)),
                 },
             )
         self._sink.record_outage(failure, now)
 
+    def _record_success(self, now: float) -> None:
+        self._read_at = now
+        if self._unreachable_since is None:
+            return
+        _LOG.info(
+            'store reachable again',
+            extra={
+                'table': self._table,
+                'after_s': round(now - self._unreachable_since, 3),
+            },
+        )
+        self._unreachable_since = None
+
 
 @final
 class OperatorSink(TableSink):
@@ -368,6 +407,11 @@
     return row.key.removeprefix(names.KEY_PREFIX_EVACUATED)
 
 
+def _round_age(age_s: float) -> float | None:
+    """Return an age for a log line; None for the age of what never was."""
+    return round(age_s, 3) if math.isfinite(age_s) else None
+
+
 def _read_json(content: bytes) -> object:
     try:
         return json.loads(content)
--- a/damaskpoint/gateway/runtime.py
+++ b/damaskpoint/gateway/runtime.py
@@ -11,6 +11,7 @@
 from tornado import httpserver
 
 from damaskpoint import defaults
+from damaskpoint.catalog import metrics as catalog_metrics
 from damaskpoint.entry.periodic import run_periodically
 from damaskpoint.entry.shutdown import PendingWork, Phase, ShutdownState
 from damaskpoint.errors import Code, Failure
@@ -214,7 +215,12 @@
 
     async def _run_housekeeping(self) -> None:
         catalog = self._components.forwarding.catalog
-        catalog.runners.expire(time.monotonic())
+        now = time.monotonic()
+        catalog.runners.expire(now)
+        for follower in self._components.followers:
+            catalog_metrics.TABLE_AGE.set(
+                {'table': follower.table}, follower.age_s(now)
+            )
         self._components.forwarding.pool.drop_unused()
         if catalog.configuration is not None:
             self._apply_limits(catalog.configuration.limits)
--- a/damaskpoint/gateway/wiring.py
+++ b/damaskpoint/gateway/wiring.py
@@ -97,7 +97,7 @@
             forwarding=forwarding,
             handler=handler,
             shutdown=shutdown,
-            followers=_create_followers(store, forwarding.catalog),
+            followers=_create_followers(store, forwarding.catalog, registry),
             membership=membership,
             discovery=Discovery(StoreInstances(store), own, membership),
             order_server=create_order_server(
@@ -183,9 +183,12 @@
 
 
 def _create_followers(
-    store: PlatformStore, catalog: Catalog
+    store: PlatformStore, catalog: Catalog, registry: StateRegistry
 ) -> tuple[TableFollower, ...]:
-    return (
+    followers = (
         TableFollower(store, names.TABLE_OPERATOR, OperatorSink(catalog)),
         TableFollower(store, names.TABLE_RUNNERS, RunnerSink(catalog)),
     )
+    for follower in followers:
+        registry.register(f'table {follower.table}', follower)
+    return followers
