--- a/features/support/restored_store.py
+++ b/features/support/restored_store.py
@@ -174,7 +174,7 @@
 
     def _write_configuration(self) -> None:
         self._version += self._rng.randint(1, 3)
-        self._write(('op', 'config'), _create_configuration(self._version))
+        self._write(('op', 'config'), create_configuration(self._version))
 
     def _change_zone(self) -> None:
         row = ('op', f'evacuate/{self._rng.choice(_ZONES)}')
@@ -282,7 +282,8 @@
         self._history.violations.append(f'{self._now:.1f}: {text}')
 
 
-def _create_configuration(version: int) -> dict[str, Any]:
+def create_configuration(version: int) -> dict[str, Any]:
+    """Return a small configuration without routes."""
     return {
         'Version': version,
         'Routes': [],
