Send a long watch only right after an answer of the store

Callers saw requests refused with 404, or run by the old rules, for up to 20 s after a change was acknowledged (CONFIG, DENIED).

Cause: a watch of a table waits 20 s. A watch that reaches the store while it is silent is never answered, also not after the store's return; the kernel acknowledges its bytes, so the probes of the connection see a live peer, and only the watch's own timeout of 21 s ends it. The instance then follows nothing. Two ways lead there: an answer with changes just before the silence, whose next watch follows after a pause of 0.25 s, and a watch that ends within the silence, whose successor was as long as any.

Change: catalog/watch_schedule.py decides the waits. A watch waits 20 s only right after an answer without changes. After a failure, a read of the whole table or an answer with changes, one of 1 s comes first; if it is never answered it is given up after 2 s. The time that a failed call took counts towards the backoff, so the store's return is noticed within about 2.1 s, before its bounds hold again.

--- a/damaskpoint/catalog/follower.py
+++ b/damaskpoint/catalog/follower.py
@@ -12,11 +12,11 @@
 import json
 import logging
 import math
-import random
 import time
 from typing import TYPE_CHECKING, Final, final
 
 from damaskpoint.catalog import metrics
+from damaskpoint.catalog.watch_schedule import WatchSchedule
 from damaskpoint.errors import Code, Failure
 from damaskpoint.observe.state import StateSource
 from damaskpoint.platform import names, rows
@@ -31,18 +31,6 @@
     _ApplyConfiguration = Callable[[Configuration, int, float], bool]
 
 _LOG: Final = logging.getLogger(__name__)
-# Duration of one watch call (seconds). Each call has a price, and a connection
-# that stops responding is closed by the kernel much earlier.
-WATCH_TIMEOUT_S: Final = 20.0
-# Backoff after a failed call: first value, growth factor and limit (seconds).
-# The store can handle only a few calls of each instance, and its recovery must
-# be detected quickly.
-_INITIAL_BACKOFF_S: Final = 0.1
-_BACKOFF_GROWTH: Final = 2.0
-_MAX_BACKOFF_S: Final = 1.6
-# Pause after an answer with changes (seconds), so that changes in quick
-# succession cost one call. All bounds on the use of changes are in seconds.
-_CHANGE_PAUSE_S: Final = 0.25
 # Time after the first read of a restored table for which what was known before
 # stays good (seconds). Then the table is read again, and holds alone.
 REWRITE_GRACE_S: Final = 10.0
@@ -93,12 +81,11 @@
         self._era: int | None = None
         # When a restored table is due to be read again; None otherwise.
         self._read_again_at: float | None = None
-        self._backoff_s = _INITIAL_BACKOFF_S
+        self._schedule = WatchSchedule()
         # When the first of the failed calls was sent; None while calls succeed.
         self._unreachable_since: float | None = None
         self._sent_at = float('-inf')
         self._read_at = float('-inf')
-        self._pause_s = float(0)
 
     @property
     def table(self) -> str:
@@ -108,18 +95,8 @@
     async def run(self) -> None:
         """Apply changes of the table until the task is cancelled."""
         while True:
-            failure = await self.advance()
-            if failure is None:
-                self._backoff_s = _INITIAL_BACKOFF_S
-                await asyncio.sleep(self._pause_s)
-                continue
-            if failure.code is Code.PLATFORM_MISSING:
-                # The store answers, and the whole table is read next.
-                continue
-            await asyncio.sleep(self._backoff_s * random.uniform(0.5, 1))
-            self._backoff_s = min(
-                _MAX_BACKOFF_S, self._backoff_s * _BACKOFF_GROWTH
-            )
+            await self.advance()
+            await asyncio.sleep(self._schedule.pause_s)
 
     async def advance(self) -> Failure | None:
         """Read the table or its changes once and apply them."""
@@ -129,7 +106,7 @@
             read = await self._store.read_table(self._table)
         else:
             read = await self._store.watch(
-                self._table, version, WATCH_TIMEOUT_S
+                self._table, version, self._schedule.wait_s
             )
         now = time.monotonic()
         if isinstance(read, Failure):
@@ -137,7 +114,7 @@
             return read
         self._record_success(now)
         self._sink.record_read(now)
-        self._pause_s = _CHANGE_PAUSE_S if read.rows else 0
+        self._schedule.record_answer(bool(read.rows))
         if version is None:
             self._apply_table(read, now)
         elif read.era == self._era:
@@ -200,7 +177,9 @@
                 extra={'table': self._table, 'version': self._version},
             )
             self._version = None
+            self._schedule.record_lost_history()
             return
+        self._schedule.record_failure(now - self._sent_at)
         if self._unreachable_since is None:
             self._unreachable_since = self._sent_at
             _LOG.warning(
--- a/features/steps/store_calls_steps.py
+++ b/features/steps/store_calls_steps.py
@@ -93,7 +93,8 @@
 def lengthen_pauses(context: Any) -> None:
     """Draw the upper end of each random pause."""
     patcher = mock.patch(
-        'damaskpoint.catalog.follower.random.uniform', lambda _, most: most
+        'damaskpoint.catalog.watch_schedule.random.uniform',
+        lambda _, most: most,
     )
     patcher.start()
     context.closers.append(patcher.stop)
