Use reports of pledges and paces until the next one can come

Cause: a report was ignored after 1 s, "several rounds of gossip". A round reaches all peers only among few. 195 instances send to 15 peers each 0.15 s, so they hear each other about every 2 s, and admission planned with the half of the work ahead, and with nominal paces for slow groups.

Change: the age limit is 1 s or 2.5 cycles of gossip, whichever is longer; two datagrams to a peer are up to two cycles apart. An own pledge that has become empty is listed for as long, so that peers do not count it to the end of the age limit. Up to 24 peers nothing changes.

--- a/damaskpoint/batching/paces.py
+++ b/damaskpoint/batching/paces.py
@@ -13,9 +13,6 @@
 
     from damaskpoint.membership.facts import PaceFact
 
-# Time after which a reported pace is ignored (seconds): several rounds of
-# gossip.
-_MAX_AGE_S: Final = 1.0
 # Pace of a group without a recent report.
 NOMINAL_PACE: Final = 1.0
 
@@ -34,13 +31,13 @@
         for fact in facts:
             self._paces_by_group[fact.group] = (fact.pace, now)
 
-    def expire(self, now: float) -> None:
+    def expire(self, now: float, max_age_s: float) -> None:
         """Remove reports that are too old."""
         for group, (_, received_at) in tuple(self._paces_by_group.items()):
-            if now - received_at > _MAX_AGE_S:
+            if now - received_at > max_age_s:
                 self._paces_by_group.pop(group)
 
-    def find(self, group: str, now: float) -> float:
+    def find(self, group: str) -> float:
         """Return the pace of a group, the nominal one if unknown."""
-        pace, received_at = self._paces_by_group.get(group, (NOMINAL_PACE, now))
-        return pace if now - received_at <= _MAX_AGE_S else NOMINAL_PACE
+        pace, _ = self._paces_by_group.get(group, (NOMINAL_PACE, 0))
+        return pace
--- a/damaskpoint/batching/pledges.py
+++ b/damaskpoint/batching/pledges.py
@@ -8,17 +8,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Final, final
+from typing import TYPE_CHECKING, final
 
 from damaskpoint.membership.facts import PledgeFact
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-# Time after which a peer's report is ignored (seconds): several rounds of
-# gossip.
-_MAX_AGE_S: Final = 1.0
-
 
 @final
 @dataclass(slots=True)
@@ -27,6 +23,8 @@
 
     urgent: int = 0
     deferred: int = 0
+    # Since when there are none; None if there are some, or not known yet.
+    empty_since: float | None = None
 
 
 @final
@@ -57,6 +55,7 @@
             own.deferred += pieces
         else:
             own.urgent += pieces
+        own.empty_since = None
 
     def record_peer(
         self, peer: str, pledges: Iterable[PledgeFact], now: float
@@ -66,11 +65,16 @@
             by_peer = self._peer_pledges.setdefault(pledge.group, {})
             by_peer[peer] = _PeerPledge(pledge, now)
 
-    def expire(self, now: float) -> None:
-        """Remove reports that are too old, and groups without reports."""
+    def expire(self, now: float, max_age_s: float) -> None:
+        """Remove reports that are too old, and groups without reports.
+
+        An own pledge without pieces is listed for as long, so that peers hear
+        that none are left.
+        """
+        self._expire_own(now - max_age_s, now)
         for group, by_peer in tuple(self._peer_pledges.items()):
             for peer, peer_pledge in tuple(by_peer.items()):
-                if now - peer_pledge.received_at > _MAX_AGE_S:
+                if now - peer_pledge.received_at > max_age_s:
                     by_peer.pop(peer)
             if not by_peer:
                 self._peer_pledges.pop(group)
@@ -95,5 +99,15 @@
         return [
             PledgeFact(group, own.urgent, own.deferred)
             for group, own in self._own_by_group.items()
-            if own.urgent or own.deferred
         ]
+
+    # Helpers.
+
+    def _expire_own(self, oldest: float, now: float) -> None:
+        for group, own in tuple(self._own_by_group.items()):
+            if own.urgent or own.deferred:
+                continue
+            if own.empty_since is None:
+                own.empty_since = now
+            if own.empty_since < oldest:
+                self._own_by_group.pop(group)
--- a/damaskpoint/batching/pool.py
+++ b/damaskpoint/batching/pool.py
@@ -182,7 +182,7 @@
             group = self._groups_by_name.get(group_name)
             if group is not None:
                 return group.pace
-        return self.paces.find(group_name, now)
+        return self.paces.find(group_name)
 
     def own_paces(self, now: float) -> list[PaceFact]:
         """Return the paces of the groups that this instance batches for."""
--- a/damaskpoint/gateway/peers.py
+++ b/damaskpoint/gateway/peers.py
@@ -9,6 +9,7 @@
 
 from damaskpoint import defaults
 from damaskpoint.batching.base import Peers
+from damaskpoint.batching.report_age import find_max_age_s
 from damaskpoint.errors import Failure
 from damaskpoint.membership import facts
 from damaskpoint.membership.gossip import MembershipListener
@@ -83,8 +84,9 @@
         self._membership.publish_paces(context.pool.own_paces(now))
         self._membership.publish_pledges(pledges.list_own())
         context.loads.set_peer_counts(self._membership.view.work.sum_shares())
-        context.pool.paces.expire(now)
-        pledges.expire(now)
+        max_age_s = find_max_age_s(self._membership.cycle_s)
+        context.pool.paces.expire(now, max_age_s)
+        pledges.expire(now, max_age_s)
         context.budgets.set_instance_count(
             len(self._membership.live_peers(now)) + 1
         )
--- a/damaskpoint/membership/gossip.py
+++ b/damaskpoint/membership/gossip.py
@@ -110,6 +110,11 @@
         self._endpoint.close()
         self._endpoint = None
 
+    @property
+    def cycle_s(self) -> float:
+        """Return the time in which each live peer is sent a datagram."""
+        return self._interval_s * self.gossiper.cycle_rounds
+
     def schedule_updates(self) -> None:
         """Send updates in the next iteration of the event loop.
 
--- a/damaskpoint/membership/gossiper.py
+++ b/damaskpoint/membership/gossiper.py
@@ -120,6 +120,11 @@
         """Request that updates are sent before the next round."""
         self._has_pending_updates = True
 
+    @property
+    def cycle_rounds(self) -> int:
+        """Return the rounds in which each live peer is sent a datagram."""
+        return self._chooser.count_cycle_rounds(len(self._live))
+
     @property
     def has_pending_updates(self) -> bool:
         """Return whether updates should be sent before the next round."""
--- a/damaskpoint/membership/service.py
+++ b/damaskpoint/membership/service.py
@@ -155,6 +155,14 @@
         """Return the live peers."""
         return self._gossiper.view.live_peers(now)
 
+    @property
+    def cycle_s(self) -> float:
+        """Return the time in which each live peer is sent a datagram.
+
+        Peers need as long, since their settings and their peers are the same.
+        """
+        return self._loop.cycle_s
+
     @property
     def listed_names(self) -> frozenset[str]:
         """Return the names of the entries in the platform's list."""
--- a/damaskpoint/membership/targets.py
+++ b/damaskpoint/membership/targets.py
@@ -64,6 +64,13 @@
             False,
         )
 
+    def count_cycle_rounds(self, live_count: int) -> int:
+        """Return the rounds in which each live peer is sent a datagram."""
+        if live_count * _MESH_DATAGRAM_BYTES <= self._round_bytes:
+            return 1
+        per_round = max(1, self._round_bytes // _PARTIAL_DATAGRAM_BYTES)
+        return math.ceil(live_count / per_round)
+
     def choose_for_updates(
         self, live: tuple[Address, ...]
     ) -> tuple[Address, ...]:
--- a/features/steps/fleet_report_steps.py
+++ b/features/steps/fleet_report_steps.py
@@ -28,7 +28,7 @@
         (
             now,
             fleet.observed.count_ahead(GROUP, is_deferred=False),
-            fleet.paces.find(GROUP, now),
+            fleet.paces.find(GROUP),
         )
         for now in fleet.run(seconds)
     ]
--- a/features/support/reporting_fleet.py
+++ b/features/support/reporting_fleet.py
@@ -11,6 +11,7 @@
 
 from damaskpoint.batching.paces import PaceTable
 from damaskpoint.batching.pledges import PledgeTable
+from damaskpoint.batching.report_age import find_max_age_s
 from damaskpoint.gateway.options import GossipSection
 from damaskpoint.membership.facts import Address, PaceFact
 from damaskpoint.membership.targets import TargetChooser
@@ -83,6 +84,9 @@
             self.paces.record([PaceFact(GROUP, PACE)], self.now)
 
     def _expire(self) -> None:
+        chooser = next(iter(self._choosers_by_address.values()))
+        rounds = chooser.count_cycle_rounds(len(self._choosers_by_address))
+        max_age_s = find_max_age_s(rounds * _GOSSIP.interval_s)
         for pledges in (self.observed, *self.pledges_by_address.values()):
-            pledges.expire(self.now)
-        self.paces.expire(self.now)
+            pledges.expire(self.now, max_age_s)
+        self.paces.expire(self.now, max_age_s)
