--- a/damaskpoint/batching/pledges.py
+++ b/damaskpoint/batching/pledges.py
@@ -23,7 +23,7 @@
 
     urgent: int = 0
     deferred: int = 0
-    # Since when there are none; None if there are some, or not known yet.
+    # When a round first found no pieces; None while there are some.
     empty_since: float | None = None
 
 
--- a/damaskpoint/catalog/watch_schedule.py
+++ b/damaskpoint/catalog/watch_schedule.py
@@ -16,10 +16,10 @@
 # Wait of a watch that is sent right after an answer (seconds). Each call has a
 # price, and a connection that stops responding is closed by the kernel much
 # earlier.
-LONG_WAIT_S: Final = 20.0
+_LONG_WAIT_S: Final = 20.0
 # Wait of any other watch (seconds). With the client's timeout and the least
 # backoff, a watch that is never answered is replaced within about 2 s.
-SHORT_WAIT_S: Final = 1.0
+_SHORT_WAIT_S: Final = 1.0
 # Backoff after a failed call: first value, growth factor and limit (seconds).
 # The store can handle only a few calls of each instance, and its recovery must
 # be detected quickly.
@@ -48,7 +48,7 @@
     @property
     def wait_s(self) -> float:
         """Return how long the next watch waits for a change (seconds)."""
-        return LONG_WAIT_S if self._may_wait_long else SHORT_WAIT_S
+        return _LONG_WAIT_S if self._may_wait_long else _SHORT_WAIT_S
 
     @property
     def pause_s(self) -> float:
