--- a/features/support/reporting_fleet.py
+++ b/features/support/reporting_fleet.py
@@ -9,6 +9,7 @@
 import random
 from typing import TYPE_CHECKING, Final
 
+from damaskpoint import defaults
 from damaskpoint.batching.paces import PaceTable
 from damaskpoint.batching.pledges import PledgeTable
 from damaskpoint.batching.report_age import find_max_age_s
@@ -20,8 +21,6 @@
     from collections.abc import Iterator
 
 _GOSSIP: Final = GossipSection()
-# Share of the byte rate that regular rounds may use.
-_ROUND_SHARE: Final = 0.6
 _PORT: Final = 7000
 GROUP: Final = 'stage/0'
 PACE: Final = 3.0
@@ -42,7 +41,7 @@
         )
         self._observer = addresses[-1]
         round_bytes = int(
-            _GOSSIP.bytes_per_s * _GOSSIP.interval_s * _ROUND_SHARE
+            _GOSSIP.bytes_per_s * _GOSSIP.interval_s * defaults.ROUND_SHARE
         )
         self._peers_by_address = {
             address: tuple(item for item in addresses if item != address)
