--- a/standins/runner.py
+++ b/standins/runner.py
@@ -149,6 +149,7 @@
             except iostream.StreamClosedError:
                 return
             if number == state.cut_after_events:
+                # tornado declares the interface, which has no stream.
                 self.request.connection.stream.close()  # type: ignore[union-attr]
                 return
         self.finish()
