Log the prompt parts and the progress of each send

The log of a crash did not say what the requests under which runners crashed had in common, nor whether a run had begun its answer, other than by the bytes of its body.

Each `sent` now has prompt_parts, prompt_tokens and progress (none, head or events), and damaskpoint_runs_broken_total counts broken sends by service and progress. No decision changes.

--- a/damaskpoint/forwarding/attempts.py
+++ b/damaskpoint/forwarding/attempts.py
@@ -17,6 +17,7 @@
     RunnerRequest,
     broken_answer_failure,
 )
+from damaskpoint.forwarding.relay import Progress
 from damaskpoint.forwarding.sender import send
 from damaskpoint.platform import requests
 
@@ -66,6 +67,7 @@
         self._possible_runs = 0
         # Fields of the last answer for the log; empty if it had no head.
         self._answer_fields: dict[str, object] = {}
+        self._progress = Progress.NONE
         # Whether a runner may have run the request; set before each send.
         self.ran = Ran.NO
 
@@ -148,6 +150,7 @@
         ran_before = self.ran
         self.ran = Ran.UNKNOWN
         self._answer_fields = {}
+        self._progress = Progress.NONE
         self._context.loads.begin(runner.name)
         try:
             failure = await self._exchange(runner, results, began_at)
@@ -187,6 +190,7 @@
     ) -> Failure | None:
         head = open_answer.head
         self._relay.begin_answer()
+        self._progress = Progress.HEAD
         if head.is_success and self._route.kind is RequestKind.STREAM:
             took_s = time.monotonic() - began_at
             self._context.first_events.record(self._service, took_s)
@@ -239,6 +243,8 @@
         )
 
     def _record_ending(self, exchange: Exchange) -> None:
+        if self._relay.has_events:
+            self._progress = Progress.EVENTS
         framing = exchange.framing.value
         ending = exchange.ending.value
         self._answer_fields = {
@@ -259,6 +265,10 @@
             self._context.health.record_failure(runner.name, now)
         end = failure.code.value if failure else 'answered'
         metrics.SENDS.inc({'service': self._service, 'end': end})
+        if failure and failure.code is Code.UPSTREAM_BROKEN:
+            metrics.RUNS_BROKEN.inc(
+                {'service': self._service, 'progress': self._progress.value}
+            )
         _LOG.info(
             'sent',
             extra={
@@ -273,6 +283,9 @@
                 'entries_age_ms': round(
                     self._context.catalog.runners.age_s(now) * _MS
                 ),
+                'progress': self._progress.value,
+                'prompt_parts': list(self._request.metadata.shared_part_ids),
+                'prompt_tokens': self._request.metadata.prompt_tokens,
                 **self._answer_fields,
             },
         )
--- a/damaskpoint/forwarding/metadata.py
+++ b/damaskpoint/forwarding/metadata.py
@@ -45,6 +45,16 @@
             return self.request_id
         return self.prompt[-2:][0].part_id
 
+    @property
+    def shared_part_ids(self) -> tuple[str, ...]:
+        """Return the ids of the parts that other requests can have too."""
+        return tuple(part.part_id for part in self.prompt[:-1])
+
+    @property
+    def prompt_tokens(self) -> int:
+        """Return the number of tokens of the whole prompt."""
+        return sum(part.tokens for part in self.prompt)
+
     def count_pieces(self, stage: int) -> int:
         """Return the number of pieces of a stage, by the stage's index."""
         if stage < len(self.piece_counts):
--- a/damaskpoint/forwarding/metrics.py
+++ b/damaskpoint/forwarding/metrics.py
@@ -35,3 +35,8 @@
     'damaskpoint_runner_answers_total',
     'Answers of runners, by service, framing of the body and its ending.',
 )
+RUNS_BROKEN: Final = Counter(
+    'damaskpoint_runs_broken_total',
+    'Sends whose connection broke, by service and how far the answer had come:'
+    ' none, head or events.',
+)
--- a/damaskpoint/forwarding/relay.py
+++ b/damaskpoint/forwarding/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from typing import TYPE_CHECKING, final
 
 from damaskpoint.errors import Code, Failure, Ran
@@ -16,6 +17,17 @@
     from damaskpoint.forwarding.sender import OpenAnswer
 
 
+@final
+@enum.unique
+class Progress(enum.Enum):
+    """How far the answer of a runner has come."""
+
+    NONE = 'none'
+    # It has its head, and of a stream no complete event.
+    HEAD = 'head'
+    EVENTS = 'events'
+
+
 @final
 class Relay:
     """Forwards the answer of one request, possibly from several runners."""
@@ -38,6 +50,11 @@
         """Return the id of the last forwarded event."""
         return self._splitter.last_id
 
+    @property
+    def has_events(self) -> bool:
+        """Return whether the current answer has had a complete event."""
+        return self._splitter.has_events
+
     @property
     def partial_event_bytes(self) -> int:
         """Return the bytes of the answer after its last complete event."""
--- a/features/runner_answers.feature
+++ b/features/runner_answers.feature
@@ -23,6 +23,21 @@
       | length  | 5 events            | close | complete     | 0       |                                                              |
       | length  | 2 events and a part | close | closed       | 14      | body: Stream is closed                                       |
 
+  # Guards against crashes of runners whose common cause the log does not show.
+  Scenario Outline: The log tells how far a broken run had come: <sent>
+    Given a site with a runner of each service
+    And the log of sends is kept
+    And the runner "model-1" sends <sent> framed by chunks, then a close
+    When a caller sends POST /staged/one with the prompt "a:10,b:20,c:5"
+    Then the send is logged with the progress <progress>
+    And the log names the prompt parts "a,b" and 35 tokens
+
+    Examples:
+      | sent                | progress |
+      | 0 events            | head     |
+      | 0 events and a part | head     |
+      | 2 events and a part | events   |
+
   # Guards against a broken stream that its caller takes for a whole one.
   Scenario Outline: A stream that breaks off never looks complete: <framing>, <sent>, <end>
     Given a site with a runner of each service
--- a/features/steps/runner_answer_steps.py
+++ b/features/steps/runner_answer_steps.py
@@ -11,6 +11,7 @@
 
 from damaskpoint.forwarding.events import EventSplitter
 from features.steps.gateway_answer_steps import check_events
+from features.steps.gateway_steps import send_request
 from features.support.gateway_site import HOST, KEY, run
 from standins.raw_runner import RawEnd, RawRunner
 
@@ -201,6 +202,30 @@
     check_partial(context, count, '')
 
 
+@when('a caller sends POST {path} with the prompt "{prompt}"')
+def send_prompt(context: Any, path: str, prompt: str) -> None:
+    """Send a request whose prompt has the given parts."""
+    sending = send_request(
+        context, 'POST', path, Damaskpoint_Prompt_Prefix=prompt
+    )
+    context.answer = run(context, sending)
+
+
+@then('the send is logged with the progress {progress}')
+def check_progress(context: Any, progress: str) -> None:
+    """Check how far the answer of the last send had come."""
+    record = context.send_log.records[-1]
+    assert record.progress == progress, record.progress
+
+
+@then('the log names the prompt parts "{parts}" and {tokens:d} tokens')
+def check_prompt(context: Any, parts: str, tokens: int) -> None:
+    """Check the shared parts and the length of the prompt."""
+    record = context.send_log.records[-1]
+    assert record.prompt_parts == parts.split(','), record.prompt_parts
+    assert record.prompt_tokens == tokens, record.prompt_tokens
+
+
 @then('the answer does not look complete')
 def check_broken(context: Any) -> None:
     """Check for a cut connection, or a failure if no event was forwarded."""
