Refuse requests with a prompt part that crashes runners

What callers saw: runner after runner crashed, streams of others on them were cut, and up to half of a route's requests of a second were refused or late.

Cause: retries are bounded for each request and health is kept for each runner, but nothing linked the failures of different requests. Each request with the part crashed as many runners as its route allows attempts, and so did the next.

Why this works: a run carries the number of consecutive failures of each of its parts that its instance knew when it was sent, so runs that break in one crash count once. Any success clears a part. After four failures, of two requests at least, a part is refused by all instances if the runs without it, of all instances since its first failure, make so many failures unlikely (0.001). The cause is the part with most failures, with equal ones the last of the prompt. Marks spread it by gossip, a row of the store keeps it for instances that start later. It ends after 600 s, doubled each time up to 3600 s; then the first failure begins it again and the first success ends it for good.

--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -62,6 +62,8 @@
 MARK_KEEP_S: Final = 600.0
 UNPROVEN_KEEP_S: Final = 30.0
 FACT_KEEP_S: Final = 3.0
+# Services whose runs a process reports to its peers.
+MAX_RUN_COUNTS: Final = 8
 DEMAND_KEEP_S: Final = 5.0
 # Share of the byte rate for regular rounds; the rest is for news.
 ROUND_SHARE: Final = 0.6
--- a/damaskpoint/entry/gossip_listener.py
+++ b/damaskpoint/entry/gossip_listener.py
@@ -102,7 +102,7 @@
             self._routing.directory.apply_zone_mark(
                 mark.subject, ZoneMark(mark.incarnation, is_out=True), now
             )
-        else:
+        elif mark.kind is facts.MarkKind.UNPROVEN:
             self._routing.core.observations.receive_unproven(
                 mark.subject, mark.incarnation, now
             )
@@ -135,6 +135,14 @@
     ) -> None:
         """Do nothing: entries call the engines of a stage directly."""
 
+    def on_run_counts(
+        self,
+        peer: facts.PeerFact,
+        counts: tuple[facts.RunCountFact, ...],
+        now: float,
+    ) -> None:
+        """Do nothing: entries do not look for prompts that crash engines."""
+
     # Helpers.
 
     def _publish_configuration(self, now: float) -> None:
--- a/damaskpoint/errors.py
+++ b/damaskpoint/errors.py
@@ -50,6 +50,7 @@
     SHUTTING_DOWN = 'shutting_down'
     KEY_IN_PROGRESS = 'key_in_progress'
     OUTCOME_UNKNOWN = 'outcome_unknown'
+    PROMPT_QUARANTINED = 'prompt_quarantined'
     CALLER_LEFT = 'caller_left'
     # Failures of an upstream.
     UPSTREAM_UNREACHABLE = 'upstream_unreachable'
@@ -144,6 +145,9 @@
     Code.OUTCOME_UNKNOWN: Kind(
         _BAD_GATEWAY, False, 'It is unknown whether the request ran.'
     ),
+    Code.PROMPT_QUARANTINED: Kind(
+        _BAD_REQUEST, False, 'A part of the prompt crashes upstreams.'
+    ),
     Code.CALLER_LEFT: Kind(_GATEWAY_TIMEOUT, False, 'The caller has left.'),
     Code.UPSTREAM_UNREACHABLE: Kind(
         _BAD_GATEWAY, True, 'The upstream could not be reached.'
--- a/damaskpoint/forwarding/attempts.py
+++ b/damaskpoint/forwarding/attempts.py
@@ -14,6 +14,7 @@
 from damaskpoint.forwarding.choosing import RunnerChooser
 from damaskpoint.forwarding.exchange import (
     BrokenAnswerError,
+    Ending,
     RunnerRequest,
     broken_answer_failure,
 )
@@ -30,11 +31,14 @@
     from damaskpoint.forwarding.relay import Relay
     from damaskpoint.forwarding.request import CallerRequest
     from damaskpoint.forwarding.sender import OpenAnswer
+    from damaskpoint.quarantine.guard import PromptRun
 
 _LOG: Final = logging.getLogger(__name__)
 _MS: Final = 1000
 # Codes of failures that do not count against the health of the runner.
 _HEALTHY_CODES: Final = frozenset((Code.UPSTREAM_OVERLOADED, Code.RESULT_LOST))
+# Endings of answers whose runner may have crashed.
+_BROKEN_ENDINGS: Final = frozenset((Ending.CLOSED, Ending.SOCKET_ERROR))
 # Maximum sends of one request, including those that the runner did not run.
 _MAX_SENDS: Final = 4
 # Timeout for the head of an answer if the request can be retried at another
@@ -65,6 +69,9 @@
         self._sends = 0
         # Number of runners that may have run the request.
         self._possible_runs = 0
+        # The present send, and number of those that broke after their head.
+        self._prompt_run: PromptRun | None = None
+        self._broken_heads = 0
         # Fields of the last answer for the log; empty if it had no head.
         self._answer_fields: dict[str, object] = {}
         self._progress = Progress.NONE
@@ -103,7 +110,11 @@
 
     def _choose_runner(self, last_failure: Failure) -> Runner | Failure:
         """Return the runner of the next send, or why there is none."""
-        runner = self._chooser.choose(self._failed, time.monotonic())
+        now = time.monotonic()
+        quarantined = self._context.prompts.check(self._request.metadata, now)
+        if quarantined is not None:
+            return quarantined
+        runner = self._chooser.choose(self._failed, now)
         if runner is None or not self._take_from_budget():
             return last_failure
         return self._check_completion() or runner
@@ -151,6 +162,13 @@
         self.ran = Ran.UNKNOWN
         self._answer_fields = {}
         self._progress = Progress.NONE
+        if self._request.metadata.prompt:
+            self._prompt_run = self._context.prompts.begin_run(
+                self._service,
+                self._request.metadata,
+                self._broken_heads,
+                began_at,
+            )
         self._context.loads.begin(runner.name)
         try:
             failure = await self._exchange(runner, results, began_at)
@@ -180,6 +198,7 @@
         try:
             return await self._handle_answer(open_answer, began_at)
         except BrokenAnswerError as error:
+            self._record_break(open_answer)
             return broken_answer_failure(error)
         finally:
             open_answer.exchange.close()
@@ -189,7 +208,9 @@
         self, open_answer: OpenAnswer, began_at: float
     ) -> Failure | None:
         head = open_answer.head
-        self._relay.begin_answer()
+        self._relay.begin_answer(
+            self._record_begun if head.is_success else None
+        )
         self._progress = Progress.HEAD
         if head.is_success and self._route.kind is RequestKind.STREAM:
             took_s = time.monotonic() - began_at
@@ -242,6 +263,29 @@
             request.method, request.target, headers, request.body
         )
 
+    def _record_begun(self) -> None:
+        if self._prompt_run is not None:
+            self._context.prompts.record_begun(
+                self._prompt_run, time.monotonic()
+            )
+
+    def _record_break(self, open_answer: OpenAnswer) -> None:
+        """Record an answer that broke before its first event.
+
+        Its run may have crashed the runner; runs that broke without a head
+        had not begun, and those with events had succeeded so far.
+        """
+        has_crashed = (
+            open_answer.head.is_success
+            and open_answer.exchange.ending in _BROKEN_ENDINGS
+            and not self._relay.has_events
+        )
+        if has_crashed and self._prompt_run is not None:
+            self._broken_heads += 1
+            self._context.prompts.record_broken(
+                self._prompt_run, time.monotonic()
+            )
+
     def _record_ending(self, exchange: Exchange) -> None:
         if self._relay.has_events:
             self._progress = Progress.EVENTS
--- a/damaskpoint/forwarding/context.py
+++ b/damaskpoint/forwarding/context.py
@@ -19,6 +19,7 @@
     from damaskpoint.forwarding.first_events import FirstEventTimes
     from damaskpoint.forwarding.sizes import RequestSizes
     from damaskpoint.forwarding.usual_deadlines import UsualDeadlines
+    from damaskpoint.quarantine.guard import PromptGuard
 
 
 @final
@@ -52,3 +53,4 @@
     planner: Planner
     pool: StagePool
     peers: Peers
+    prompts: PromptGuard
--- a/damaskpoint/forwarding/relay.py
+++ b/damaskpoint/forwarding/relay.py
@@ -39,6 +39,7 @@
         self._answer = answer
         self._on_start = on_start
         self._splitter = EventSplitter()
+        self._on_begun: Callable[[], None] | None = None
 
     @property
     def is_started(self) -> bool:
@@ -60,9 +61,13 @@
         """Return the bytes of the answer after its last complete event."""
         return len(self._splitter.pending)
 
-    def begin_answer(self) -> None:
-        """Expect the answer of another runner."""
+    def begin_answer(self, on_begun: Callable[[], None] | None) -> None:
+        """Expect the answer of another runner.
+
+        ``on_begun`` is called once, when the answer has an event or is whole.
+        """
         self._splitter.begin_answer()
+        self._on_begun = on_begun
 
     async def forward_whole(self, open_answer: OpenAnswer) -> Failure | None:
         """Forward an answer once it has been read completely.
@@ -71,6 +76,7 @@
         """
         head = open_answer.head
         body = await open_answer.exchange.read_body()
+        self._notify_begun()
         if self.is_started:
             return Failure(Code.UPSTREAM_FAILED, f'HTTP {head.status}', Ran.YES)
         self._on_start()
@@ -99,6 +105,8 @@
             if not chunk:
                 return
             whole = self._splitter.feed(chunk)
+            if self._splitter.has_events:
+                self._notify_begun()
             if whole:
                 await self._write(open_answer, whole)
             if self._splitter.is_event_too_long:
@@ -111,6 +119,11 @@
         if framing is Framing.CLOSE and not self._splitter.has_events:
             raise BrokenAnswerError('body: closed before the first event')
 
+    def _notify_begun(self) -> None:
+        if self._on_begun is not None:
+            self._on_begun()
+        self._on_begun = None
+
     async def _write(self, open_answer: OpenAnswer, whole: bytes) -> None:
         if self.is_started:
             await self._answer.write(whole)
--- a/damaskpoint/forwarding/session.py
+++ b/damaskpoint/forwarding/session.py
@@ -129,6 +129,9 @@
 
     async def _serve_once(self) -> Failure | None:
         now = time.monotonic()
+        quarantined = self._context.prompts.check(self._request.metadata, now)
+        if quarantined is not None:
+            return quarantined
         if self._find_pause_s(now):
             return Failure(
                 Code.NO_UPSTREAM, 'all runners of a service asked for a pause'
@@ -296,7 +299,10 @@
         """Return the failure for the caller.
 
         Its status states that the request did not run only if that is certain.
+        The one of a quarantined prompt states neither.
         """
+        if failure.code is Code.PROMPT_QUARANTINED:
+            return failure
         if self._attempts is not None and self._attempts.ran is not Ran.NO:
             is_late = time.monotonic() >= self._request.ends_at
             code = Code.UPSTREAM_TIMEOUT if is_late else Code.UPSTREAM_BROKEN
--- a/damaskpoint/gateway/peers.py
+++ b/damaskpoint/gateway/peers.py
@@ -83,10 +83,9 @@
         self._membership.publish_shares(context.loads.own_by_runner)
         self._membership.publish_paces(context.pool.own_paces(now))
         self._membership.publish_pledges(pledges.list_own())
+        self._membership.publish_run_counts(context.prompts.list_run_counts())
         context.loads.set_peer_counts(self._membership.view.work.sum_shares())
-        max_age_s = find_max_age_s(self._membership.cycle_s)
-        context.pool.paces.expire(now, max_age_s)
-        pledges.expire(now, max_age_s)
+        self._expire(now)
         context.budgets.set_instance_count(
             len(self._membership.live_peers(now)) + 1
         )
@@ -97,11 +96,13 @@
         """Do nothing: each instance follows the store itself."""
 
     def on_mark(self, mark: facts.Mark, now: float) -> None:
-        """Exclude a runner that announced its exit to a peer."""
+        """Exclude a runner that announced its exit, or a prompt part."""
         if mark.kind is facts.MarkKind.LEAVING:
             self._context.catalog.runners.mark_leaving(
                 mark.subject, mark.incarnation, now
             )
+            return
+        self._context.prompts.apply_mark(mark, now)
 
     def on_load(self, load: facts.LoadFact, now: float) -> None:
         """Do nothing: runners are not asked for their load."""
@@ -123,6 +124,22 @@
         """Record the pieces that a peer's requests still need."""
         self._context.planner.pledges.record_peer(peer, pledges, now)
 
+    def on_run_counts(
+        self,
+        peer: facts.PeerFact,
+        counts: tuple[facts.RunCountFact, ...],
+        now: float,
+    ) -> None:
+        """Record how many runs a peer has begun."""
+        for count in counts:
+            self._context.prompts.record_peer_runs(peer, count, now)
+
+    def _expire(self, now: float) -> None:
+        max_age_s = find_max_age_s(self._membership.cycle_s)
+        self._context.pool.paces.expire(now, max_age_s)
+        self._context.planner.pledges.expire(now, max_age_s)
+        self._context.prompts.expire(now)
+
 
 @final
 class Discovery:
--- a/damaskpoint/gateway/runtime.py
+++ b/damaskpoint/gateway/runtime.py
@@ -35,6 +35,7 @@
     from damaskpoint.gateway.peers import Discovery
     from damaskpoint.membership.service import Membership
     from damaskpoint.observe.state import StateRegistry
+    from damaskpoint.quarantine.stored import QuarantineWriter
 
 _LOG: Final = logging.getLogger(__name__)
 # How much longer than the timeout known to callers an idle connection stays
@@ -77,6 +78,7 @@
     handler: RequestHandler
     shutdown: ShutdownState
     followers: tuple[TableFollower, ...]
+    quarantine_writer: QuarantineWriter
     membership: Membership
     discovery: Discovery
     order_server: httpserver.HTTPServer
@@ -184,6 +186,7 @@
         for coroutine in (
             *(follower.run() for follower in components.followers),
             components.discovery.run(),
+            components.quarantine_writer.run(),
             run_periodically(_HOUSEKEEPING_INTERVAL_S, self._run_housekeeping),
         ):
             self._tasks.append(asyncio.ensure_future(coroutine))
--- a/damaskpoint/gateway/wiring.py
+++ b/damaskpoint/gateway/wiring.py
@@ -45,6 +45,8 @@
 from damaskpoint.platform.piece_caller import HttpPieceCaller
 from damaskpoint.platform.store import create_store
 from damaskpoint.platform.store_instances import StoreInstances
+from damaskpoint.quarantine.guard import PromptGuard
+from damaskpoint.quarantine.stored import QuarantineSink, QuarantineWriter
 from damaskpoint.settings import (
     InstanceOptions,
     MembershipOptions,
@@ -88,6 +90,7 @@
     registry.register('membership', membership)
     handler = RequestHandler(forwarding, shutdown)
     instance = options.instance
+    quarantine_sink = QuarantineSink(forwarding.prompts)
     own = create_listed_instance(
         instance.name, instance.zone, instance.host, options.listen.peer_port
     )
@@ -97,7 +100,16 @@
             forwarding=forwarding,
             handler=handler,
             shutdown=shutdown,
-            followers=_create_followers(store, forwarding.catalog, registry),
+            followers=_create_followers(
+                store, forwarding.catalog, quarantine_sink, registry
+            ),
+            quarantine_writer=QuarantineWriter(
+                store,
+                quarantine_sink,
+                forwarding.prompts,
+                instance.name,
+                forwarding.peers,
+            ),
             membership=membership,
             discovery=Discovery(StoreInstances(store), own, membership),
             order_server=create_order_server(
@@ -154,9 +166,11 @@
         ),
         PieceOrderClient(),
     )
+    prompts = PromptGuard(membership.publish_mark)
     registry.register('catalog', catalog)
     registry.register('health', health)
     registry.register('stages', pool)
+    registry.register('prompts', prompts)
     return ForwardingContext(
         options=ForwardingOptions(
             own_name=own_name,
@@ -179,15 +193,20 @@
         planner=Planner(catalog, pool, health, PledgeTable()),
         pool=pool,
         peers=pool.peers,
+        prompts=prompts,
     )
 
 
 def _create_followers(
-    store: PlatformStore, catalog: Catalog, registry: StateRegistry
+    store: PlatformStore,
+    catalog: Catalog,
+    quarantine_sink: QuarantineSink,
+    registry: StateRegistry,
 ) -> tuple[TableFollower, ...]:
     followers = (
         TableFollower(store, names.TABLE_OPERATOR, OperatorSink(catalog)),
         TableFollower(store, names.TABLE_RUNNERS, RunnerSink(catalog)),
+        TableFollower(store, names.TABLE_QUARANTINES, quarantine_sink),
     )
     for follower in followers:
         registry.register(f'table {follower.table}', follower)
--- a/damaskpoint/membership/facts.py
+++ b/damaskpoint/membership/facts.py
@@ -72,22 +72,31 @@
 
 @final
 class MarkKind(enum.IntEnum):
-    """What a mark excludes from routing."""
+    """What a mark excludes from routing, or suspects."""
 
     LEAVING = 1
     UNPROVEN = 2
     ZONE_OUT = 3
+    # Runs whose prompts have the part have failed.
+    SUSPECTED_PART = 4
+    # Requests whose prompts have the part are refused.
+    QUARANTINED_PART = 5
+    # A run broke after the head of its answer.
+    BROKEN_RUN = 6
 
 
 @final
 @dataclass(frozen=True, slots=True)
 class Mark:
-    """A fact that only ever excludes an upstream or a zone from routing.
-
-    ``subject`` is the name of an upstream, or of a zone for ``ZONE_OUT``.
-    ``incarnation`` is the upstream's, or the version of the configuration
-    that takes the zone out. ``origin`` and ``sequence`` distinguish notices
-    of unproven upstreams; they are empty in marks of other kinds.
+    """A fact that excludes an upstream, a zone or a prompt part.
+
+    ``subject`` is the name of an upstream, of a zone for ``ZONE_OUT``, the id
+    of a prompt part, or the service and all parts of a ``BROKEN_RUN``. ``incarnation`` is the upstream's, the version of the
+    configuration that takes the zone out, the epoch of a suspicion, or the
+    number of a quarantine. ``origin`` and ``sequence`` distinguish notices of
+    unproven upstreams and of broken runs. For prompt parts ``sequence`` is the number of failures
+    of a suspicion, or 1 for a quarantine that was lifted. Both are empty in
+    marks of other kinds.
     """
 
     kind: MarkKind
@@ -173,6 +182,15 @@
     deferred: int
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class RunCountFact:
+    """Runs at a service that have begun their answers, since a start."""
+
+    service: str
+    begun: int
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class HeartbeatFact:
@@ -197,6 +215,7 @@
     demands: tuple[DemandFact, ...] = ()
     paces: tuple[PaceFact, ...] = ()
     pledges: tuple[PledgeFact, ...] = ()
+    run_counts: tuple[RunCountFact, ...] = ()
 
 
 @final
--- a/damaskpoint/membership/gossip.py
+++ b/damaskpoint/membership/gossip.py
@@ -69,6 +69,15 @@
     ) -> None:
         """Handle the pieces that a peer's requests still need."""
 
+    @abc.abstractmethod
+    def on_run_counts(
+        self,
+        peer: facts.PeerFact,
+        counts: tuple[facts.RunCountFact, ...],
+        now: float,
+    ) -> None:
+        """Handle how many runs a peer has begun since its start."""
+
 
 @final
 class GossipLoop:
@@ -166,21 +175,30 @@
         for mark in merged.marks:
             metrics.MARKS_RECEIVED.inc({'kind': mark.kind.name.lower()})
         for listener in self.listeners:
+            # Counts first: they say how many runs preceded a mark.
+            if merged.run_counts:
+                listener.on_run_counts(merged.sender, merged.run_counts, now)
             for mark in merged.marks:
                 listener.on_mark(mark, now)
             for load in merged.loads:
                 listener.on_load(load, now)
-            if merged.shares:
-                listener.on_shares(merged.sender.name, merged.shares, now)
-            if merged.paces:
-                listener.on_paces(merged.sender.name, merged.paces, now)
-            if merged.pledges:
-                listener.on_pledges(merged.sender.name, merged.pledges, now)
+            self._notify_of_work(listener, merged, now)
             if merged.configuration is not None:
                 listener.on_configuration(
                     merged.configuration, merged.sender, now
                 )
 
+    def _notify_of_work(
+        self, listener: MembershipListener, merged: MergeResult, now: float
+    ) -> None:
+        sender = merged.sender.name
+        if merged.shares:
+            listener.on_shares(sender, merged.shares, now)
+        if merged.paces:
+            listener.on_paces(sender, merged.paces, now)
+        if merged.pledges:
+            listener.on_pledges(sender, merged.pledges, now)
+
     def _send_updates(self) -> None:
         if self.gossiper.has_pending_updates and self._endpoint is not None:
             self._send(self.gossiper.send_updates(self._clock()))
--- a/damaskpoint/membership/marks.py
+++ b/damaskpoint/membership/marks.py
@@ -1,6 +1,6 @@
-"""The table of marks: leaving and unproven upstreams, zones taken out.
+"""The table of marks: leaving and unproven upstreams, zones, prompt parts.
 
-A mark only ever excludes a routing choice. Of two marks with the same
+Of two marks with the same
 identity, the one with the higher incarnation and sequence wins,
 regardless of the order of arrival.
 """
@@ -12,6 +12,11 @@
 from damaskpoint import defaults
 from damaskpoint.membership.facts import Mark, MarkIdentity, MarkKind
 from damaskpoint.membership.rotation import Rotation
+from damaskpoint.quarantine.model import (
+    OUTCOME_KEEP_S,
+    SUSPICION_KEEP_S,
+    compute_memory_s,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -72,10 +77,7 @@
         return len(self._marks_by_identity)
 
     def _is_expired(self, mark: Mark, now: float) -> bool:
-        keep_s = defaults.MARK_KEEP_S
-        if mark.kind is MarkKind.UNPROVEN:
-            keep_s = defaults.UNPROVEN_KEEP_S
-        if now - mark.happened_at > keep_s:
+        if now - mark.happened_at > _find_keep_s(mark):
             return True
         if mark.kind is MarkKind.ZONE_OUT:
             return mark.incarnation < self._version_in_force
@@ -94,3 +96,16 @@
     def _drop(self, identity: MarkIdentity) -> None:
         self._marks_by_identity.pop(identity)
         self.rotation.discard(identity)
+
+
+def _find_keep_s(mark: Mark) -> float:
+    """Return for how long after its time a mark is kept (seconds)."""
+    if mark.kind is MarkKind.UNPROVEN:
+        return defaults.UNPROVEN_KEEP_S
+    if mark.kind is MarkKind.SUSPECTED_PART:
+        return SUSPICION_KEEP_S
+    if mark.kind is MarkKind.BROKEN_RUN:
+        return OUTCOME_KEEP_S
+    if mark.kind is MarkKind.QUARANTINED_PART:
+        return compute_memory_s(mark.incarnation)
+    return defaults.MARK_KEEP_S
--- a/damaskpoint/membership/packing.py
+++ b/damaskpoint/membership/packing.py
@@ -103,6 +103,7 @@
         peers=new_peers + old_peers,
         beats=heartbeats,
         loads=budget.take(_loads(view), measure_load, 1),
+        run_counts=view.own_run_counts,
     )
 
 
@@ -117,6 +118,7 @@
         sender=view.own,
         configuration=view.configuration,
         marks=budget.take(_newest_marks(view), measure_mark, 1),
+        run_counts=view.own_run_counts,
     )
 
 
@@ -169,6 +171,7 @@
 def _measure_header(view: View, now: float) -> int:
     size = sizes.DATAGRAM_OVERHEAD_BYTES + sizes.MESSAGE_OVERHEAD_BYTES
     size += sizes.measure_peer(view.own)
+    size += sum(map(sizes.measure_run_count, view.own_run_counts))
     if view.configuration is not None:
         size += sizes.measure_configuration(view.configuration, now)
     return size
--- a/damaskpoint/membership/service.py
+++ b/damaskpoint/membership/service.py
@@ -113,11 +113,16 @@
             self._loop.schedule_updates()
 
     def publish_mark(
-        self, kind: facts.MarkKind, subject: str, incarnation: int
+        self,
+        kind: facts.MarkKind,
+        subject: str,
+        incarnation: int,
+        sequence: int = 0,
     ) -> None:
         """Publish a mark made by this process; immediately if it is new."""
+        view = self._gossiper.view
         now = self._clock()
-        if self._gossiper.view.publish_mark(kind, subject, incarnation, now):
+        if view.publish_mark(kind, subject, incarnation, now, sequence):
             self._loop.schedule_updates()
 
     def publish_loads(self, loads: Iterable[facts.LoadFact]) -> None:
@@ -140,6 +145,10 @@
         """Publish the pieces that this process's requests still need."""
         self._gossiper.view.publish_pledges(pledges)
 
+    def publish_run_counts(self, counts: Iterable[facts.RunCountFact]) -> None:
+        """Publish how many runs of this process have begun their answers."""
+        self._gossiper.view.publish_run_counts(counts)
+
     def apply_instances(self, instances: Sequence[ListedInstance]) -> None:
         """Apply the platform's list of instances, read just now."""
         self._gossiper.apply_instances(instances, self._clock())
--- a/damaskpoint/membership/sizes.py
+++ b/damaskpoint/membership/sizes.py
@@ -10,7 +10,7 @@
 # UDP and IP headers of a datagram.
 DATAGRAM_OVERHEAD_BYTES: Final = 28
 # Stop byte of the message and the headers of its lists.
-MESSAGE_OVERHEAD_BYTES: Final = 32
+MESSAGE_OVERHEAD_BYTES: Final = 36
 _VARINT_BITS_PER_BYTE: Final = 7
 _FIELD_HEADER_BYTES: Final = 1
 _STOP_BYTES: Final = 1
@@ -117,6 +117,11 @@
     return _sum_fields(fields)
 
 
+def measure_run_count(fact: facts.RunCountFact) -> int:
+    """Return the size of the number of runs at a service."""
+    return _sum_fields((measure_text(fact.service), measure_number(fact.begun)))
+
+
 def measure_heartbeat(fact: facts.HeartbeatFact) -> int:
     """Return the size of a heartbeat."""
     return _BEAT_ID_BYTES + measure_number(fact.heartbeat)
--- a/damaskpoint/membership/view.py
+++ b/damaskpoint/membership/view.py
@@ -22,6 +22,7 @@
     PeerFact,
     Phase,
     Reach,
+    RunCountFact,
     ShareFact,
 )
 from damaskpoint.membership.marks import MarkTable
@@ -36,7 +37,9 @@
 # Transmissions of a new fact among many peers, as a multiple of log2 of their
 # number: the chance that a peer misses the fact is then negligible.
 _TRANSMISSIONS_PER_DOUBLING: Final = 3
-# Unproven notices that a process can publish per millisecond without reaching
+# Kinds of marks of which each process publishes its own.
+_NOTICES: Final = frozenset((MarkKind.UNPROVEN, MarkKind.BROKEN_RUN))
+# Notices that a process can publish per millisecond without reaching
 # the sequence numbers of its next start.
 _SEQUENCES_PER_MS: Final = 1000
 
@@ -56,6 +59,8 @@
     paces: tuple[PaceFact, ...]
     pledges: tuple[PledgeFact, ...]
     changed_peers: tuple[PeerFact, ...]
+    # The sender's own; they only grow until its next start.
+    run_counts: tuple[RunCountFact, ...]
 
 
 @final
@@ -78,6 +83,7 @@
         self.own_demands: OwnWork[DemandFact] = OwnWork()
         self.own_paces: OwnWork[PaceFact] = OwnWork()
         self.own_pledges: OwnWork[PledgeFact] = OwnWork()
+        self.own_run_counts: tuple[RunCountFact, ...] = ()
 
     # Commands: facts of this process.
 
@@ -110,12 +116,20 @@
         return is_new
 
     def publish_mark(
-        self, kind: MarkKind, subject: str, incarnation: int, now: float
+        self,
+        kind: MarkKind,
+        subject: str,
+        incarnation: int,
+        now: float,
+        sequence: int = 0,
     ) -> bool:
-        """Publish a mark made by this process; return whether it is new."""
+        """Publish a mark made by this process; return whether it is new.
+
+        Notices of unproven upstreams and of broken runs get their ``sequence``
+        here.
+        """
         origin = ''
-        sequence = 0
-        if kind is MarkKind.UNPROVEN:
+        if kind in _NOTICES:
             self._sequence += 1
             origin = self._own.name
             sequence = self._sequence
@@ -153,6 +167,10 @@
         """Publish the pieces that this process's requests still need."""
         self.own_pledges.replace({pledge.group: pledge for pledge in pledges})
 
+    def publish_run_counts(self, counts: Iterable[RunCountFact]) -> None:
+        """Publish how many runs of this process have begun their answers."""
+        self.own_run_counts = tuple(counts)[: defaults.MAX_RUN_COUNTS]
+
     # Commands: facts of other processes.
 
     def merge(self, message: GossipMessage, now: float) -> MergeResult:
@@ -183,6 +201,7 @@
             message.paces if is_in_order else (),
             message.pledges if is_in_order else (),
             tuple(changed),
+            message.run_counts,
         )
 
     # Queries.
--- a/damaskpoint/platform/names.py
+++ b/damaskpoint/platform/names.py
@@ -80,6 +80,8 @@
 KEY_PREFIX_EVACUATED: Final = 'evacuate/'
 # The system's own table, with the addresses of its instances.
 TABLE_PEERS: Final = 'peers'
+# The system's own table, with the prompt parts whose requests are refused.
+TABLE_QUARANTINES: Final = 'prompt-quarantines'
 
 # Paths at a runner of a stage.
 PATH_RUN_PIECES: Final = '/v1/stage-run'
--- a/damaskpoint/platform/store.py
+++ b/damaskpoint/platform/store.py
@@ -61,6 +61,8 @@
     era: int = 0
     # Whether the range has more rows than were returned.
     is_truncated: bool = False
+    # The store's clock when it answered (seconds); None if it has none.
+    now_s: float | None = None
 
 
 @final
@@ -173,7 +175,7 @@
             era = page.era
             found.extend(page.rows)
             if not page.is_truncated or not page.rows:
-                return Rows(tuple(found), page.version, era)
+                return Rows(tuple(found), page.version, era, now_s=page.now_s)
             start_key = next_key(page.rows[-1].key)
 
     async def watch(
@@ -300,7 +302,14 @@
 
 def _read_rows(body: Mapping[str, Any], era: int) -> Rows:
     rows = tuple(_read_row(row) for row in body['Rows'])
-    return Rows(rows, int(body['Ver']), era, bool(body.get('Truncated')))
+    now_ms = body.get('NowMs')
+    return Rows(
+        rows,
+        int(body['Ver']),
+        era,
+        bool(body.get('Truncated')),
+        None if now_ms is None else float(now_ms) / _MS_PER_S,
+    )
 
 
 def _read_row(row: Mapping[str, Any]) -> StoredRow:
--- /dev/null
+++ b/damaskpoint/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Finds prompt parts that crash runners, and refuses requests with them."""
--- a/damaskpoint/wire/gossip_codec.py
+++ b/damaskpoint/wire/gossip_codec.py
@@ -20,6 +20,13 @@
 # Maximum age (milliseconds). Greater ages are clamped: they are all equally
 # outdated.
 _MAX_AGE_MS: Final = 86_400_000
+_PART_KINDS: Final = frozenset(
+    (
+        facts.MarkKind.SUSPECTED_PART,
+        facts.MarkKind.QUARANTINED_PART,
+        facts.MarkKind.BROKEN_RUN,
+    )
+)
 
 
 def encode_gossip(message: facts.GossipMessage, now: float) -> bytes:
@@ -30,7 +37,8 @@
         peers=[_encode_peer(peer) for peer in message.peers] or None,
         beat_ids=[beat.beat_id for beat in message.beats] or None,
         beats=[beat.heartbeat for beat in message.beats] or None,
-        marks=[_encode_mark(mark, now) for mark in message.marks] or None,
+        marks=_encode_marks(message.marks, now, are_of_parts=False),
+        part_marks=_encode_marks(message.marks, now, are_of_parts=True),
         loads=[_encode_load(load, now) for load in message.loads] or None,
         shares=[
             ttypes.ShareFact(share.upstream, share.in_flight)
@@ -40,6 +48,11 @@
         demands=[_encode_demand(demand) for demand in message.demands] or None,
         paces=[_encode_pace(fact) for fact in message.paces] or None,
         pledges=[_encode_pledge(fact) for fact in message.pledges] or None,
+        run_counts=[
+            ttypes.RunCountFact(fact.service, fact.begun)
+            for fact in message.run_counts
+        ]
+        or None,
     )
     return codec.encode(gossip)
 
@@ -85,6 +98,17 @@
     )
 
 
+def _encode_marks(
+    marks: Iterable[facts.Mark], now: float, *, are_of_parts: bool
+) -> list[ttypes.MarkFact] | None:
+    """Return the marks of prompt parts, or all others; None without marks."""
+    encoded = []
+    for mark in marks:
+        if (mark.kind in _PART_KINDS) == are_of_parts:
+            encoded.append(_encode_mark(mark, now))
+    return encoded or None
+
+
 def _encode_mark(mark: facts.Mark, now: float) -> ttypes.MarkFact:
     return ttypes.MarkFact(
         kind=int(mark.kind),
@@ -140,7 +164,10 @@
         configuration=_decode_configuration(gossip.configuration, now),
         peers=tuple(_decode_peer(peer) for peer in gossip.peers or ()),
         beats=_decode_beats(beat_ids, heartbeats),
-        marks=tuple(_decode_mark(mark, now) for mark in gossip.marks or ()),
+        marks=tuple(
+            _decode_mark(mark, now)
+            for mark in (*(gossip.marks or ()), *(gossip.part_marks or ()))
+        ),
         loads=tuple(_decode_load(load, now) for load in gossip.loads or ()),
         shares=tuple(_decode_share(share) for share in gossip.shares or ()),
         demands=tuple(
@@ -148,6 +175,9 @@
         ),
         paces=tuple(_decode_pace(fact) for fact in gossip.paces or ()),
         pledges=tuple(_decode_pledge(fact) for fact in gossip.pledges or ()),
+        run_counts=tuple(
+            _decode_run_count(fact) for fact in gossip.run_counts or ()
+        ),
     )
 
 
@@ -252,6 +282,13 @@
     )
 
 
+def _decode_run_count(fact: ttypes.RunCountFact) -> facts.RunCountFact:
+    fact.validate()
+    return facts.RunCountFact(
+        _check_name(fact.service_name), _check_number(fact.begun)
+    )
+
+
 def _decode_time(age_ms: int, now: float) -> float:
     return now - min(_check_number(age_ms), _MAX_AGE_MS) / _MILLI_PER_UNIT
 
--- a/damaskpoint/wire/peer.thrift
+++ b/damaskpoint/wire/peer.thrift
@@ -40,19 +40,26 @@
   LEAVING = 1
   UNPROVEN = 2
   ZONE_OUT = 3
+  SUSPECTED_PART = 4
+  QUARANTINED_PART = 5
+  BROKEN_RUN = 6
 }
 
-// Restricts routing: applies to an incarnation of an upstream, or to a zone as
-// of a version of the configuration.
+// Applies to an incarnation of an upstream, to a zone as of a version of the
+// configuration, to a part of prompts, or to the service and the parts of
+// one run.
 struct MarkFact {
   1: required MarkKind kind
   2: required string subject
-  // Incarnation of the upstream, or version of the configuration.
+  // Incarnation of the upstream, version of the configuration, epoch of a
+  // suspicion, or number of a quarantine.
   3: required i64 incarnation
   4: required i64 age_ms
-  // Set for UNPROVEN only: the process that detected it, and a number that
-  // increases with each such mark of that process, also across its starts.
+  // Set for UNPROVEN and BROKEN_RUN only: the process that detected it.
   5: optional string origin
+  // For UNPROVEN and BROKEN_RUN, a number that increases with each such mark of that process,
+  // also across its starts; for SUSPECTED_PART the number of failures; for
+  // QUARANTINED_PART 1 if it was lifted.
   6: optional i64 sequence
 }
 
@@ -98,6 +105,13 @@
   3: required i32 deferred
 }
 
+// Runs of the sender at a service that have begun their answers, since the
+// sender's start.
+struct RunCountFact {
+  1: required string service_name
+  2: required i64 begun
+}
+
 struct Gossip {
   1: required PeerFact sender
   2: optional ConfigurationFact configuration
@@ -113,6 +127,10 @@
   // 10 and 11 were used by earlier versions.
   12: optional list<PaceFact> paces
   13: optional list<PledgeFact> pledges
+  // Marks of prompt parts and of broken runs. They are not among the other marks, as earlier
+  // versions reject a message with marks of a kind that they do not know.
+  14: optional list<MarkFact> part_marks
+  15: optional list<RunCountFact> run_counts
 }
 
 // Pieces of one stage of one request, sent to the instance that batches for
--- /dev/null
+++ b/features/prompt_quarantine.feature
@@ -0,0 +1,129 @@
+Feature: Decisions on prompt parts that crash runners
+  Instances tell each other which runs have broken and how many have begun, by
+  gossip of which some is lost. Runners also crash for other reasons.
+
+  # Guards against a crashing part that is found late, or not on all instances,
+  # and against blaming a part that sound requests have.
+  Scenario Outline: Any fleet refuses the crashing part soon, and no other: seed <seed>
+    Given a drawn fleet whose runners crash on one part, with the seed <seed>
+    When it is played for 30 s
+    Then at most 3 sends with the part are later than 3 s after the fifth crash
+    And no sound request is refused
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+      | 6    |
+      | 7    |
+      | 8    |
+      | 9    |
+      | 10   |
+
+  # Guards against blaming a part for crashes and breaks that no part explains.
+  Scenario Outline: Any fleet refuses no part without a cause: seed <seed>
+    Given a drawn fleet whose runners crash on no part, with the seed <seed>
+    When it is played for 15 s
+    Then no sound request is refused
+    And no part is in quarantine
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+      | 5    |
+      | 6    |
+      | 7    |
+      | 8    |
+      | 9    |
+      | 10   |
+
+  # Guards against blaming a part of several requests that broke in one crash.
+  Scenario: Failures at the same time count once
+    Given the guard of one instance
+    And 20 runs without the part "a" begin their answers
+    When 12 runs with the parts "a" are sent and then all break
+    Then the part "a" has 1 failure
+    And the part "a" is accepted
+
+  # Guards against blaming the parts of one request that is sent again.
+  Scenario: The failures of one request count twice at most
+    Given the guard of one instance
+    When one request with the parts "a" breaks 6 times
+    Then the part "a" has 2 failures
+
+  # Guards against blaming a part that is common to all requests.
+  Scenario: A part that no other run can be compared with is accepted
+    Given the guard of one instance
+    When runs with the parts "a" break 30 times one after another
+    Then the part "a" is accepted
+
+  # Guards against blaming a part while all runs fail.
+  Scenario: A part is accepted while runs without it fail as often
+    Given the guard of one instance
+    When runs with the parts "a" break 12 times, each after a run with "b" has
+    Then the part "a" is accepted
+
+  # Guards against blaming a part that a success has cleared.
+  Scenario: A run that begins its answer clears its parts
+    Given the guard of one instance
+    And 20 runs without the part "a" begin their answers
+    When runs with the parts "a" break 3 times one after another
+    And a run with the parts "a" begins its answer
+    And runs with the parts "a" break 3 times one after another
+    Then the part "a" is accepted
+
+  # Guards against blaming all parts of the requests instead of the cause.
+  Scenario Outline: The part that all broken runs share is refused: <first>, <second>
+    Given the guard of one instance
+    When a run with "<first>" and then one with "<second>" breaks, 3 times, each after 8 sound ones
+    Then the part "<cause>" is refused
+    And the part "<other>" is accepted
+
+    Examples:
+      | first | second | cause | other |
+      | a,x   | b,x    | x     | a     |
+      | x,a   | x,b    | x     | b     |
+      | a,x   | x,b    | x     | a     |
+      | a,x   | a,x    | x     | a     |
+
+  # Guards against a quarantine without an end, and against one that ends only to
+  # let many more runners crash.
+  Scenario: A quarantine ends, and begins again with the first failure
+    Given the guard of one instance
+    And the part "x" is in quarantine
+    Then the part "x" is refused for 600 s
+    When 601 s pass
+    Then the part "x" is accepted
+    When 20 runs without the part "x" begin their answers
+    And runs with the parts "x" break 1 time one after another
+    Then the part "x" is refused for 1200 s
+
+  # Guards against a part that is refused though it works again.
+  Scenario: A success after a quarantine ends it for good
+    Given the guard of one instance
+    And the part "x" is in quarantine
+    When 601 s pass
+    And a run with the parts "x" begins its answer
+    And 20 runs without the part "x" begin their answers
+    And runs with the parts "x" break 3 times one after another
+    Then the part "x" is accepted
+
+  # Guards against peers that keep refusing a part that works again.
+  Scenario: A run sent before the quarantine ends it on all instances
+    Given the guards of 2 instances
+    And a run with the parts "x" is sent
+    And the part "x" is in quarantine
+    When that run begins its answer
+    Then the part "x" is accepted by both
+
+  # Guards against quarantines that an older message undoes.
+  Scenario: Any order of messages leads to the same state
+    Given the guards of 2 instances
+    When all messages of a quarantine that was lifted reach a third in any order
+    Then the part "x" is accepted by the third
--- a/features/steps/crashing_prompt_steps.py
+++ b/features/steps/crashing_prompt_steps.py
@@ -17,7 +17,7 @@
 _QUARANTINED: Final = 'prompt_quarantined'
 
 
-def _start(context: Any, gateways: int, runners: int, part: str) -> None:
+def _start(context: Any, gateways: int, runners: int, part: str | None) -> None:
     context.crashing = CrashingSite(_SEED, part)
     context.closers.append(context.crashing.close)
     run(context, context.crashing.start(runners, gateways))
@@ -38,7 +38,7 @@
 )
 def start_sound(context: Any, gateways: int, runners: int) -> None:
     """Start the site; the part that requests have is a sound one."""
-    _start(context, gateways, runners, '')
+    _start(context, gateways, runners, None)
 
 
 @when('callers send sound and crashing requests for {seconds:g} s')
--- a/features/support/crashing_site.py
+++ b/features/support/crashing_site.py
@@ -62,7 +62,7 @@
 class CrashingSite:
     """A store, model runners and gateways."""
 
-    def __init__(self, seed: int, crashing_part: str = CRASHING_PART) -> None:
+    def __init__(self, seed: int, crashing_part: str | None) -> None:
         """Create a site without runners and gateways."""
         self.fleet = RunnerFleet(crashing_part, _RESTART_S)
         self.runners: list[CrashingRunner] = []
@@ -172,7 +172,7 @@
             self._rng.choice(_SECOND_PARTS),
         ]
         if is_crashing:
-            part_ids.insert(self._rng.randrange(3), self.fleet.crashing_part)
+            part_ids.insert(self._rng.randrange(3), CRASHING_PART)
         part_ids.append(f'own{self._rng.randrange(10**9)}')
         return ','.join(f'{part_id}:10' for part_id in part_ids)
 
--- a/standins/crashing_runner.py
+++ b/standins/crashing_runner.py
@@ -20,8 +20,8 @@
 class RunnerFleet:
     """What the runners of a service share, and a record of their requests."""
 
-    # A prompt with this part crashes each runner.
-    crashing_part: str
+    # A prompt with this part crashes each runner; None for no part.
+    crashing_part: str | None
     # Time from a crash to the restart (seconds).
     restart_s: float
     # Times of the crashes, and of the arrivals of requests with the part
