Test how quarantines are stored, and log which part refuses a request

The writer takes the present time as an argument, runs as a periodic action, whose exceptions are logged, and is tested in virtual time: one instance writes, others do if it does not, after an outage and after the store has lost the row; forgotten rows are removed, invalid ones ignored. No decision changes.

--- a/damaskpoint/forwarding/session.py
+++ b/damaskpoint/forwarding/session.py
@@ -131,6 +131,13 @@
         now = time.monotonic()
         quarantined = self._context.prompts.check(self._request.metadata, now)
         if quarantined is not None:
+            _LOG.info(
+                'refused, prompt part quarantined',
+                extra={
+                    'request': self._request.request_id,
+                    'reason': quarantined.detail,
+                },
+            )
             return quarantined
         if self._find_pause_s(now):
             return Failure(
--- a/damaskpoint/gateway/runtime.py
+++ b/damaskpoint/gateway/runtime.py
@@ -45,6 +45,8 @@
 _INITIAL_MAX_BODY_BYTES: Final = 16_777_216
 # Interval of the housekeeping (seconds).
 _HOUSEKEEPING_INTERVAL_S: Final = 0.25
+# Interval at which quarantines are compared with the store's (seconds).
+_QUARANTINE_INTERVAL_S: Final = 0.1
 
 
 @final
@@ -186,7 +188,7 @@
         for coroutine in (
             *(follower.run() for follower in components.followers),
             components.discovery.run(),
-            components.quarantine_writer.run(),
+            run_periodically(_QUARANTINE_INTERVAL_S, self._store_quarantines),
             run_periodically(_HOUSEKEEPING_INTERVAL_S, self._run_housekeeping),
         ):
             self._tasks.append(asyncio.ensure_future(coroutine))
@@ -228,6 +230,9 @@
         if catalog.configuration is not None:
             self._apply_limits(catalog.configuration.limits)
 
+    async def _store_quarantines(self) -> None:
+        await self._components.quarantine_writer.advance(time.monotonic())
+
     def _apply_limits(self, limits: CallerLimits) -> None:
         params = self._caller_server.conn_params
         params.max_header_size = limits.max_header_bytes
--- a/damaskpoint/quarantine/stored.py
+++ b/damaskpoint/quarantine/stored.py
@@ -6,9 +6,7 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
-import time
 from typing import TYPE_CHECKING, Final, final
 
 from damaskpoint.balancing import rendezvous
@@ -32,9 +30,8 @@
 # How long an instance leaves a write to each one that ranks before it
 # (seconds).
 _RANK_DELAY_S: Final = 0.5
-_CHECK_INTERVAL_S: Final = 0.1
-# Pause after a write that failed (seconds).
-_FAILURE_PAUSE_S: Final = 1.0
+# Least time between two writes of a part (seconds).
+_REWRITE_PAUSE_S: Final = 1.0
 
 
 @final
@@ -122,16 +119,8 @@
         # Since when the row of a part has differed from what is known here.
         self._differing_since_by_part: dict[str, float] = {}
 
-    async def run(self) -> None:
-        """Write until the task is cancelled."""
-        while True:
-            is_written = await self.advance(time.monotonic())
-            await asyncio.sleep(
-                _CHECK_INTERVAL_S if is_written else _FAILURE_PAUSE_S
-            )
-
-    async def advance(self, now: float) -> bool:
-        """Write what is due; return False if a write has failed."""
+    async def advance(self, now: float) -> None:
+        """Write what is due; called periodically."""
         for change in self._list_due(now):
             outcome = await self._store.change((change,))
             if isinstance(outcome, Failure):
@@ -139,12 +128,10 @@
                     'quarantine not stored',
                     extra={'part': change.key, 'reason': outcome.detail},
                 )
-                return False
             if isinstance(outcome, ChangeConflict):
                 _LOG.info(
                     'quarantine stored by a peer', extra={'part': change.key}
                 )
-        return True
 
     def _list_due(self, now: float) -> list[RowChange]:
         differing = self._list_differing(now)
@@ -155,8 +142,7 @@
             since_by_part[change.key] = since
             if now - since >= self._find_delay_s(change.key, now):
                 due.append(change)
-                # If the row stays as it is, it is written again after a pause.
-                since_by_part[change.key] = now + _FAILURE_PAUSE_S
+                since_by_part[change.key] = now + _REWRITE_PAUSE_S
         self._differing_since_by_part = since_by_part
         return due
 
--- a/features/prompt_quarantine.feature
+++ b/features/prompt_quarantine.feature
@@ -127,3 +127,58 @@
     Given the guards of 2 instances
     When all messages of a quarantine that was lifted reach a third in any order
     Then the part "x" is accepted by the third
+
+  # Guards against each instance writing each quarantine to the store.
+  Scenario: One instance writes a quarantine
+    Given 8 instances that share a store
+    When all of them learn of the quarantine of "x" and 10 s pass
+    Then the store has been written 1 time
+
+  # Guards against a quarantine that is stored by no one, as its writer is gone.
+  Scenario Outline: Others write where <missing> instances do not
+    Given 8 instances that share a store
+    And the <missing> that should write first do not work
+    When all of them learn of the quarantine of "x" and 10 s pass
+    Then the store has been written 1 time
+
+    Examples:
+      | missing |
+      | 1       |
+      | 3       |
+      | 7       |
+
+  # Guards against a quarantine that is lost in an outage of the store.
+  Scenario: A quarantine is written after an outage
+    Given 8 instances that share a store
+    And the store is down
+    When all of them learn of the quarantine of "x" and 10 s pass
+    And the store is back and 10 s pass
+    Then the store has been written 1 time
+
+  # Guards against a quarantine that a restored store has lost.
+  Scenario: A quarantine is written again after the store has lost it
+    Given 8 instances that share a store
+    When all of them learn of the quarantine of "x" and 10 s pass
+    And the store loses its rows and 10 s pass
+    Then the store has been written 2 times
+
+  # Guards against a quarantine whose end moves with each restart.
+  Scenario: A stored quarantine ends at the same time on all instances
+    Given 8 instances that share a store
+    When all of them learn of the quarantine of "x" and 100 s pass
+    And an instance with another clock starts
+    Then the part "x" is refused there for 500 s
+
+  # Guards against rows that stay for ever.
+  Scenario: A forgotten quarantine is removed from the store
+    Given 8 instances that share a store
+    When all of them learn of the quarantine of "x" and 1210 s pass
+    Then the store has no rows
+
+  # Guards against a reader that stops at a row that it cannot read.
+  Scenario: An invalid row is ignored
+    Given 8 instances that share a store
+    And the store has an invalid row for "a"
+    When all of them learn of the quarantine of "x" and 10 s pass
+    And an instance with another clock starts
+    Then the part "x" is refused there for 590 s
