Pack run counts after the pledges, and document the quarantine of prompts

The counts of begun runs were part of each datagram's header, and the estimate of its size grew by two lists. They now take what the pledges leave, and the headers of the two lists are counted where they occur. The estimate of failure rates is logged where a part is not quarantined. The properties of gossip are tested with the new marks and counts.

--- a/damaskpoint/membership/packing.py
+++ b/damaskpoint/membership/packing.py
@@ -1,10 +1,10 @@
 """Chooses the content of datagrams and limits the bytes sent per second.
 
-Marks are packed first, then the sender's paces and pledges, peers, their
-heartbeats, the rest of the sender's own work and load reports; new marks and
-peers come before old ones. Each kind may use a
-fraction of the bytes that remain at that point; bytes that it does not use are
-available to the kinds after it.
+Marks are packed first, then the sender's paces, pledges and run counts, peers,
+their heartbeats, the rest of the sender's own work and load reports; new marks
+and peers come before old ones. Each kind may use a fraction of the bytes that
+remain at that point; bytes that it does not use are available to the kinds
+after it.
 """
 
 from __future__ import annotations
@@ -69,7 +69,6 @@
     """
     budget = _DatagramBudget(max_bytes - _measure_header(view, now))
     measure_mark = partial(sizes.measure_mark, now=now)
-    measure_load = partial(sizes.measure_load, now=now)
     marks = budget.take(_new_marks(view), measure_mark, _NEW_MARKS_FRACTION)
     marks += budget.take(_old_marks(view), measure_mark, _OLD_MARKS_FRACTION)
     # Only their owner sends these, whereas peers relay the facts below.
@@ -79,6 +78,9 @@
     pledges = budget.take(
         view.own_pledges.iterate(), sizes.measure_pledge, _WORK_FRACTION
     )
+    run_counts = budget.take(
+        view.own_run_counts, sizes.measure_run_count, _WORK_FRACTION
+    )
     new_peers = budget.take(
         _new_peers(view), sizes.measure_peer, _NEW_PEERS_FRACTION
     )
@@ -102,23 +104,28 @@
         pledges=pledges,
         peers=new_peers + old_peers,
         beats=heartbeats,
-        loads=budget.take(_loads(view), measure_load, 1),
-        run_counts=view.own_run_counts,
+        loads=budget.take(
+            _loads(view), partial(sizes.measure_load, now=now), 1
+        ),
+        run_counts=run_counts,
     )
 
 
 def pack_updates(view: View, now: float, max_bytes: int) -> GossipMessage:
-    """Return a message with the configuration and the newest marks.
+    """Return a message with the configuration, run counts and newest marks.
 
     ``max_bytes`` limits the datagram, UDP and IP headers included.
     """
     budget = _DatagramBudget(max_bytes - _measure_header(view, now))
     measure_mark = partial(sizes.measure_mark, now=now)
+    run_counts = budget.take(
+        view.own_run_counts, sizes.measure_run_count, _WORK_FRACTION
+    )
     return GossipMessage(
         sender=view.own,
         configuration=view.configuration,
         marks=budget.take(_newest_marks(view), measure_mark, 1),
-        run_counts=view.own_run_counts,
+        run_counts=run_counts,
     )
 
 
@@ -171,7 +178,6 @@
 def _measure_header(view: View, now: float) -> int:
     size = sizes.DATAGRAM_OVERHEAD_BYTES + sizes.MESSAGE_OVERHEAD_BYTES
     size += sizes.measure_peer(view.own)
-    size += sum(map(sizes.measure_run_count, view.own_run_counts))
     if view.configuration is not None:
         size += sizes.measure_configuration(view.configuration, now)
     return size
--- a/damaskpoint/membership/sizes.py
+++ b/damaskpoint/membership/sizes.py
@@ -10,10 +10,12 @@
 # UDP and IP headers of a datagram.
 DATAGRAM_OVERHEAD_BYTES: Final = 28
 # Stop byte of the message and the headers of its lists.
-MESSAGE_OVERHEAD_BYTES: Final = 36
+MESSAGE_OVERHEAD_BYTES: Final = 32
 _VARINT_BITS_PER_BYTE: Final = 7
 _FIELD_HEADER_BYTES: Final = 1
 _STOP_BYTES: Final = 1
+# Header of a list that few messages have, counted with each of its items.
+_RARE_LIST_BYTES: Final = 3
 _MS: Final = 1000
 # A 32-bit hash as a signed varint.
 _BEAT_ID_BYTES: Final = 5
@@ -64,6 +66,7 @@
         _measure_age(mark.happened_at, now),
         measure_text(mark.origin),
         measure_number(mark.sequence),
+        _RARE_LIST_BYTES,
     )
     return _sum_fields(fields)
 
@@ -119,7 +122,8 @@
 
 def measure_run_count(fact: facts.RunCountFact) -> int:
     """Return the size of the number of runs at a service."""
-    return _sum_fields((measure_text(fact.service), measure_number(fact.begun)))
+    fields = (measure_text(fact.service), measure_number(fact.begun))
+    return _sum_fields(fields) + _RARE_LIST_BYTES
 
 
 def measure_heartbeat(fact: facts.HeartbeatFact) -> int:
--- a/damaskpoint/quarantine/guard.py
+++ b/damaskpoint/quarantine/guard.py
@@ -39,6 +39,9 @@
 _LOG: Final = logging.getLogger(__name__)
 # Consecutive failures after which a part is put in quarantine.
 _FAILURES: Final = 4
+# A part is the cause if so many consecutive failures would be less likely than
+# this by the failure rate of the runs without it.
+_SIGNIFICANCE: Final = 0.001
 # Separates the service and the parts in the subject of a mark.
 _SEPARATOR: Final = '\n'
 # Failures of one request that count: a part must fail in several requests.
@@ -227,11 +230,15 @@
             # It had failed often enough before its quarantine.
             failures += _FAILURES
             since = now - OUTCOME_KEEP_S
-        outcomes = self._outcomes(run.service)
-        if not outcomes.is_cause(cause, failures, since):
+        rate = self._outcomes(run.service).estimate_failure_rate(cause, since)
+        if rate**failures >= _SIGNIFICANCE:
             _LOG.warning(
-                'prompt part not quarantined, runs without it fail too',
-                extra={'part': cause, 'failures': failures},
+                'prompt part not quarantined, other runs fail or are missing',
+                extra={
+                    'part': cause,
+                    'failures': failures,
+                    'other_failure_rate': round(rate, 3),
+                },
             )
             return
         quarantine = self._quarantines.begin(cause, now)
--- a/damaskpoint/quarantine/outcomes.py
+++ b/damaskpoint/quarantine/outcomes.py
@@ -13,9 +13,6 @@
 from damaskpoint.quarantine.model import OUTCOME_KEEP_S
 
 _MAX_OUTCOMES: Final = 8_192
-# A part is the cause if consecutive failures would be less likely than this by
-# the failure rate of the other runs.
-_SIGNIFICANCE: Final = 0.001
 
 
 @final
@@ -79,11 +76,11 @@
             begun = max(begun, known.begun)
         self._counts_by_peer[name] = _PeerCount(start, begun, now)
 
-    def is_cause(self, part_id: str, failures: int, since: float) -> bool:
-        """Return whether a part explains consecutive failures of its runs.
+    def estimate_failure_rate(self, part_id: str, since: float) -> float:
+        """Return the failure rate of runs without a part, since a time.
 
-        It does not if runs without the part fail as well, or if there have been
-        none since a time, which is that of its first failure.
+        It is Laplace's estimate, which is high for few runs; 1 if none has
+        begun its answer.
         """
         begun = 0
         broken = 0
@@ -95,10 +92,8 @@
             begun += outcome.begun
             broken += outcome.broken
         if not begun:
-            return False
-        # Laplace's estimate of the failure rate.
-        rate = (broken + 1) / (begun + broken + 2)
-        return rate**failures < _SIGNIFICANCE
+            return 1
+        return (broken + 1) / (begun + broken + 2)
 
     def expire(self, now: float) -> None:
         """Drop what is too old, and the counts of silent peers."""
--- a/features/steps/membership_bench.py
+++ b/features/steps/membership_bench.py
@@ -75,6 +75,34 @@
     names,
     st.integers(1, 9),
 )
+part_marks = (
+    st.builds(
+        facts.Mark,
+        st.just(facts.MarkKind.SUSPECTED_PART),
+        st.sampled_from(['a1', 'b2']),
+        st.integers(0, 3),
+        st.floats(NOW - 5, NOW),
+        sequence=st.integers(0, 5),
+    )
+    | st.builds(
+        facts.Mark,
+        st.just(facts.MarkKind.QUARANTINED_PART),
+        st.sampled_from(['a1', 'b2']),
+        st.integers(1, 3),
+        st.floats(NOW - 5, NOW),
+        sequence=st.integers(0, 1),
+    )
+    | st.builds(
+        facts.Mark,
+        st.just(facts.MarkKind.BROKEN_RUN),
+        st.sampled_from(['model\na1\nb2', 'model']),
+        st.just(0),
+        st.floats(NOW - 5, NOW),
+        names,
+        st.integers(1, 9),
+    )
+)
+run_counts = st.builds(facts.RunCountFact, names, numbers)
 loads = st.builds(
     facts.LoadFact,
     st.sampled_from(['engine-1', 'engine-2']),
@@ -110,10 +138,14 @@
     configurations,
     tuples(peers, 4),
     tuples(beats, 4),
-    tuples(marks, 4),
+    # In the order of the datagram's lists.
+    st.tuples(tuples(marks, 4), tuples(part_marks, 4)).map(
+        lambda both: both[0] + both[1]
+    ),
     tuples(loads, 3),
     tuples(shares, 3),
     tuples(demands, 3),
+    run_counts=tuples(run_counts, 3),
 )
 
 
