--- a/damaskpoint/quarantine/guard.py
+++ b/damaskpoint/quarantine/guard.py
@@ -154,7 +154,7 @@
         """Record a run that broke after its head and before an event."""
         self._outcomes(run.service).record_broken(run.part_ids, now)
         self._publish_break(run)
-        if not run.is_counted:
+        if not run.is_counted or not run.part_ids:
             return
         for part_id, seen in run.suspicions_by_part.items():
             if self._suspicions.record_failure(part_id, seen, now):
