Test what logs, metrics and the dump tell of a quarantine, and old messages

The log has the failures before the quarantine and the part of each refusal; the metrics count broken runs by progress, and the dump has the time left. Marks of prompt parts stay out of the list of marks, which earlier versions reject as a whole for a kind that they do not know.

--- a/features/crashing_prompts.feature
+++ b/features/crashing_prompts.feature
@@ -12,6 +12,16 @@
     Then at most 3 crashing requests reach runners later than 3 s after the fifth crash
     And all sound requests sent later than 3 s after the fifth crash are answered whole
 
+  # Guards against a quarantine that operators cannot explain.
+  Scenario: Logs, metrics and the state dump tell which part is refused, and why
+    Given 3 gateways and 8 runners that crash on one part of prompts
+    And the lines of the log are kept
+    When callers send sound and crashing requests for 4 s
+    Then the log tells of 4 failures of the part and of its quarantine
+    And the log names the part for each refused request
+    And the metrics count broken runs and one part in quarantine
+    And the state dump has the part with the time left
+
   # Guards against an instance that begins later and learns of a crashing part
   # only by crashes of its own.
   Scenario: An instance that starts later refuses the part too
--- a/features/membership.feature
+++ b/features/membership.feature
@@ -36,6 +36,10 @@
     Then for any rounds and updates, no second exceeds the byte limit
     And no datagram exceeds its size limit
 
+  # Guards against peers of an earlier version that reject whole messages.
+  Scenario: Marks of prompt parts are apart from those that all versions know
+    Then each encoded message has only marks of the first kinds in its old list
+
   Scenario: Hostile datagrams are decoded or rejected
     Then random bytes are decoded as gossip or rejected as malformed
     And mutated messages are decoded as gossip or rejected as malformed
--- a/features/steps/crashing_prompt_steps.py
+++ b/features/steps/crashing_prompt_steps.py
@@ -4,16 +4,22 @@
 
 import asyncio
 import http
+import logging
 from typing import Any, Final
 
 from behave import given, then, when
 
+from damaskpoint.forwarding.metrics import RUNS_BROKEN
+from damaskpoint.quarantine.metrics import PARTS
+from features.steps.runner_answer_steps import RecordList
 from features.support.crashing_site import CRASHING_PART, CrashingSite
 from features.support.gateway_site import run
 
 _SEED: Final = 31
 _CRASHES: Final = 5
 _CRASH_INTERVAL_S: Final = 0.5
+_QUARANTINE_S: Final = 600
+_LEAST_LEFT_S: Final = 590
 _QUARANTINED: Final = 'prompt_quarantined'
 
 
@@ -98,6 +104,68 @@
     return float(crashed_at[_CRASHES - 1]) + bound_s
 
 
+@given('the lines of the log are kept')
+def keep_lines(context: Any) -> None:
+    """Keep all log records until the end of the scenario."""
+    logger = logging.getLogger('damaskpoint')
+    context.log = RecordList()
+    level = logger.level
+    logger.addHandler(context.log)
+    logger.setLevel(logging.INFO)
+    context.closers.append(lambda: logger.setLevel(level))
+    context.closers.append(lambda: logger.removeHandler(context.log))
+
+
+@then('the log tells of {count:d} failures of the part and of its quarantine')
+def check_log(context: Any, count: int) -> None:
+    """Look for the lines before and at the begin of the quarantine."""
+    suspected = [
+        record.failures_by_part.get(CRASHING_PART)
+        for record in _find(context, 'prompt parts suspected')
+    ]
+    assert count in suspected, suspected
+    parts = {
+        record.part for record in _find(context, 'prompt part quarantined')
+    }
+    assert parts == {CRASHING_PART}, parts
+
+
+@then('the log names the part for each refused request')
+def check_refusals(context: Any) -> None:
+    """Compare the refusals of the log with those that callers got."""
+    refused = [
+        answer
+        for answer in context.crashing.answers
+        if answer.status == http.HTTPStatus.BAD_REQUEST
+    ]
+    lines = _find(context, 'refused, prompt part quarantined')
+    assert refused
+    assert len(lines) <= len(refused), (len(lines), len(refused))
+    assert lines
+    for line in lines:
+        assert CRASHING_PART in line.reason, line.reason
+
+
+@then('the metrics count broken runs and one part in quarantine')
+def check_metrics(context: Any) -> None:
+    """Read the metrics of the process, in which all gateways run."""
+    broken: Any = RUNS_BROKEN.get({'service': 'model', 'progress': 'head'})
+    assert broken >= _CRASHES, broken
+    assert PARTS.get({'state': 'quarantined'}) == 1
+
+
+@then('the state dump has the part with the time left')
+def check_dump(context: Any) -> None:
+    """Look into the dump of a gateway."""
+    dump = run(context, context.crashing.dump_prompts())
+    left_s = dump['quarantined_s_by_part'][CRASHING_PART]
+    assert _LEAST_LEFT_S < left_s <= _QUARANTINE_S, left_s
+
+
+def _find(context: Any, message: str) -> list[Any]:
+    return [record for record in context.log.records if record.msg == message]
+
+
 @when('another gateway starts')
 def start_another(context: Any) -> None:
     """Start a gateway beside the others."""
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -14,7 +14,8 @@
 from damaskpoint.load import slopes_gossip
 from damaskpoint.membership import facts, packing, sizes
 from damaskpoint.platform.base import ListedInstance, Presence
-from damaskpoint.wire import gossip_codec, peer_server
+from damaskpoint.wire import codec, gossip_codec, peer_server
+from damaskpoint.wire.generated.peer import ttypes
 from features.steps import membership_bench as bench
 
 _HYPOTHESIS = settings(max_examples=200, database=None, deadline=None)
@@ -282,6 +283,30 @@
     check()
 
 
+@then('each encoded message has only marks of the first kinds in its old list')
+def check_old_marks(context: Any) -> None:
+    """Decode the datagrams of drawn messages without the product's codec."""
+    first_kinds = {
+        facts.MarkKind.LEAVING,
+        facts.MarkKind.UNPROVEN,
+        facts.MarkKind.ZONE_OUT,
+    }
+
+    @seed(19)
+    @_HYPOTHESIS
+    @for_all(bench.messages)
+    def check(message: facts.GossipMessage) -> None:
+        datagram = gossip_codec.encode_gossip(message, bench.NOW)
+        gossip = codec.decode(ttypes.Gossip, datagram, len(datagram))
+        assert not isinstance(gossip, Failure), gossip
+        kinds = {mark.kind for mark in gossip.marks or ()}
+        assert kinds <= first_kinds, kinds
+        count = len(gossip.marks or ()) + len(gossip.part_marks or ())
+        assert count == len(message.marks)
+
+    check()
+
+
 @then('every valid message decodes to what was encoded')
 def check_round_trip(context: Any) -> None:
     """Compare facts without times exactly, and times within 2 ms."""
@@ -293,7 +318,8 @@
         datagram = gossip_codec.encode_gossip(message, bench.NOW)
         decoded = gossip_codec.decode_gossip(datagram, bench.NOW)
         assert isinstance(decoded, facts.GossipMessage)
-        for name in ('sender', 'peers', 'beats', 'shares', 'demands'):
+        names = ('sender', 'peers', 'beats', 'shares', 'demands', 'run_counts')
+        for name in names:
             assert getattr(decoded, name) == getattr(message, name)
         for mark, encoded in zip(decoded.marks, message.marks, strict=True):
             assert mark.identity == encoded.identity
--- a/features/steps/runner_answer_steps.py
+++ b/features/steps/runner_answer_steps.py
@@ -25,7 +25,7 @@
 _HEAD: Final = 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
 
 
-class _RecordList(logging.Handler):
+class RecordList(logging.Handler):
     """Keeps all log records."""
 
     def __init__(self) -> None:
@@ -40,7 +40,7 @@
 def keep_log(context: Any) -> None:
     """Keep the log records of sends until the end of the scenario."""
     logger = logging.getLogger(_SEND_LOGGER)
-    context.send_log = _RecordList()
+    context.send_log = RecordList()
     logger.addHandler(context.send_log)
     level = logger.level
     logger.setLevel(logging.INFO)
--- a/features/support/crashing_site.py
+++ b/features/support/crashing_site.py
@@ -15,6 +15,7 @@
 
 from tornado import httpclient, httputil, simple_httpclient
 
+from damaskpoint.observe.operator_app import PATH_STATE
 from features.support.gateway_site import (
     HOST,
     KEY,
@@ -127,6 +128,14 @@
         await self._call(self._ports[number], is_crashing=True)
         return self.answers[-1]
 
+    async def dump_prompts(self) -> dict[str, Any]:
+        """Return what the state dump of a gateway has of prompts."""
+        port = self._site.operator_ports_by_name['g-0']
+        client = simple_httpclient.SimpleAsyncHTTPClient(force_instance=True)
+        response = await client.fetch(f'http://{HOST}:{port}{PATH_STATE}')
+        dump: dict[str, Any] = json.loads(response.body)
+        return dict(dump['prompts'])
+
     def crash(self) -> None:
         """Crash a runner, whatever it works on."""
         self._rng.choice(self.runners).crash()
--- a/features/support/gateway_site.py
+++ b/features/support/gateway_site.py
@@ -87,6 +87,7 @@
     gateway: GatewayRuntime | None = None
     port: int = 0
     ready_port: int = 0
+    operator_ports_by_name: dict[str, int] = field(default_factory=dict)
     store_port: int = 0
 
     def start_store(self) -> None:
@@ -151,13 +152,15 @@
         self, name: str, port: int, ready_port: int
     ) -> GatewayRuntime:
         """Create a gateway of another name without starting it."""
+        operator_port = find_free_port()
+        self.operator_ports_by_name[name] = operator_port
         options = GatewayOptions.model_validate(
             {
                 'instance': {'name': name, 'zone': 'zone-1', 'host': HOST},
                 'listen': {
                     'callers': f'{HOST}:{port}',
                     'readiness': f'{HOST}:{ready_port}',
-                    'operator_port': find_free_port(),
+                    'operator_port': operator_port,
                     'peer_port': find_free_port(),
                 },
                 'store': {'address': f'{HOST}:{self.store_port}'},
