Do not call the store for quarantines while it cannot be read

Change: its follower waits while that of the operator's table fails, and calls at once when that one has succeeded.

--- a/damaskpoint/catalog/follower.py
+++ b/damaskpoint/catalog/follower.py
@@ -34,6 +34,8 @@
 # Time after the first read of a restored table for which what was known before
 # stays good (seconds). Then the table is read again, and holds alone.
 REWRITE_GRACE_S: Final = 10.0
+# Interval at which the end of a leader's outage is looked for (seconds).
+_LEADER_CHECK_S: Final = 0.1
 
 
 class TableSink(abc.ABC):
@@ -68,9 +70,18 @@
     """Keeps one sink up to date with one table."""
 
     def __init__(
-        self, store: PlatformStore, table: str, sink: TableSink
+        self,
+        store: PlatformStore,
+        table: str,
+        sink: TableSink,
+        leader: TableFollower | None = None,
     ) -> None:
-        """Follow a table, starting with a read of its current state."""
+        """Follow a table, starting with a read of its current state.
+
+        While the ``leader`` cannot read its own table, it alone calls the
+        store, to notice its return.
+        """
+        self._leader = leader
         self._store = store
         self._table = table
         self._sink = sink
@@ -92,11 +103,18 @@
         """Return the name of the table."""
         return self._table
 
+    @property
+    def is_reachable(self) -> bool:
+        """Return whether the last call has not failed."""
+        return self._unreachable_since is None
+
     async def run(self) -> None:
         """Apply changes of the table until the task is cancelled."""
         while True:
             await self.advance()
             await asyncio.sleep(self._schedule.pause_s)
+            while self._leader is not None and not self._leader.is_reachable:
+                await asyncio.sleep(_LEADER_CHECK_S)
 
     async def advance(self) -> Failure | None:
         """Read the table or its changes once and apply them."""
@@ -136,7 +154,7 @@
             'era': self._era,
             'age_s': _round_age(self.age_s(now)),
             'call_age_s': _round_age(now - self._sent_at),
-            'reachable': self._unreachable_since is None,
+            'reachable': self.is_reachable,
         }
 
     def _choose_version(self, now: float) -> int | None:
--- a/damaskpoint/gateway/wiring.py
+++ b/damaskpoint/gateway/wiring.py
@@ -203,10 +203,13 @@
     quarantine_sink: QuarantineSink,
     registry: StateRegistry,
 ) -> tuple[TableFollower, ...]:
+    operator = TableFollower(store, names.TABLE_OPERATOR, OperatorSink(catalog))
     followers = (
-        TableFollower(store, names.TABLE_OPERATOR, OperatorSink(catalog)),
+        operator,
         TableFollower(store, names.TABLE_RUNNERS, RunnerSink(catalog)),
-        TableFollower(store, names.TABLE_QUARANTINES, quarantine_sink),
+        TableFollower(
+            store, names.TABLE_QUARANTINES, quarantine_sink, leader=operator
+        ),
     )
     for follower in followers:
         registry.register(f'table {follower.table}', follower)
