--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,171 +1,178 @@
 # flake8: noqa
-"""Single machines are cut off from the store while runners leave unannounced."""
+"""A part of one customer's prompts crashes runners: which part is refused?"""
 
 import asyncio
+import itertools
 import pathlib
+import random
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / 'support'))
 import deployment
 
-# `ContactMs` and `DrainMs` of the sites (seconds).
-CONTACT_S = 3.0
-DRAIN_S = 2.0
-CUT_S = 5.5
-# How long a runner serves after its entry was removed (seconds).
-LINGER_S = 8.0
-CYCLES = 16
-PER_S = 40.0
-
-
-class Link:
-    """Forwards a gateway's connections to the store; refuses while cut."""
-
-    def __init__(self, record, name, host, target):
-        self.record = record
-        self.name = name
-        self.host = host
-        self.port = deployment.free_port(host)
-        self._target = target
-        self._server = None
-        self._writers = set()
-        # When the link was cut last and when it was whole again.
-        self.cut_at = None
-        self.healed_at = float('-inf')
-
-    async def open(self):
-        self._server = await asyncio.start_server(
-            self._serve, self.host, self.port
-        )
-
-    async def cut(self):
-        self.cut_at = self.record.note('cut from the store', gateway=self.name)
-        self._server.close()
-        for writer in tuple(self._writers):
-            writer.transport.abort()
-
-    async def heal(self):
-        await self.open()
-        self.cut_at = None
-        self.healed_at = self.record.note(
-            'reaches the store', gateway=self.name
-        )
-
-    async def close(self):
-        self._server.close()
-        for writer in tuple(self._writers):
-            writer.transport.abort()
-
-    async def _serve(self, reader, writer):
-        try:
-            upstream = await asyncio.open_connection(*self._target)
-        except OSError:
-            writer.transport.abort()
+# A runner that crashed is back after this time (seconds).
+DOWN_S = 4.0
+RUNNERS = 9
+SOUND_PER_S = 6.0
+# Time until the first event of a sound prompt (seconds).
+PREFILL_S = 0.3
+BAD_PER_S = 4.0
+LENGTH_S = 60.0
+BAD_PART = 'bad0bad0'
+SYSTEM_PART = '5c1e07a2'
+# The document of all requests with the bad part, and of some sound ones.
+SHARED_DOCUMENT = 'd0c00001'
+DOCUMENTS = tuple(f'd0c0000{number}' for number in range(2, 10))
+SHARED_SHARE = 0.05
+
+
+class ModelRunner(deployment.Runner):
+    """Crashes as it begins to answer a prompt with the bad part."""
+
+    def __init__(self, *args, **fields):
+        super().__init__(*args, **fields)
+        self.is_up = True
+        # When requests with the bad part arrived, and when the runner crashed.
+        self.bad = []
+        self.crashes = []
+
+    async def work(self, request, reader, writer):
+        request_id = request.headers['damaskpoint-request-id']
+        is_bad = BAD_PART in request.headers['damaskpoint-prompt-prefix']
+        if is_bad:
+            self.bad.append((self.record.now(), request_id))
+        if not is_bad:
+            await asyncio.sleep(PREFILL_S)
+            await self.stream(request, writer, 10, 0.05)
             return
-        self._writers |= {writer, upstream[1]}
-        await asyncio.gather(
-            pump(reader, upstream[1]), pump(upstream[0], writer)
+        await asyncio.sleep(0.1)
+        lines = ['HTTP/1.1 200 OK', 'Content-Type: text/event-stream']
+        lines += [f'{name}: {value}' for name, value in self.seal(request)]
+        lines += ['Transfer-Encoding: chunked', 'Connection: close', '', '']
+        writer.write('\r\n'.join(lines).encode())
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        if self.is_up:
+            await self.crash(request_id)
+
+    async def crash(self, request_id):
+        self.is_up = False
+        self.crashes.append(
+            self.record.note('crash', runner=self.name, request=request_id)
+        )
+        await self.close()
+        asyncio.get_running_loop().call_later(
+            DOWN_S, lambda: asyncio.ensure_future(self.come_back())
         )
-        self._writers -= {writer, upstream[1]}
-
 
-async def pump(reader, writer):
-    try:
-        while chunk := await reader.read(65536):
-            writer.write(chunk)
-            await writer.drain()
-    except OSError:
-        pass
-    writer.close()
+    async def come_back(self):
+        """Start again under the same id, at once with an entry."""
+        self.born += round(DOWN_S * 1000)
+        await self.open()
+        self.is_up = True
+        self.record.note('back', runner=self.name)
+        self.register()
 
 
 async def case(record, site):
     store = site.store
+    chat = deployment.route(
+        'chat',
+        'stream',
+        'llm',
+        MaxAttempts=2,
+        Resumable=True,
+        Sticky=True,
+        TimeoutMs=6000,
+        SloMs=2000,
+    )
+    engine = {'Slots': 64, 'KvCapacityTokens': 300_000}
     store.put(
         'op',
         'config',
         deployment.configuration(
-            1,
-            [deployment.route('lookup', 'safe', 'desk')],
-            [{'Name': 'desk', 'MaxConns': 300, 'ColdS': 0, 'ColdPerS': 0}],
+            1, [chat], [{'Name': 'llm', 'MaxConns': 300, 'Engine': engine}]
         ),
     )
-    runners = [await add_runner(record, site, number) for number in range(3)]
-    links = []
-    for number in (1, 2):
-        host = deployment.host(200 + number)
-        link = Link(record, f'g-{number}', host, (store.host, store.port))
-        await link.open()
-        site.servers.append(link)
-        links.append(link)
-        gateway = site.create_gateway(number, f'{host}:{link.port}')
-        await gateway.start()
-    for gateway in site.gateways:
-        await gateway.wait_ready()
-    removals = []
-    violations = []
-    checks = [
-        asyncio.ensure_future(use(record, gateway, link, removals, violations))
-        for gateway, link in zip(site.gateways, links)
-    ]
-    for cycle in range(CYCLES):
-        link = links[cycle % 2]
-        if deployment.TROUBLE:
-            await link.cut()
-        await asyncio.sleep(CUT_S - 1)
-        # A runner leaves without reporting it; another one has taken its place.
-        runners.append(await add_runner(record, site, 10 + cycle))
-        leaver = runners.pop(0)
-        removed_at = store.remove('servers', leaver.name)
-        record.note('entry removed', runner=leaver.name)
-        removals.append((leaver, removed_at))
-        asyncio.get_running_loop().call_later(
-            LINGER_S,
-            lambda runner=leaver: asyncio.ensure_future(runner.close()),
+    runners = []
+    for number in range(1, RUNNERS + 1):
+        runner = ModelRunner(
+            record,
+            store,
+            f'i-{number}',
+            'llm',
+            deployment.host(10 + number),
+            Slots=64,
         )
-        await asyncio.sleep(1)
-        if deployment.TROUBLE:
-            await link.heal()
-        else:
-            await asyncio.sleep(0)
-    await asyncio.sleep(4.5)
-    for check in checks:
-        check.cancel()
-    return violations
-
-
-async def add_runner(record, site, number):
-    runner = deployment.Runner(
-        record, site.store, f'i-{number}', 'desk', deployment.host(10 + number)
-    )
-    await site.add_runner(runner)
-    runner.register()
-    return runner
-
-
-async def use(record, gateway, link, removals, violations):
-    """Send requests; note those that a machine in touch sent to a gone runner."""
-    number = 0
-    while True:
-        number += 1
-        request_id = f'{gateway.name}-{number}'
-        is_in_touch = (
-            link.cut_at is None and record.now() > link.healed_at + CONTACT_S
+        runners.append(await site.add_runner(runner))
+        runner.register()
+    await site.start_gateways(3)
+    answers = []
+    ends_at = record.now() + LENGTH_S
+    work = [send(record, site, answers, 'sound', SOUND_PER_S, ends_at)]
+    if deployment.TROUBLE:
+        work.append(send(record, site, answers, 'bad', BAD_PER_S, ends_at))
+    await asyncio.gather(*work)
+    return judge(record, runners, answers)
+
+
+async def send(record, site, answers, kind, per_s, ends_at):
+    """Send requests to any machine, no two alike."""
+    calls = []
+    for number in itertools.count():
+        await asyncio.sleep(random.expovariate(per_s))
+        if record.now() > ends_at:
+            break
+        request_id = f'{kind}-{number}'
+        first = BAD_PART if kind == 'bad' else SYSTEM_PART
+        document = SHARED_DOCUMENT
+        if kind == 'sound' and random.random() > SHARED_SHARE:
+            document = random.choice(DOCUMENTS)
+        own = f'{random.getrandbits(32):08x}'
+        prompt = f'{first}:300,{document}:500,{own}:200'
+        calls.append(
+            asyncio.ensure_future(
+                deployment.call_once(
+                    record,
+                    random.choice(site.gateways).callers,
+                    'POST',
+                    '/chat/1',
+                    request_id,
+                    6000,
+                    body=b'prompt',
+                    headers={
+                        'Damaskpoint-Model': 'm',
+                        'Damaskpoint-Token-Counts': '1000,40',
+                        'Damaskpoint-Prompt-Prefix': prompt,
+                    },
+                )
+            )
         )
-        sent_at = record.now()
-        await deployment.call_once(
-            record, gateway.callers, 'GET', '/lookup/1', request_id, 1000
-        )
-        if is_in_touch and link.cut_at is None:
-            for runner, removed_at in removals:
-                for at, run_id in runner.runs[-200:]:
-                    if run_id == request_id and at > removed_at + DRAIN_S:
-                        violations.append(
-                            f'DRAIN: {request_id} reached {runner.name}'
-                            f' {at - removed_at:.2f} s after its removal,'
-                            f' {sent_at - link.healed_at:.2f} s after the cut'
-                        )
-        await asyncio.sleep(1 / PER_S)
+    answers += await asyncio.gather(*calls)
+
+
+def judge(record, runners, answers):
+    crashes = sum(len(runner.crashes) for runner in runners)
+    allowed = 5 + len(answers) / 500
+    denied = [
+        answer
+        for answer in answers
+        if answer is not None
+        and answer.request_id.startswith('sound')
+        and answer.status is not None
+        and answer.status // 100 == 4
+        and 'damaskpoint-response-seal' not in answer.headers
+    ]
+    record.note(
+        'judged', crashes=crashes, requests=len(answers), denied=len(denied)
+    )
+    if len(denied) <= allowed:
+        return []
+    return [
+        f'DENIED: sound request {answer.request_id} was answered'
+        f' {answer.status}: {answer.body[:90].decode()}'
+        for answer in denied
+    ]
 
 
 deployment.play(str(pathlib.Path(__file__).resolve().parent), case)
--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -359,9 +359,11 @@
         lines = ['HTTP/1.1 200 OK', 'Content-Type: text/event-stream']
         lines += [f'{name}: {value}' for name, value in self.seal(request)]
         lines += ['Transfer-Encoding: chunked', 'Connection: close', '', '']
-        writer.write('\r\n'.join(lines).encode())
         for number in range(first, events + 1):
             await asyncio.sleep(gap_s)
+            if number == first:
+                # The head comes with the first event.
+                writer.write('\r\n'.join(lines).encode())
             event = f'id: {number}\ndata: piece\n\n'.encode()
             writer.write(b'%x\r\n%s\r\n' % (len(event), event))
             await writer.drain()
@@ -501,9 +503,9 @@
         # Whether the gateway asked for the end of the connection.
         self.is_closing = False
 
-    async def open(self) -> None:
+    async def open(self, timeout_s: float = 1) -> None:
         self._reader, self._writer = await asyncio.wait_for(
-            asyncio.open_connection(*self._address, limit=1 << 20), 1
+            asyncio.open_connection(*self._address, limit=1 << 20), timeout_s
         )
 
     @property
