--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -696,7 +696,7 @@
 
     try:
         violations = asyncio.run(run())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except Exception as error:
         record.note('could not run', reason=repr(error))
         _exit(f'could not run: {error!r}', NOT_RUN)
     for violation in violations[:20]:
