Bound the run of a request in a shutdown by its size

Callers saw large requests accepted late in a shutdown and cut by its end (review/3).

Cause: the bound was twice the longest recent run of the route, whatever the size of the request: 2 s for a review that asked for 4.5 times as many tokens as the measured ones and took 4.5 s. The mean, which decides before the drain, had the same gap.

Change: runs are recorded with the prompt's and the generated tokens, the pieces and, without token counts, the bytes of the body. A request is compared with the runs of similar size, or with the nearest ones, whose times are scaled up by the largest factor between the quantities. A run that lacks a quantity says nothing.

Both directions: a small request is no longer refused because of longer runs of large ones.

--- a/damaskpoint/forwarding/attempts.py
+++ b/damaskpoint/forwarding/attempts.py
@@ -176,7 +176,7 @@
             self._context.loads.end(runner.name)
         if failure is None:
             took_s = time.monotonic() - began_at
-            self._context.completion.record_run(self._route.name, took_s)
+            self._context.completion.record_run(self._request, took_s)
         elif failure.ran is Ran.NO:
             self.ran = ran_before
         self._record_attempt(runner, failure, began_at)
--- a/damaskpoint/forwarding/completion.py
+++ b/damaskpoint/forwarding/completion.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, Final, final
 
 from damaskpoint.errors import Code, Failure
-from damaskpoint.forwarding.run_times import RunTimes
+from damaskpoint.forwarding.run_times import RunTimes, measure_work
 
 if TYPE_CHECKING:
     from damaskpoint.entry.shutdown import ShutdownState
@@ -32,9 +32,10 @@
         self._shutdown = shutdown
         self._run_times = RunTimes()
 
-    def record_run(self, route: str, took_s: float) -> None:
+    def record_run(self, request: CallerRequest, took_s: float) -> None:
         """Record the seconds from a send to the end of its answer."""
-        self._run_times.record(route, took_s)
+        size = measure_work(request)
+        self._run_times.record(request.route.name, size, took_s)
 
     def check(
         self, request: CallerRequest, stages_s: float, now: float
@@ -51,10 +52,11 @@
         if request.ends_at - now <= left_s:
             return None
         route = request.route.name
+        size = measure_work(request)
         if self._shutdown.is_draining_at(request.arrived_at):
-            run_s = self._run_times.bound_s(route)
+            run_s = self._run_times.bound_s(route, size)
         else:
-            run_s = self._run_times.mean_s(route)
+            run_s = self._run_times.mean_s(route, size)
         if stages_s + run_s <= left_s:
             return None
         return Failure(
--- a/features/gateway_shutdown.feature
+++ b/features/gateway_shutdown.feature
@@ -39,3 +39,25 @@
       | one long run among many, sent late     | 3   | 40   | 3       | 0.5  | 20   | 3    | 0      | refused  |
       | one long run, sent before the notice   | 3   | 40   | 3       | 0.5  | 20   | 2    | 0      | accepted |
       | its stages ended too late              | 7   | 40   | 3       | 0.5  | 20   | 2    | 0      | refused  |
+
+  # Guards against accepting a large request by the times of small ones, which
+  # the end of the shutdown then interrupts.
+  Scenario Outline: The size of a request counts for its time: <case>
+    Given a shutdown that began 4 s ago, with 2.5 s of notice of its 7.2 s
+    And runs of a route, with their sizes: <runs>
+    When a request of size <size> is sent <sent> s after the signal
+    Then the shutdown check says <decision>
+
+    Examples:
+      | case                                  | runs                               | size    | sent | decision |
+      | larger than all runs                  | 24 of 100/80 in 1 s                | 100/360 | 4    | refused  |
+      | larger, sent before the notice        | 24 of 100/80 in 1 s                | 100/360 | 2    | refused  |
+      | larger by its prompt only             | 24 of 100/80 in 1 s                | 900/80  | 4    | refused  |
+      | as large as the runs                  | 24 of 100/80 in 1 s                | 100/80  | 4    | accepted |
+      | a little larger                       | 24 of 100/80 in 1 s                | 100/110 | 4    | accepted |
+      | smaller than all runs                 | 24 of 100/80 in 1 s                | 50/10   | 4    | accepted |
+      | small, beside longer runs of large    | 24 of 100/20 in 0.5; 24 of 100/800 in 6 | 100/20  | 4 | accepted |
+      | large, beside shorter runs of small   | 24 of 100/20 in 0.5; 24 of 100/800 in 6 | 100/800 | 4 | refused  |
+      | large but quick, as measured          | 24 of 100/20 in 0.5; 24 of 100/800 in 1 | 100/800 | 4 | accepted |
+      | runs without what the request has     | 24 of 100/0 in 0.1                 | 100/80  | 4    | refused  |
+      | requests without any size             | 24 of 0/0 in 1                     | 0/0     | 4    | accepted |
--- a/features/steps/gateway_shutdown_steps.py
+++ b/features/steps/gateway_shutdown_steps.py
@@ -137,9 +137,36 @@
 )
 def record_runs(context: Any, runs: int, longest: float, mean: float) -> None:
     """Record one longest run; the others take equally long."""
+    run_request = _create_request(context.began_at, 60)
     for number in range(runs):
         others_s = (mean * runs - longest) / max(1, runs - 1)
-        context.check.record_run(_ROUTE, others_s if number else longest)
+        context.check.record_run(run_request, others_s if number else longest)
+
+
+@given('runs of a route, with their sizes: {runs}')
+def record_sized_runs(context: Any, runs: str) -> None:
+    """Record runs, written as "COUNT of PROMPT/GENERATED in SECONDS"."""
+    for group in runs.split(';'):
+        words = group.split()
+        size = _parse_size(words[2])
+        run_request = _create_request(context.began_at, 60, size)
+        for _ in range(int(words[0])):
+            context.check.record_run(run_request, float(words[4]))
+
+
+@when('a request of size {size} is sent {sent:g} s after the signal')
+def check_sized_request(context: Any, size: str, sent: float) -> None:
+    """Check whether a request of this size can still be answered."""
+    context.failure = context.check.check(
+        _create_request(context.began_at + sent, 60, _parse_size(size)),
+        0,
+        _NOW,
+    )
+
+
+def _parse_size(text: str) -> tuple[int, ...]:
+    """Return the tokens of the prompt and the most to be generated."""
+    return tuple(int(count) for count in text.split('/'))
 
 
 @when(
@@ -156,7 +183,9 @@
     )
 
 
-def _create_request(arrived_at: float, deadline_s: float) -> CallerRequest:
+def _create_request(
+    arrived_at: float, deadline_s: float, token_counts: tuple[int, ...] = ()
+) -> CallerRequest:
     route = Route(
         name=_ROUTE,
         host='host-1',
@@ -173,7 +202,9 @@
         target='/',
         headers=(),
         body=b'',
-        metadata=RequestMetadata('request-1', deadline_s, None),
+        metadata=RequestMetadata(
+            'request-1', deadline_s, None, token_counts=token_counts
+        ),
         route=route,
         account=None,
         arrived_at=arrived_at,
