Close a caller's connection at the end of its answer in a shutdown

Cause: idle connections are closed once, when the drain begins. An answer whose head went out before the signal cannot announce the close of its connection, which then stayed open for the rest of the drain. tornado keeps a connection open also after an answer with 'Connection: close', and after one to HTTP/1.0 that its own 'Connection: Keep-Alive' replaces.

Change: in a shutdown the server closes each connection at the end of its answer, unless bytes of the next request have arrived; that one is served, or refused by its size and time. After an announced close nothing further on the connection is served: a second order that was pipelined behind the first ran, although its caller may take it as not read and send it again.

--- a/damaskpoint/forwarding/caller_answer.py
+++ b/damaskpoint/forwarding/caller_answer.py
@@ -87,6 +87,8 @@
             self._is_delimited = True
         if self._is_leaving():
             answer_headers['Connection'] = 'close'
+            # The server closes the connection after the answer.
+            self._connection.no_keep_alive = True
         line = httputil.ResponseStartLine(
             'HTTP/1.1', status, _find_reason(status)
         )
--- a/damaskpoint/gateway/runtime.py
+++ b/damaskpoint/gateway/runtime.py
@@ -134,6 +134,7 @@
         if self._components.shutdown.is_shutting_down:
             return
         self._components.shutdown.begin(time.monotonic())
+        self._caller_server.begin_shutdown()
         self._components.membership.set_phase(facts.Phase.LEAVING)
         _LOG.info(
             'shutting down',
--- a/features/gateway_shutdown.feature
+++ b/features/gateway_shutdown.feature
@@ -16,6 +16,29 @@
     When a shutdown begins while a caller waits for a stream
     Then an idle connection is closed between 2.2 s and 2.9 s later
 
+  # Guards against requests that are sent after a long answer, on a connection
+  # that the shutdown has not closed, and are then interrupted.
+  Scenario Outline: A connection is closed at the end of its answer: <case>
+    Given a site with a runner of each service
+    And the runner "<runner>" takes <seconds> seconds
+    When a shutdown begins during the answer to <request>
+    Then the answer is complete and the connection ends with it
+
+    Examples:
+      | case                       | runner  | seconds | request                           |
+      | begun before, ends in it   | model-1 | 0.8     | the rest of GET /stream/1 HTTP/1.1 |
+      | ends before the drain      | model-1 | 0.3     | the rest of GET /stream/1 HTTP/1.1 |
+      | begun in the shutdown      | plain-1 | 1       | GET /safe/1 HTTP/1.1              |
+      | HTTP/1.0 with its length   | plain-1 | 1       | GET /safe/1 HTTP/1.0              |
+      | HTTP/1.0 without a length  | model-1 | 0.8     | the rest of GET /stream/1 HTTP/1.0 |
+
+  # Guards against requests that run after their connection was closed.
+  Scenario: A request that follows an announced close is not served
+    Given a site with a runner of each service
+    And the runner "plain-1" takes 0.3 seconds
+    When a caller sends two orders at once and a shutdown begins
+    Then one order has run, the other has no answer
+
   Scenario: Each request that still waits at the end gets an answer
     Given a site with a runner of each service
     And the runner "plain-1" takes 20 seconds
