Wait in a shutdown for requests that are being received

A caller whose request was arriving when the drain began lost its connection, although the shutdown had seconds left.

Cause: a shutdown ends once no request is in progress, and a request is counted only from the end of its body.

Change: a request counts from its head on, and from its first byte that the process has not handled yet. A part of a head alone does not count: such a connection may stay silent.

--- a/damaskpoint/gateway/caller_server.py
+++ b/damaskpoint/gateway/caller_server.py
@@ -33,8 +33,24 @@
         self._current_by_connection: dict[object, HTTP1Connection] = {}
         # Connections without the head of a request.
         self._idle: set[object] = set()
+        # Connections with the head of a request, but not yet its whole body.
+        self._receiving: set[object] = set()
         self._is_shutting_down = False
 
+    @property
+    def arriving_count(self) -> int:
+        """Return how many requests have arrived at least in part.
+
+        Requests that are being served are not included, and neither are those
+        of which only a part of the head has been read.
+        """
+        count = len(self._receiving)
+        for server_conn in self._idle:
+            stream = self._current_by_connection[server_conn].stream
+            if not _is_silent(stream):
+                count += 1
+        return count
+
     def begin_shutdown(self) -> None:
         """Close each connection at the end of the answer in progress."""
         self._is_shutting_down = True
@@ -61,12 +77,14 @@
             connection.stream,
             server_conn,
             self._idle,
+            self._receiving,
         )
 
     def on_close(self, server_conn: object) -> None:
         """Forget a closed connection."""
         self._current_by_connection.pop(server_conn, None)
         self._idle.discard(server_conn)
+        self._receiving.discard(server_conn)
         super().on_close(server_conn)
 
     def close_idle_connections(self) -> None:
@@ -84,7 +102,7 @@
 
 @final
 class _RequestReceiver(httputil.HTTPMessageDelegate):
-    """Marks a connection as busy once the head of a request has arrived."""
+    """Tracks how far the request of a connection has arrived."""
 
     def __init__(
         self,
@@ -92,12 +110,14 @@
         stream: IOStream,
         server_conn: object,
         idle: set[object],
+        receiving: set[object],
     ) -> None:
         """Pass everything on to ``inner``."""
         self._inner = inner
         self._stream = stream
         self._server_conn = server_conn
         self._idle = idle
+        self._receiving = receiving
 
     def headers_received(
         self,
@@ -106,6 +126,7 @@
     ) -> Awaitable[None] | None:
         """Handle the head of a request."""
         self._idle.discard(self._server_conn)
+        self._receiving.add(self._server_conn)
         return self._inner.headers_received(start_line, headers)
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
@@ -114,6 +135,7 @@
 
     def finish(self) -> None:
         """Handle the end of the request."""
+        self._receiving.discard(self._server_conn)
         if self._stream.closed():
             # tornado still parses what it had read before the close.
             _LOG.info('request dropped, its connection is closed')
@@ -123,6 +145,7 @@
 
     def on_connection_close(self) -> None:
         """Handle a connection that closed before the end of the request."""
+        self._receiving.discard(self._server_conn)
         self._inner.on_connection_close()
 
 
--- a/damaskpoint/gateway/runtime.py
+++ b/damaskpoint/gateway/runtime.py
@@ -208,7 +208,10 @@
         while shutdown.phase is not Phase.STOPPED:
             await asyncio.sleep(defaults.SHUTDOWN_STEP_S)
             is_noticed = shutdown.phase is not Phase.NOTICE
-            pending = PendingWork(self._components.handler.count, 0)
+            pending = PendingWork(
+                self._components.handler.count,
+                self._caller_server.arriving_count,
+            )
             shutdown.advance(pending, time.monotonic())
             if shutdown.phase is Phase.DRAINING and not is_noticed:
                 # Callers find out before their next request, which would
--- a/features/gateway_shutdown.feature
+++ b/features/gateway_shutdown.feature
@@ -32,6 +32,13 @@
       | HTTP/1.0 with its length   | plain-1 | 1       | GET /safe/1 HTTP/1.0              |
       | HTTP/1.0 without a length  | model-1 | 0.8     | the rest of GET /stream/1 HTTP/1.0 |
 
+  # Guards against a shutdown that ends, as no request is in progress, although
+  # one is being received.
+  Scenario: A request whose body arrives during the drain is answered
+    Given a site with a runner of each service
+    When a caller sends the head of a request, and the body 2.8 s into a shutdown
+    Then the late request gets 200
+
   # Guards against requests that run after their connection was closed.
   Scenario: A request that follows an announced close is not served
     Given a site with a runner of each service
