Keep idle connections on which a request has arrived

Cause: when the drain began, a connection was idle until the head of a request was handled. tornado hands over what it has read one step of the event loop later, also after a close.

Change: a connection is closed as idle only if its read is still pending and its socket has no bytes. What the server parses after a close never becomes a request (with the close at the end of an answer).

--- a/damaskpoint/gateway/caller_server.py
+++ b/damaskpoint/gateway/caller_server.py
@@ -88,9 +88,9 @@
         super().on_close(server_conn)
 
     def close_idle_connections(self) -> None:
-        """Close all connections on which no request has arrived."""
+        """Close all connections on which nothing has arrived."""
         for server_conn in tuple(self._idle):
-            self._current_by_connection[server_conn].stream.close()
+            self._close_if_silent(server_conn)
 
     def _close_if_silent(self, server_conn: object) -> None:
         if server_conn not in self._idle:
--- a/features/gateway_shutdown.feature
+++ b/features/gateway_shutdown.feature
@@ -39,6 +39,12 @@
     When a caller sends the head of a request, and the body 2.8 s into a shutdown
     Then the late request gets 200
 
+  # Guards against requests that run although their connection was closed as
+  # idle, because the server had read them and not yet handled them.
+  Scenario: Closing the idle connections loses no request that was read
+    When idle connections are closed up to 8 steps of the loop after a request
+    Then each request was answered
+
   # Guards against requests that run after their connection was closed.
   Scenario: A request that follows an announced close is not served
     Given a site with a runner of each service
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -71,13 +71,20 @@
             await _begin_another(context)
         await until(lambda: _list_requests(context))
         context.site.gateway.begin_shutdown()
-        context.received += await _read_answer(reader, line)
-        context.rest = await asyncio.wait_for(reader.read(), _CLOSE_S)
+        await _read_to_end(context, reader, line)
         writer.close()
 
     run(context, stop())
 
 
+async def _read_to_end(
+    context: Any, reader: asyncio.StreamReader, line: str
+) -> None:
+    """Read the rest of the answer, then what follows on the connection."""
+    context.received += await _read_answer(reader, line)
+    context.rest = await asyncio.wait_for(reader.read(), _CLOSE_S)
+
+
 async def _begin_another(context: Any) -> None:
     """Begin a later answer, which keeps the shutdown from ending first."""
     context.other = await asyncio.open_connection(HOST, context.site.port)
@@ -186,13 +193,9 @@
         _answer_empty(request)
 
     server = CallerServer(handle)
-    sockets = netutil.bind_sockets(0, HOST)
-    server.add_sockets(sockets)
-    reader, writer = await asyncio.open_connection(*sockets[0].getsockname())
-    await asyncio.sleep(0.02)
+    reader, writer = await _connect(server)
     writer.write(_encode_head('GET / HTTP/1.1', 'one'))
-    for _ in range(steps):
-        await asyncio.sleep(0)
+    await _run_loop(steps)
     server.close_idle_connections()
     answer = await _read_byte(reader)
     writer.close()
@@ -200,6 +203,22 @@
     return len(handled), len(answer)
 
 
+async def _connect(
+    server: CallerServer,
+) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection and wait until the server reads from it."""
+    sockets = netutil.bind_sockets(0, HOST)
+    server.add_sockets(sockets)
+    streams = await asyncio.open_connection(*sockets[0].getsockname())
+    await asyncio.sleep(0.02)
+    return streams
+
+
+async def _run_loop(steps: int) -> None:
+    for _ in range(steps):
+        await asyncio.sleep(0)
+
+
 def _answer_empty(request: httputil.HTTPServerRequest) -> None:
     connection = request.connection
     assert isinstance(connection, HTTP1Connection)
