Quarantine prompt parts together that nothing has told apart

Cause: of parts with equal failures the last one of the prompt was taken as the cause. A part that all crashing requests have fails as often as the one that crashes runners, until a run with it succeeds.

Change: a part is the cause alone if it has failed at least twice more than each other part of the run. Closer ones are quarantined together, as a set: only prompts with all of them are refused. Sound requests with some of them still run, and the first that begins its answer ends the joint quarantine; what is left of the set is then refused alone. A success that a peer had seen when the decision was made counts too: a mark of it narrows or ends the quarantine.

Plays of the drawn fleets depended on the addresses of objects; they are repeatable now.

--- a/damaskpoint/quarantine/guard.py
+++ b/damaskpoint/quarantine/guard.py
@@ -3,7 +3,9 @@
 A runner that crashes breaks all of its runs; the one that caused it had begun
 its answer and has no event yet. A part is put in quarantine once enough
 consecutive runs with it have broken that way, on any instances, none with it
-has succeeded meanwhile, and runs without it succeed.
+has succeeded meanwhile, and runs without it succeed. Parts that nothing has
+told apart yet are put in quarantine together: only prompts with all of them are
+refused, until a run with some of them succeeds.
 """
 
 from __future__ import annotations
@@ -18,6 +20,12 @@
 from damaskpoint.membership.facts import Mark, MarkKind, RunCountFact
 from damaskpoint.observe.state import StateSource
 from damaskpoint.quarantine import metrics
+from damaskpoint.quarantine.causes import (
+    MIN_FAILURES,
+    choose_causes,
+    create_key,
+    split_key,
+)
 from damaskpoint.quarantine.model import (
     OUTCOME_KEEP_S,
     Quarantine,
@@ -28,7 +36,7 @@
 from damaskpoint.quarantine.suspicions import SuspicionTable
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
     from damaskpoint.forwarding.metadata import RequestMetadata
     from damaskpoint.membership.facts import PeerFact
@@ -37,8 +45,6 @@
     PublishMark = Callable[[MarkKind, str, int, int], None]
 
 _LOG: Final = logging.getLogger(__name__)
-# Consecutive failures after which a part is put in quarantine.
-_FAILURES: Final = 4
 # A part is the cause if so many consecutive failures would be less likely than
 # this by the failure rate of the runs without it.
 _SIGNIFICANCE: Final = 0.001
@@ -46,6 +52,9 @@
 _SEPARATOR: Final = '\n'
 # Failures of one request that count: a part must fail in several requests.
 _COUNTED_PER_REQUEST: Final = 2
+# How long before a quarantine a success may have been that its instance did not
+# know of (seconds): the delay of a mark.
+_MARK_DELAY_S: Final = 1.0
 
 
 @final
@@ -82,21 +91,21 @@
 
         The failure has no Retry-After: a caller cannot wait that long.
         """
-        for part_id in metadata.shared_part_ids:
-            left_s = self._quarantines.left_s(part_id, now)
+        for key in self._quarantines.list_covering(metadata.shared_part_ids):
+            left_s = self._quarantines.left_s(key, now)
             if left_s <= 0:
                 continue
             return Failure(
                 Code.PROMPT_QUARANTINED,
-                f'prompt part {part_id}: runners crash when they answer it;'
+                f'prompt part {key}: runners crash when they answer it;'
                 f' refused for up to {math.ceil(left_s)} s',
             )
         return None
 
     @property
-    def quarantines_by_part(self) -> Mapping[str, Quarantine]:
-        """Return the newest quarantine of each part."""
-        return self._quarantines.quarantines_by_part
+    def quarantines_by_key(self) -> Mapping[str, Quarantine]:
+        """Return the newest quarantine of each set of parts."""
+        return self._quarantines.quarantines_by_key
 
     def list_run_counts(self) -> list[RunCountFact]:
         """Return the runs of this instance that have begun, by service."""
@@ -108,13 +117,13 @@
 
     def dump_state(self, now: float) -> dict[str, object]:
         """Return the suspected parts and those in quarantine."""
-        left_s_by_part: dict[str, float] = {}
-        for part_id in self._quarantines.quarantines_by_part:
-            left_s = self._quarantines.left_s(part_id, now)
+        left_s_by_key: dict[str, float] = {}
+        for key in self._quarantines.quarantines_by_key:
+            left_s = self._quarantines.left_s(key, now)
             if left_s > 0:
-                left_s_by_part[part_id] = round(left_s, 1)
+                left_s_by_key[key] = round(left_s, 1)
         return {
-            'quarantined_s_by_part': left_s_by_part,
+            'quarantined_s_by_part': left_s_by_key,
             'failures_by_part': self._suspicions.list_suspected(now),
         }
 
@@ -142,13 +151,11 @@
         """Record a first event or a whole answer, which clears the parts."""
         self._outcomes(run.service).record_begun(run.part_ids, now)
         for part_id in run.part_ids:
-            is_on_trial = self._quarantines.is_on_trial(part_id, now)
             if self._suspicions.clear(part_id, now):
                 self._publish_suspicion(part_id, now)
                 _LOG.info('prompt part cleared', extra={'part': part_id})
-            elif not is_on_trial:
-                continue
-            self._lift(part_id, now)
+        for key in self._quarantines.list_touching(run.part_ids):
+            self._narrow(key, run.part_ids, now)
 
     def record_broken(self, run: PromptRun, now: float) -> None:
         """Record a run that broke after its head and before an event."""
@@ -175,7 +182,9 @@
             suspicion = Suspicion(
                 mark.incarnation, mark.sequence, mark.happened_at
             )
-            self._suspicions.merge(mark.subject, suspicion, now)
+            is_new = self._suspicions.merge(mark.subject, suspicion, now)
+            if is_new and not suspicion.failures:
+                self._apply_success(mark.subject, mark.happened_at, now)
         elif mark.kind is MarkKind.QUARANTINED_PART:
             quarantine = Quarantine(
                 mark.incarnation, bool(mark.sequence), mark.happened_at
@@ -194,11 +203,11 @@
         )
 
     def apply_quarantine(
-        self, part_id: str, quarantine: Quarantine, now: float
+        self, key: str, quarantine: Quarantine, now: float
     ) -> None:
         """Apply a quarantine that a peer has begun or lifted."""
-        if self._quarantines.merge(part_id, quarantine, now):
-            _log_quarantine(part_id, quarantine, now, 'peer')
+        if self._quarantines.merge(key, quarantine, now):
+            _log_quarantine(key, quarantine, now, 'peer')
 
     def expire(self, now: float) -> None:
         """Drop what is too old, and update the metrics."""
@@ -207,66 +216,95 @@
         for outcomes in self._outcomes_by_service.values():
             outcomes.expire(now)
         quarantined = [
-            part_id
-            for part_id in self._quarantines.quarantines_by_part
-            if self._quarantines.left_s(part_id, now) > 0
+            key
+            for key in self._quarantines.quarantines_by_key
+            if self._quarantines.left_s(key, now) > 0
         ]
         metrics.PARTS.set({'state': 'quarantined'}, len(quarantined))
         suspected = self._suspicions.list_suspected(now)
         metrics.PARTS.set({'state': 'suspected'}, len(suspected))
 
     def _quarantine_cause(self, run: PromptRun, now: float) -> None:
-        """Put the part in quarantine that explains the failures, if any.
-
-        Of several parts it is the one with most failures; with equal ones the
-        last, which the fewest other requests have.
-        """
-        ranked = self._rank(run, now)
-        if not ranked:
-            return
-        is_on_trial, failures, _, cause = max(ranked)
-        since = self._suspicions.suspected_since(cause, now)
-        if is_on_trial:
+        """Put the parts in quarantine that explain the failures, if any."""
+        covering = self._quarantines.list_covering(run.part_ids)
+        on_trial = None
+        for key in covering:
+            if self._quarantines.left_s(key, now) > 0:
+                # It explains the run, which was sent before.
+                return
+            if self._quarantines.is_on_trial(key, now):
+                on_trial = key
+        if on_trial is not None:
             # It had failed often enough before its quarantine.
-            failures += _FAILURES
-            since = now - OUTCOME_KEEP_S
-        rate = self._outcomes(run.service).estimate_failure_rate(cause, since)
+            self._begin(run, on_trial, MIN_FAILURES, now - OUTCOME_KEEP_S, now)
+            return
+        failures_by_part = {
+            part_id: self._suspicions.find(part_id, now).failures
+            for part_id in run.part_ids
+        }
+        causes = choose_causes(failures_by_part)
+        if not causes:
+            return
+        first = max(causes, key=lambda part_id: failures_by_part[part_id])
+        self._begin(
+            run,
+            create_key(causes),
+            failures_by_part[first],
+            self._suspicions.suspected_since(first, now),
+            now,
+        )
+
+    def _begin(
+        self,
+        run: PromptRun,
+        key: str,
+        failures: int,
+        since: float,
+        now: float,
+    ) -> None:
+        """Begin a quarantine if runs without its parts succeed."""
+        outcomes = self._outcomes(run.service)
+        rate = outcomes.estimate_failure_rate(split_key(key), since)
         if rate**failures >= _SIGNIFICANCE:
             _LOG.warning(
                 'prompt part not quarantined, other runs fail or are missing',
                 extra={
-                    'part': cause,
+                    'part': key,
                     'failures': failures,
                     'other_failure_rate': round(rate, 3),
                 },
             )
             return
-        quarantine = self._quarantines.begin(cause, now)
-        self._publish_quarantine(cause, quarantine)
-        _log_quarantine(cause, quarantine, now, 'own runs')
+        self._announce(key, self._quarantines.begin(key, now), now)
+
+    def _apply_success(
+        self, part_id: str, happened_at: float, now: float
+    ) -> None:
+        """Apply a success that a peer has seen to the quarantines."""
+        for key in self._quarantines.list_touching((part_id,)):
+            quarantine = self._quarantines.quarantines_by_key[key]
+            if happened_at > quarantine.began_at - _MARK_DELAY_S:
+                self._narrow(key, (part_id,), now)
 
-    def _rank(
-        self, run: PromptRun, now: float
-    ) -> list[tuple[bool, int, int, str]]:
-        """Return the parts that fail often enough, as sort keys.
+    def _narrow(self, key: str, sound_ids: Iterable[str], now: float) -> None:
+        """End a quarantine of parts of which some have not crashed a runner.
 
-        Returns none if one of them is in quarantine, which explains the run.
+        The others are the cause. A quarantine that has ended stays on trial for
+        them.
         """
-        ranked: list[tuple[bool, int, int, str]] = []
-        for position, part_id in enumerate(run.part_ids):
-            if self._quarantines.left_s(part_id, now) > 0:
-                return []
-            is_on_trial = self._quarantines.is_on_trial(part_id, now)
-            failures = self._suspicions.find(part_id, now).failures
-            if is_on_trial or failures >= _FAILURES:
-                ranked.append((is_on_trial, failures, position, part_id))
-        return ranked
-
-    def _lift(self, part_id: str, now: float) -> None:
-        lifted = self._quarantines.lift(part_id, now)
-        if lifted is not None:
-            self._publish_quarantine(part_id, lifted)
-            _log_quarantine(part_id, lifted, now, 'own runs')
+        rest = split_key(key).difference(sound_ids)
+        is_active = self._quarantines.left_s(key, now) > 0
+        if rest and not is_active:
+            return
+        lifted = self._quarantines.lift(key, now)
+        if lifted is None:
+            return
+        self._announce(key, lifted, now)
+        rest_key = create_key(rest)
+        if rest and not self._quarantines.left_s(rest_key, now):
+            self._announce(
+                rest_key, self._quarantines.begin(rest_key, now), now
+            )
 
     def _outcomes(self, service: str) -> RunOutcomes:
         return self._outcomes_by_service.setdefault(service, RunOutcomes())
@@ -285,24 +323,26 @@
             suspicion.failures,
         )
 
-    def _publish_quarantine(self, part_id: str, quarantine: Quarantine) -> None:
+    def _announce(self, key: str, quarantine: Quarantine, now: float) -> None:
+        """Publish and log a quarantine that begins or ends here."""
         self._publish(
             MarkKind.QUARANTINED_PART,
-            part_id,
+            key,
             quarantine.number,
             int(quarantine.is_lifted),
         )
+        _log_quarantine(key, quarantine, now, 'own runs')
 
 
 def _log_quarantine(
-    part_id: str, quarantine: Quarantine, now: float, source: str
+    key: str, quarantine: Quarantine, now: float, source: str
 ) -> None:
     _LOG.warning(
         'prompt part released'
         if quarantine.is_lifted
         else 'prompt part quarantined',
         extra={
-            'part': part_id,
+            'part': key,
             'number': quarantine.number,
             'left_s': round(max(0, quarantine.left_s(now)), 1),
             'source': source,
--- a/damaskpoint/quarantine/outcomes.py
+++ b/damaskpoint/quarantine/outcomes.py
@@ -76,8 +76,10 @@
             begun = max(begun, known.begun)
         self._counts_by_peer[name] = _PeerCount(start, begun, now)
 
-    def estimate_failure_rate(self, part_id: str, since: float) -> float:
-        """Return the failure rate of runs without a part, since a time.
+    def estimate_failure_rate(
+        self, part_ids: frozenset[str], since: float
+    ) -> float:
+        """Return the failure rate of runs without these parts, since a time.
 
         It is Laplace's estimate, which is high for few runs; 1 if none has
         begun its answer.
@@ -87,7 +89,7 @@
         for outcome in reversed(self._outcomes):
             if outcome.known_at < since:
                 break
-            if outcome.since < since or part_id in outcome.part_ids:
+            if outcome.since < since or part_ids <= outcome.part_ids:
                 continue
             begun += outcome.begun
             broken += outcome.broken
--- a/damaskpoint/quarantine/stored.py
+++ b/damaskpoint/quarantine/stored.py
@@ -43,13 +43,13 @@
         self._guard = guard
         # The store's clock minus the monotonic clock; None before a read.
         self.clock_offset_s: float | None = None
-        self.versions_by_part: dict[str, int] = {}
-        self.quarantines_by_part: dict[str, Quarantine] = {}
+        self.versions_by_key: dict[str, int] = {}
+        self.quarantines_by_key: dict[str, Quarantine] = {}
 
     def replace(self, read: Rows, now: float) -> None:
         """Replace all rows by those of the whole table."""
-        self.versions_by_part.clear()
-        self.quarantines_by_part.clear()
+        self.versions_by_key.clear()
+        self.quarantines_by_key.clear()
         self.update(read, now)
 
     def restore(self, read: Rows, now: float) -> None:
@@ -65,8 +65,8 @@
             quarantine = self._read(row)
             if quarantine is None:
                 continue
-            self.versions_by_part[row.key] = row.version
-            self.quarantines_by_part[row.key] = quarantine
+            self.versions_by_key[row.key] = row.version
+            self.quarantines_by_key[row.key] = quarantine
             self._guard.apply_quarantine(row.key, quarantine, now)
 
     def record_outage(self, failure: Failure, now: float) -> None:
@@ -75,9 +75,9 @@
     def record_read(self, now: float) -> None:
         """Do nothing: the rows follow."""
 
-    def _forget(self, part_id: str) -> None:
-        self.versions_by_part.pop(part_id, None)
-        self.quarantines_by_part.pop(part_id, None)
+    def _forget(self, key: str) -> None:
+        self.versions_by_key.pop(key, None)
+        self.quarantines_by_key.pop(key, None)
 
     def _read(self, row: StoredRow) -> Quarantine | None:
         """Return the quarantine of a row; None if it is removed or invalid."""
@@ -117,7 +117,7 @@
         self._own_name = own_name
         self._peers = peers
         # Since when the row of a part has differed from what is known here.
-        self._differing_since_by_part: dict[str, float] = {}
+        self._differing_since_by_key: dict[str, float] = {}
 
     async def advance(self, now: float) -> None:
         """Write what is due; called periodically."""
@@ -135,15 +135,15 @@
 
     def _list_due(self, now: float) -> list[RowChange]:
         differing = self._list_differing(now)
-        since_by_part: dict[str, float] = {}
+        since_by_key: dict[str, float] = {}
         due = []
         for change in differing:
-            since = self._differing_since_by_part.get(change.key, now)
-            since_by_part[change.key] = since
+            since = self._differing_since_by_key.get(change.key, now)
+            since_by_key[change.key] = since
             if now - since >= self._find_delay_s(change.key, now):
                 due.append(change)
-                since_by_part[change.key] = now + _REWRITE_PAUSE_S
-        self._differing_since_by_part = since_by_part
+                since_by_key[change.key] = now + _REWRITE_PAUSE_S
+        self._differing_since_by_key = since_by_key
         return due
 
     def _list_differing(self, now: float) -> list[RowChange]:
@@ -151,23 +151,23 @@
         if offset_s is None:
             return []
         changes = []
-        for part_id, quarantine in self._guard.quarantines_by_part.items():
-            stored = self._sink.quarantines_by_part.get(part_id)
+        for key, quarantine in self._guard.quarantines_by_key.items():
+            stored = self._sink.quarantines_by_key.get(key)
             is_stored = stored is not None and stored.order >= quarantine.order
             if is_stored or quarantine.is_forgotten(now):
                 continue
             content = encode_quarantine(quarantine, offset_s)
-            changes.append(self._create_change(part_id, content))
-        for part_id, quarantine in self._sink.quarantines_by_part.items():
+            changes.append(self._create_change(key, content))
+        for key, quarantine in self._sink.quarantines_by_key.items():
             if quarantine.is_forgotten(now):
-                changes.append(self._create_change(part_id, None))
+                changes.append(self._create_change(key, None))
         return changes
 
-    def _create_change(self, part_id: str, content: bytes | None) -> RowChange:
-        version = self._sink.versions_by_part.get(part_id, ABSENT_VERSION)
-        return RowChange(names.TABLE_QUARANTINES, part_id, version, content)
+    def _create_change(self, key: str, content: bytes | None) -> RowChange:
+        version = self._sink.versions_by_key.get(key, ABSENT_VERSION)
+        return RowChange(names.TABLE_QUARANTINES, key, version, content)
 
-    def _find_delay_s(self, part_id: str, now: float) -> float:
+    def _find_delay_s(self, key: str, now: float) -> float:
         instances = self._peers.batching_names(now) | {self._own_name}
-        ranks = rendezvous.order(instances, part_id)
+        ranks = rendezvous.order(instances, key)
         return _RANK_DELAY_S * ranks.index(self._own_name)
--- a/features/prompt_quarantine.feature
+++ b/features/prompt_quarantine.feature
@@ -23,6 +23,27 @@
       | 9    |
       | 10   |
 
+  # Guards against refusing sound requests for a document that all crashing ones
+  # have too, and against sparing the crashing part for its sake.
+  Scenario Outline: Sound requests with the document of the crashing ones are served: seed <seed>, <share>
+    Given a drawn fleet with the seed <seed>, where all crashing requests and <share> of the sound ones have one document
+    When it is played for 30 s
+    Then at most 3 sends with the part are later than 3 s after the fifth crash
+    And no sound request is refused
+
+    Examples:
+      | seed | share |
+      | 1    | 0     |
+      | 2    | 0.01  |
+      | 3    | 0.01  |
+      | 4    | 0.05  |
+      | 5    | 0.05  |
+      | 6    | 0.05  |
+      | 7    | 0.3   |
+      | 8    | 0.3   |
+      | 9    | 0.3   |
+      | 10   | 1     |
+
   # Guards against blaming a part for crashes and breaks that no part explains.
   Scenario Outline: Any fleet refuses no part without a cause: seed <seed>
     Given a drawn fleet whose runners crash on no part, with the seed <seed>
@@ -90,7 +111,75 @@
       | a,x   | b,x    | x     | a     |
       | x,a   | x,b    | x     | b     |
       | a,x   | x,b    | x     | a     |
-      | a,x   | a,x    | x     | a     |
+
+  # Guards against refusing sound requests for a part that all crashing ones
+  # share with them.
+  Scenario Outline: Parts that nothing has told apart are refused together: <parts>
+    Given the guard of one instance
+    When a run with "<parts>" and then one with "<parts>" breaks, 2 times, each after 8 sound ones
+    Then a request with the parts "<parts>" is refused
+    And the part "a" is accepted
+    And the part "x" is accepted
+
+    Examples:
+      | parts |
+      | a,x   |
+      | x,a   |
+
+  # Guards against a crashing part that is only refused beside another one.
+  Scenario Outline: A run tells parts apart: <run>
+    Given the guards of 2 instances
+    And the parts "a,x" are in quarantine together
+    When <run>
+    Then the refused ones of "a; x; a,x" are "<refused>" at both
+
+    Examples:
+      | run                                                  | refused |
+      | a run with the parts "a" begins its answer           | x; a,x  |
+      | a run with the parts "x,b" begins its answer         | a; a,x  |
+      | a run with the parts "a,x" begins its answer         |         |
+      | runs with the parts "x,b" break 1 time one after another | x; a,x |
+      | runs with the parts "b,a" break 1 time one after another | a; a,x |
+
+  # Guards against blaming a sound part for one break more, of another cause.
+  Scenario: A single failure more does not decide between two parts
+    Given the guard of one instance
+    When runs with the parts "a,c" break 1 time one after another
+    And 20 runs without the part "a" begin their answers
+    And runs with the parts "x,a" break 3 times one after another
+    Then a request with the parts "x,a" is refused
+    And the part "a" is accepted
+
+  # Guards against a sound part that stays refused, as the success that clears it
+  # crosses the quarantine.
+  Scenario Outline: A success at a peer counts for a quarantine: <parts>, <age> s before
+    Given the guards of 2 instances
+    And the parts "<parts>" are in quarantine together
+    When a peer tells that "a" has succeeded <age> s before the quarantine began
+    Then the refused ones of "a; x; a,x" are "<refused>" at both
+
+    Examples:
+      | parts | age | refused   |
+      | a,x   | 0.5 | x; a,x    |
+      | a     | 0.5 |           |
+      | a,x   | 20  | a,x       |
+      | a     | 20  | a; a,x    |
+
+  # Guards against forgetting the crashing one of two parts after their time.
+  Scenario: Parts stay on trial together
+    Given the guard of one instance
+    And the parts "a,x" are in quarantine together
+    When 601 s pass
+    And a run with the parts "a" begins its answer
+    And 20 runs without the part "x" begin their answers
+    And runs with the parts "a,x" break 1 time one after another
+    Then a request with the parts "a,x" is refused
+
+  # Guards against a key that no message or row can hold.
+  Scenario: Many parts with long names are refused by some of them
+    Given the guard of one instance
+    And 12 parts with names of 30 characters are in quarantine together
+    Then a request with these parts is refused
 
   # Guards against a quarantine without an end, and against one that ends only to
   # let many more runners crash.
--- a/features/steps/prompt_quarantine_steps.py
+++ b/features/steps/prompt_quarantine_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 
+from damaskpoint import defaults
 from damaskpoint.forwarding.metadata import PromptPart, RequestMetadata
 from damaskpoint.membership.facts import Mark, MarkKind
 from damaskpoint.quarantine.guard import PromptGuard
@@ -78,6 +79,16 @@
     context.fleet = CrashingFleet(options, seed)
 
 
+@given(
+    'a drawn fleet with the seed {seed:d}, where all crashing requests and'
+    ' {share:g} of the sound ones have one document'
+)
+def draw_fleet_with_document(context: Any, seed: int, share: float) -> None:
+    """Draw a fleet whose crashing requests have two parts in common."""
+    options = create_options(seed, has_cause=True, companion_share=share)
+    context.fleet = CrashingFleet(options, seed)
+
+
 @when('it is played for {seconds:g} s')
 def play(context: Any, seconds: float) -> None:
     """Play the fleet."""
@@ -105,7 +116,7 @@
 def check_none(context: Any) -> None:
     """Look at all instances."""
     for guard in context.fleet.guards:
-        assert not guard.quarantines_by_part, guard.quarantines_by_part
+        assert not guard.quarantines_by_key, guard.quarantines_by_key
 
 
 @given('the guard of one instance')
@@ -197,6 +208,69 @@
     assert _is_refused(context, part)
 
 
+@given('the parts "{parts}" are in quarantine together')
+def begin_joint_quarantine(context: Any, parts: str) -> None:
+    """Let enough runs with all parts break, and others succeed."""
+    for _ in range(4):
+        for _ in range(8):
+            context.instances.succeed('other')
+        context.instances.break_off(parts)
+    assert _is_refused(context, parts)
+
+
+@given(
+    '{count:d} parts with names of {length:d} characters are in quarantine'
+    ' together'
+)
+def begin_long_quarantine(context: Any, count: int, length: int) -> None:
+    """Keep the parts, whose names differ at their beginning."""
+    context.parts = ','.join(
+        f'{number:02}'.ljust(length, 'x') for number in range(count)
+    )
+    begin_joint_quarantine(context, context.parts)
+
+
+@then('a request with these parts is refused')
+def check_these_refused(context: Any) -> None:
+    """Check the parts that were kept, and that the key is short enough."""
+    assert _is_refused(context, context.parts)
+    for key in context.instances.guards[0].quarantines_by_key:
+        assert len(key) <= defaults.MAX_NAME_CHARACTERS, key
+
+
+@when(
+    'a peer tells that "{part}" has succeeded {seconds:g} s before the'
+    ' quarantine began'
+)
+def deliver_success(context: Any, part: str, seconds: float) -> None:
+    """Deliver a mark of a newer epoch without failures to all instances."""
+    instances = context.instances
+    happened_at = instances.now - seconds
+    mark = Mark(MarkKind.SUSPECTED_PART, part, 1, happened_at, sequence=0)
+    for guard in instances.guards:
+        guard.apply_mark(mark, instances.now)
+
+
+@then('the refused ones of "{requests}" are "{refused}" at both')
+@then('the refused ones of "{requests}" are "" at both')
+def check_refused_ones(context: Any, requests: str, refused: str = '') -> None:
+    """Check requests, each given by its parts, at two instances."""
+    expected = [parts for parts in refused.split('; ') if parts]
+    for number in range(2):
+        found = [
+            parts
+            for parts in requests.split('; ')
+            if _is_refused(context, parts, number)
+        ]
+        assert found == expected, found
+
+
+@then('a request with the parts "{parts}" is refused')
+def check_together(context: Any, parts: str) -> None:
+    """Check a request with all of the parts."""
+    assert _is_refused(context, parts)
+
+
 @given('a run with the parts "{parts}" is sent')
 def send_run(context: Any, parts: str) -> None:
     """Keep a run that is in progress."""
--- a/features/support/crashing_fleet.py
+++ b/features/support/crashing_fleet.py
@@ -27,6 +27,7 @@
     _Event = tuple[float, int, Callable[[], None]]
 
 CRASHING_PART: Final = 'bad0'
+_COMPANION: Final = 'companion'
 _CONTACT_S: Final = 3.0
 _CRASHES: Final = 5
 _RESTART_S: Final = 3.3
@@ -57,6 +58,9 @@
     break_share: float
     breaks_at: float
     datagram_loss: float
+    # Share of the sound requests with a document that all crashing ones have;
+    # None if these have any.
+    companion_share: float | None = None
 
 
 @dataclass(slots=True, eq=False)
@@ -109,7 +113,10 @@
         self._queue: list[_Event] = []
         self._order = itertools.count()
         self._down_until = [float(0) for _ in range(options.runners)]
-        self._runs: list[set[_Run]] = [set() for _ in range(options.runners)]
+        # Keys in the order of the sends, so that a seed gives the same play.
+        self._runs: list[dict[_Run, None]] = [
+            {} for _ in range(options.runners)
+        ]
         self.guards = [
             PromptGuard(self._create_publisher(number))
             for number in range(options.instances)
@@ -197,6 +204,8 @@
             f'f{rng.randrange(self._options.first_parts)}',
             f'd{int(rng.random() ** 1.5 * _SECOND_PARTS)}',
         ]
+        if self._has_companion(is_crashing=is_crashing):
+            part_ids[1] = _COMPANION
         if is_crashing:
             part_ids.insert(rng.randrange(3), CRASHING_PART)
         part_ids.append(f'own{next(self._order)}')
@@ -206,6 +215,12 @@
         instance = rng.randrange(self._options.instances)
         self._try(_Request(metadata, instance, is_crashing))
 
+    def _has_companion(self, *, is_crashing: bool) -> bool:
+        share = self._options.companion_share
+        if share is None:
+            return False
+        return is_crashing or self._rng.random() < share
+
     def _try(self, request: _Request) -> None:
         """Send a request to a runner that is up, if there is one."""
         guard = self.guards[request.instance]
@@ -230,7 +245,7 @@
                 _SERVICE, request.metadata, request.broken_heads, self._now
             ),
         )
-        self._runs[run.runner].add(run)
+        self._runs[run.runner][run] = None
         self._after(self._rng.uniform(0.05, 0.4), lambda: self._head(run))
 
     def _head(self, run: _Run) -> None:
@@ -258,7 +273,7 @@
 
     def _end(self, run: _Run) -> None:
         run.is_ended = True
-        self._runs[run.runner].discard(run)
+        self._runs[run.runner].pop(run, None)
 
     def _crash(self, run: _Run) -> None:
         if run.is_ended:
@@ -289,7 +304,9 @@
         self._after(0.003, lambda: self._try(request))
 
 
-def create_options(seed: int, *, has_cause: bool) -> FleetOptions:
+def create_options(
+    seed: int, *, has_cause: bool, companion_share: float | None = None
+) -> FleetOptions:
     """Draw a fleet; ``has_cause`` says whether a part crashes runners."""
     rng = random.Random(seed)
     instances = rng.choice((3, 6, 8, 30))
@@ -304,4 +321,5 @@
         break_share=0 if has_cause else rng.choice((0, 0.5, 0.9, 1)),
         breaks_at=5.0,
         datagram_loss=rng.choice((0, 0.05, 0.3)),
+        companion_share=companion_share,
     )
