Require keys as the configuration says, also without any key left

Cause: whether keys are needed was derived from the keys that are left.

Change: it is a field of the configuration, set if it contains tenants.

--- a/damaskpoint/catalog/model.py
+++ b/damaskpoint/catalog/model.py
@@ -215,6 +215,8 @@
     services_by_name: Mapping[str, Service]
     limits: CallerLimits
     accounts_by_key: Mapping[str, ClientAccount] = field(default_factory=dict)
+    # Whether routes that are not public require a key, even if none is left.
+    needs_keys: bool = False
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path, or None."""
@@ -223,11 +225,6 @@
                 return route
         return None
 
-    @property
-    def needs_keys(self) -> bool:
-        """Return whether routes that are not public require a key."""
-        return bool(self.accounts_by_key)
-
 
 @final
 @dataclass(frozen=True, slots=True)
--- a/damaskpoint/platform/rows.py
+++ b/damaskpoint/platform/rows.py
@@ -141,6 +141,7 @@
             parsed.Limits.IdleTimeoutMs / _MS_PER_S,
         ),
         accounts_by_key=_collect_keys(parsed.Tenants),
+        needs_keys='Tenants' in parsed.model_fields_set,
     )
 
 
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -134,6 +134,34 @@
     When a caller sends POST /unsafe/one with the key "key-1"
     Then the answer is 500 with the body of the runner
 
+  # Guards against serving every request once the last key has been taken away.
+  Scenario Outline: The configuration decides whether keys are needed: <tenants>, <key>
+    Given a site with a runner of each service
+    When a configuration with the tenants <tenants> is applied, with /safe/ <access>
+    And a caller sends GET /safe/one with the key "<key>"
+    Then the answer is <status>
+
+    Examples:
+      | tenants                              | access  | key   | status |
+      | [{"Name": "a", "ApiKeys": []}]       | private | key-1 | 401    |
+      | [{"Name": "a", "ApiKeys": []}]       | private | other | 401    |
+      | [{"Name": "a"}]                      | private | key-1 | 401    |
+      | []                                   | private | key-1 | 401    |
+      | none                                 | private | key-1 | 200    |
+      | [{"Name": "a", "ApiKeys": []}]       | public  | key-1 | 200    |
+      | [{"Name": "a", "ApiKeys": ["other"]}]| private | other | 200    |
+
+  Scenario Outline: A request without a key, with the tenants <tenants>
+    Given a site with a runner of each service
+    When a configuration with the tenants <tenants> is applied, with /safe/ private
+    And a caller sends GET /safe/one with Authorization set to ""
+    Then the answer is <status>
+
+    Examples:
+      | tenants                        | status |
+      | [{"Name": "a", "ApiKeys": []}] | 401    |
+      | none                           | 200    |
+
   Scenario: A revoked key is refused
     Given a site with a runner of each service
     When a caller sends GET /safe/one with the key "key-1"
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -3,13 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 from typing import Any, Final
 
 from behave import given, when
 from tornado import httpclient, simple_httpclient
 
-from features.support.gateway_site import HOST, KEY, Site, run, until
+from features.support.gateway_site import (
+    HOST,
+    KEY,
+    Site,
+    create_configuration,
+    run,
+    until,
+)
 from standins.runner import RunnerState
 
 _WAIT_S: Final = 3.0
@@ -185,6 +193,23 @@
     run(context, until(lambda: catalog.configuration.version == 2))
 
 
+@when(
+    'a configuration with the tenants {tenants} is applied, with /safe/'
+    ' {access}'
+)
+def apply_tenants(context: Any, tenants: str, access: str) -> None:
+    """Apply a configuration with other tenants, or without the field."""
+    changed = create_configuration(2)
+    changed.pop('Tenants')
+    if tenants != 'none':
+        changed['Tenants'] = json.loads(tenants)
+    for route in changed['Routes']:
+        route['Public'] = access == 'public'
+    context.site.store.put('op', 'config', changed)
+    catalog = _catalog(context.site)
+    run(context, until(lambda: catalog.configuration.version == 2))
+
+
 async def send_request(
     context: Any, method: str, path: str, **headers: str
 ) -> httpclient.HTTPResponse:
