Divide the retry slack by all instances that may be running

Repeats piled up beyond the bound of a service (the users' BUDGET, reproduced in virtual time): by 238 of 132 allowed in the worst 10 s when eight instances do not see each other, by 7 in two halves, by 11 when all are killed and started four times.

Cause: the slack was divided by the live peers. An instance that lost sight of its peers took their shares, which they kept; a process that started knew nobody and began with all of the slack.

Change: the slack is divided by the instances that are listed in the store or were seen and are not known to have ended. Until the list has been read, only the ratio of the own requests is used. A process uses its share from the end of the first window on, as the one before it may have used it.

That the users saw this is not shown.

--- a/damaskpoint/gateway/options.py
+++ b/damaskpoint/gateway/options.py
@@ -24,6 +24,7 @@
 # Timeout for connecting to a runner in the same region (seconds): many round
 # trips, but less than the first retransmission of a lost packet.
 _CONNECT_TIMEOUT_S: Final = 0.5
+_RETRY_WINDOW_S: Final = 10.0
 _SILENCE_TIMEOUT_S: Final = 2.0
 _STORE_TIMEOUT_S: Final = 1.0
 
@@ -81,6 +82,8 @@
     """Retries allowed, as a share of a service's requests."""
     retry_slack: float = pydantic.Field(ge=0)
     """Retries of a service allowed beyond that share, per window."""
+    retry_window_s: float = pydantic.Field(_RETRY_WINDOW_S, gt=0)
+    """Length of that window (seconds)."""
     cold_overshoot: float = pydantic.Field(ge=1)
     """Factor on the request rate that a cold runner can serve."""
     cold_slack: float = pydantic.Field(ge=0)
--- a/damaskpoint/gateway/peers.py
+++ b/damaskpoint/gateway/peers.py
@@ -86,9 +86,7 @@
         self._membership.publish_run_counts(context.prompts.list_run_counts())
         context.loads.set_peer_counts(self._membership.view.work.sum_shares())
         self._expire(now)
-        context.budgets.set_instance_count(
-            len(self._membership.live_peers(now)) + 1
-        )
+        context.budgets.update(self._count_instances(), now)
 
     def on_configuration(
         self, fact: facts.ConfigurationFact, peer: facts.PeerFact, now: float
@@ -134,6 +132,17 @@
         for count in counts:
             self._context.prompts.record_peer_runs(peer, count, now)
 
+    def _count_instances(self) -> int | None:
+        """Return the most instances that may be running, this one included.
+
+        None before the platform's list has been read: unseen peers may run.
+        """
+        membership = self._membership
+        if not membership.has_list:
+            return None
+        listed = membership.listed_names
+        return len(membership.view.peers.unended_names(listed)) + 1
+
     def _expire(self, now: float) -> None:
         max_age_s = find_max_age_s(self._membership.cycle_s)
         self._context.pool.paces.expire(now, max_age_s)
--- a/damaskpoint/gateway/wiring.py
+++ b/damaskpoint/gateway/wiring.py
@@ -185,7 +185,12 @@
         cold=ColdLimiter(
             own_name, ColdBound(bounds.cold_overshoot, bounds.cold_slack)
         ),
-        budgets=ServiceBudgets(bounds.retry_ratio, bounds.retry_slack),
+        budgets=ServiceBudgets(
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            bounds.retry_window_s,
+            time.monotonic(),
+        ),
         first_events=FirstEventTimes(),
         completion=CompletionCheck(shutdown),
         sizes=RequestSizes(),
--- a/damaskpoint/membership/peers.py
+++ b/damaskpoint/membership/peers.py
@@ -158,6 +158,19 @@
         record = self._records_by_name.get(name)
         return None if record is None else record.fact
 
+    def unended_names(self, listed_names: frozenset[str]) -> frozenset[str]:
+        """Return the peers that may be running, also out of sight.
+
+        A listed peer may run, and so may a silent one: it may only be cut off
+        from here.
+        """
+        names = set(listed_names)
+        for name, record in self._records_by_name.items():
+            if record.fact.phase is not facts.Phase.GONE:
+                names.add(name)
+        names.discard(self._own_name)
+        return frozenset(names)
+
     def names(self) -> tuple[str, ...]:
         """Return the names of all known peers."""
         return tuple(self._records_by_name)
--- a/damaskpoint/membership/service.py
+++ b/damaskpoint/membership/service.py
@@ -86,6 +86,8 @@
         self._loop = loop
         self._gossiper = loop.gossiper
         self._clock = clock
+        # Whether the platform's list of instances has been read.
+        self.has_list = False
 
     # Commands.
 
@@ -151,6 +153,7 @@
 
     def apply_instances(self, instances: Sequence[ListedInstance]) -> None:
         """Apply the platform's list of instances, read just now."""
+        self.has_list = True
         self._gossiper.apply_instances(instances, self._clock())
 
     # Queries.
--- a/damaskpoint/pipeline/retry_budget.py
+++ b/damaskpoint/pipeline/retry_budget.py
@@ -16,11 +16,13 @@
     on failing upstreams.
     """
 
-    def __init__(self, share: float, burst: int) -> None:
-        """Start with a full bucket."""
+    def __init__(
+        self, share: float, burst: int, *, is_full: bool = True
+    ) -> None:
+        """Start with a full or an empty bucket."""
         self._share = share
         self._burst = float(burst)
-        self._balance = float(burst)
+        self._balance = self._burst if is_full else float(0)
         self._spent = 0
         self._refused = 0
 
@@ -42,6 +44,10 @@
         self._burst = float(burst)
         self._balance = min(self._balance, self._burst)
 
+    def fill(self) -> None:
+        """Fill the bucket."""
+        self._balance = self._burst
+
     def dump_state(self, now: float) -> dict[str, object]:
         """Return the tokens, the burst, and the numbers granted and refused."""
         return {
