Keep removed runners in use only after an outage in which entries lapse

Cause: after any failed call, the next good one began a grace period of 2 s for removed entries. One failed call cannot let an entry lapse; further ones prolonged the period; and it began up to 1.6 s after the store's return, when that was noticed.

Change: the grace begins only if the table was not read for 2 s or more. Shorter failures do not prolong it. It ends 2.6 s after the last failed call was sent, but lasts a second at least.

That the users saw this is not shown.

--- a/damaskpoint/catalog/follower.py
+++ b/damaskpoint/catalog/follower.py
@@ -54,8 +54,8 @@
         """Apply the rows that changed."""
 
     @abc.abstractmethod
-    def record_outage(self, failure: Failure, now: float) -> None:
-        """Record a failed read of the table."""
+    def record_outage(self, sent_at: float, now: float) -> None:
+        """Record a failed read of the table, which was sent before."""
 
     @abc.abstractmethod
     def record_read(self, now: float) -> None:
@@ -211,7 +211,7 @@
                     'age_s': _round_age(self.age_s(now)),
                 },
             )
-        self._sink.record_outage(failure, now)
+        self._sink.record_outage(self._sent_at, now)
 
     def _record_success(self, now: float) -> None:
         self._read_at = now
@@ -260,7 +260,7 @@
         self._set_zones(frozenset(zones), now)
         self._apply_configurations(read, self._catalog.apply, now)
 
-    def record_outage(self, failure: Failure, now: float) -> None:
+    def record_outage(self, sent_at: float, now: float) -> None:
         """Do nothing: the last known rows stay in force."""
 
     def record_read(self, now: float) -> None:
@@ -349,9 +349,9 @@
                 },
             )
 
-    def record_outage(self, failure: Failure, now: float) -> None:
+    def record_outage(self, sent_at: float, now: float) -> None:
         """Keep the known runners in use."""
-        self._runners.record_outage(now)
+        self._runners.record_outage(sent_at, now)
 
     def record_read(self, now: float) -> None:
         """Start the grace period for lapsed entries after an outage."""
--- a/damaskpoint/catalog/runners.py
+++ b/damaskpoint/catalog/runners.py
@@ -1,7 +1,7 @@
 """The table of usable runners, which survives outages of the registry.
 
 After an outage the registry reports an entry as removed even if it only lapsed
-during the outage. Such runners stay in use until they are registered again, or
+during the outage, which takes some seconds. Such runners stay in use until they are registered again, or
 until a grace period ends. The same holds after a restore of the registry from
 a copy; runners that are known to leave or to be gone stay excluded then.
 """
@@ -22,6 +22,14 @@
 # Time after an outage until entries that lapsed in it are registered again
 # (seconds); the platform states that it is about two.
 RESTORE_GRACE_S: Final = 2.0
+# Shortest outage in which an entry may lapse (seconds): a runner's entry is
+# removed after three of its heartbeats are missing.
+_MIN_LAPSE_S: Final = 2.0
+# Longest time from the end of an outage until entries that lapsed in it are no
+# longer used (seconds), and the shortest grace period. An outage may have ended
+# right after the last call that failed.
+_MAX_RESTORE_S: Final = 2.6
+_MIN_GRACE_S: Final = 1.0
 
 
 @final
@@ -48,24 +56,32 @@
         self._removed = StartMemory()
         self._is_reachable = False
         self._unreachable_since = float('-inf')
-        self._restored_at = float('-inf')
+        # When the last call that failed was sent.
+        self._failed_at = float('-inf')
+        # Until when entries that are removed may have lapsed in an outage.
+        self._grace_ends_at = float('-inf')
         self._read_at = float('-inf')
 
     # Commands.
 
-    def record_outage(self, now: float) -> None:
-        """Record that the registry cannot be read."""
+    def record_outage(self, sent_at: float, now: float) -> None:
+        """Record that a call for the registry, sent before, has failed."""
         if self._is_reachable:
             self._unreachable_since = now
         self._is_reachable = False
+        self._failed_at = sent_at
 
     def record_read(self, now: float) -> None:
         """Record that the registry was read."""
+        unread_s = now - self._read_at
         self._read_at = now
         if self._is_reachable:
             return
         self._is_reachable = True
-        self._restored_at = now
+        if unread_s < _MIN_LAPSE_S:
+            return
+        grace_s = max(_MIN_GRACE_S, self._failed_at + _MAX_RESTORE_S - now)
+        self._grace_ends_at = now + min(RESTORE_GRACE_S, grace_s)
         for state in self._states_by_name.values():
             if state.expires_at is not None:
                 # Entries are not registered again during an outage.
@@ -118,9 +134,8 @@
         state = self._states_by_name.get(name)
         if state is None:
             return
-        grace_end = self._restored_at + RESTORE_GRACE_S
-        if now < grace_end and not state.runner.is_draining:
-            state.expires_at = grace_end
+        if now < self._grace_ends_at and not state.runner.is_draining:
+            state.expires_at = self._grace_ends_at
             return
         self._drop(state, now)
 
--- a/damaskpoint/quarantine/stored.py
+++ b/damaskpoint/quarantine/stored.py
@@ -69,7 +69,7 @@
             self.quarantines_by_key[row.key] = quarantine
             self._guard.apply_quarantine(row.key, quarantine, now)
 
-    def record_outage(self, failure: Failure, now: float) -> None:
+    def record_outage(self, sent_at: float, now: float) -> None:
         """Do nothing: what is known stays in force."""
 
     def record_read(self, now: float) -> None:
--- a/features/runner_table.feature
+++ b/features/runner_table.feature
@@ -15,6 +15,36 @@
       | it expired in an outage | ready    | unreachable from 12 and read at 20 | used    | gone  |
       | it drained in an outage | draining | unreachable from 12 and read at 20 | gone    | gone  |
 
+  # Guards against requests to runners that are gone, because each failed call to
+  # the registry was taken as an outage in which entries may lapse.
+  Scenario Outline: An entry that cannot have lapsed is removed at once: <case>
+    Given the registry is read at 0
+    And the runner "r" is registered as ready at 10
+    And the registry is read at <last read>
+    And the registry is unreachable from <from>, with a last call at <last call>, and read at <back>
+    When the entry of "r" is removed at <removed>
+    Then "r" is <at once> at <removed>
+    And "r" is <later> at <end>
+
+    Examples:
+      | case                           | last read | from | last call | back | removed | at once | later | end  |
+      | one call failed                | 19.8      | 19.9 | 19.9      | 20.2 | 20.3    | gone    | gone  | 20.4 |
+      | calls failed for a second      | 19        | 19.1 | 19.9      | 20.2 | 20.3    | gone    | gone  | 20.4 |
+      | a long outage                  | 14        | 14.1 | 19.5      | 20   | 20.1    | used    | used  | 21.9 |
+      | a long outage, later           | 14        | 14.1 | 19.5      | 20   | 20.1    | used    | gone  | 22.1 |
+      | noticed late to be over        | 14        | 14.1 | 18.4      | 20   | 20.1    | used    | used  | 20.9 |
+      | noticed late to be over, later | 14        | 14.1 | 18.4      | 20   | 20.1    | used    | gone  | 21.1 |
+
+  # Guards against a grace period that each further failed call prolongs.
+  Scenario: Failed calls after an outage do not prolong the use of removed runners
+    Given the registry is read at 0
+    And the runner "r" is registered as ready at 10
+    And the registry is unreachable from 12 and read at 20
+    When the entry of "r" is removed at 20
+    And the registry is unreachable from 20.5, with a last call at 20.6, and read at 20.9
+    And the registry is unreachable from 21.3, with a last call at 21.4, and read at 21.7
+    Then "r" is gone at 22.1
+
   Scenario: A runner that registers again after an outage stays in use
     Given the registry is read at 0
     And the runner "r" is registered as ready at 10
--- a/features/steps/runner_table_steps.py
+++ b/features/steps/runner_table_steps.py
@@ -36,7 +36,24 @@
     context: Any, unreachable_from: float, now: float
 ) -> None:
     """Make the registry unreachable for a while."""
-    context.runners.record_outage(unreachable_from)
+    context.runners.record_outage(unreachable_from, unreachable_from)
+    context.runners.record_read(now)
+
+
+@given(
+    'the registry is unreachable from {unreachable_from:g}, with a last call at'
+    ' {last:g}, and read at {now:g}'
+)
+@when(
+    'the registry is unreachable from {unreachable_from:g}, with a last call at'
+    ' {last:g}, and read at {now:g}'
+)
+def interrupt_with_calls(
+    context: Any, unreachable_from: float, last: float, now: float
+) -> None:
+    """Make two calls fail, then one succeed."""
+    for sent_at in (unreachable_from, last):
+        context.runners.record_outage(sent_at, sent_at)
     context.runners.record_read(now)
 
 
