Follow a long table from the version of its first page

Cause: a table of more than one page was followed from the version of the last page, so that changes of the pages before it in between were never read.

Change: it is followed from the version of the first page. Changes of the later pages may come twice, in order.

--- a/damaskpoint/platform/store.py
+++ b/damaskpoint/platform/store.py
@@ -158,24 +158,28 @@
         return await self._get('/v1/rows-get', query, 0)
 
     async def read_table(self, table: str) -> Rows | Failure:
-        """Return all rows of a table."""
-        found: list[StoredRow] = []
+        """Return all rows of a table.
+
+        The version is that of the first page: rows of it may have changed while
+        the others were read.
+        """
+        pages: list[Rows] = []
         start_key = ''
         era = self._era.number
         while True:
             page = await self.read_range(RowRange(table, start_key))
             if isinstance(page, Failure):
                 return page
-            if page.era != era and start_key:
+            if page.era != era and pages:
                 # The pages before this one are of a table that is gone.
                 era = page.era
-                found.clear()
+                pages.clear()
                 start_key = ''
                 continue
             era = page.era
-            found.extend(page.rows)
+            pages.append(page)
             if not page.is_truncated or not page.rows:
-                return Rows(tuple(found), page.version, era, now_s=page.now_s)
+                return _join_pages(pages)
             start_key = next_key(page.rows[-1].key)
 
     async def watch(
@@ -271,6 +275,12 @@
             )
 
 
+def _join_pages(pages: Sequence[Rows]) -> Rows:
+    found = tuple(row for page in pages for row in page.rows)
+    last = pages[-1]
+    return Rows(found, pages[0].version, last.era, now_s=last.now_s)
+
+
 def next_key(key: str) -> str:
     """Return the smallest key greater than ``key``."""
     return f'{key}\x00'
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -46,3 +46,10 @@
 
   Scenario: The kernel closes a silent connection to the store during a watch
     Then a connection to the store is probed after 1 s and given up 1 s later
+
+  # Guards against using a runner that leaves, as the change of its row was made
+  # after its page was read and before the last one was.
+  Scenario: A change of a page that was already read is not lost
+    Given a table of two pages, of which a row of the first then changes
+    When a follower reads the table and its changes
+    Then the change of the first page is known
