Let a process retry a little in its first window

Cause: its share of the slack was not used at all until the end of its first window.

Change: a process begins with 0.15 of the slack by its share, which the 0.7 that the processes before may have used leave over; with one retry before it knows how many share it.

--- a/damaskpoint/forwarding/budgets.py
+++ b/damaskpoint/forwarding/budgets.py
@@ -15,6 +15,11 @@
 # Share of the bound that is used, since instances may temporarily disagree on
 # how many of them share the slack.
 _USED_SHARE: Final = 0.7
+# Share of the bound that processes may use in the first window after a start,
+# beside what the processes before them have used.
+_START_SHARE: Final = 0.15
+# What a process may use of it before it knows how many share it.
+_MIN_START_BALANCE: Final = 1.0
 
 
 @final
@@ -26,16 +31,17 @@
     ) -> None:
         """Keep retries below ``ratio`` of requests plus ``slack``.
 
-        Both hold for any ``window_s`` seconds. The share of the slack may be
-        used from the end of the first of them on: an earlier process of this
-        instance may have used it just before this one started.
+        Both hold for any ``window_s`` seconds. An earlier process of this
+        instance may have used its share of the slack just before this one
+        started, so only a part of it may be used in the first of them.
         """
         self._ratio = ratio * _USED_SHARE
-        self._slack = slack * _USED_SHARE
-        self._slack_from = now + window_s
+        self._slack = slack
+        self._full_from = now + window_s
         # None while it is not known how many instances there are.
         self._instances: int | None = None
-        self._has_slack = False
+        # Tokens of a new budget; None for a full one.
+        self._start_balance: float | None = _MIN_START_BALANCE
         self._budgets_by_service: dict[str, RetryBudget] = {}
 
     def update(self, instances: int | None, now: float) -> None:
@@ -44,22 +50,25 @@
         The share never grows because a peer is out of sight, as it keeps its
         own.
         """
+        was_known = self._instances is not None
         self._instances = instances
         for budget in self._budgets_by_service.values():
             budget.update_burst(self._burst)
-        if self._has_slack or instances is None or now < self._slack_from:
+        if instances is None or self._start_balance is None:
             return
-        self._has_slack = True
-        for budget in self._budgets_by_service.values():
-            budget.fill()
+        if now >= self._full_from:
+            self._start_balance = None
+            self._add_to_all(self._burst)
+        elif not was_known:
+            share = self._slack * _START_SHARE / instances
+            self._start_balance = max(_MIN_START_BALANCE, share)
+            self._add_to_all(self._start_balance - _MIN_START_BALANCE)
 
     def find(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
         budget = self._budgets_by_service.get(service)
         if budget is None:
-            budget = RetryBudget(
-                self._ratio, self._burst, is_full=self._has_slack
-            )
+            budget = RetryBudget(self._ratio, self._burst, self._start_balance)
             self._budgets_by_service[service] = budget
         return budget
 
@@ -67,4 +76,8 @@
     def _burst(self) -> int:
         if self._instances is None:
             return 1
-        return max(1, int(self._slack / self._instances))
+        return max(1, int(self._slack * _USED_SHARE / self._instances))
+
+    def _add_to_all(self, tokens: float) -> None:
+        for budget in self._budgets_by_service.values():
+            budget.add(tokens)
--- a/damaskpoint/pipeline/retry_budget.py
+++ b/damaskpoint/pipeline/retry_budget.py
@@ -17,12 +17,12 @@
     """
 
     def __init__(
-        self, share: float, burst: int, *, is_full: bool = True
+        self, share: float, burst: int, balance: float | None = None
     ) -> None:
-        """Start with a full or an empty bucket."""
+        """Start with this balance; None for a full bucket."""
         self._share = share
         self._burst = float(burst)
-        self._balance = self._burst if is_full else float(0)
+        self._balance = self._burst if balance is None else balance
         self._spent = 0
         self._refused = 0
 
@@ -44,9 +44,14 @@
         self._burst = float(burst)
         self._balance = min(self._balance, self._burst)
 
-    def fill(self) -> None:
-        """Fill the bucket."""
-        self._balance = self._burst
+    def refund(self) -> None:
+        """Return the token of a retry that was not sent."""
+        self.add(1)
+        self._spent -= 1
+
+    def add(self, tokens: float) -> None:
+        """Add tokens, up to the burst."""
+        self._balance = min(self._burst, self._balance + tokens)
 
     def dump_state(self, now: float) -> dict[str, object]:
         """Return the tokens, the burst, and the numbers granted and refused."""
--- a/features/retry_shares.feature
+++ b/features/retry_shares.feature
@@ -39,7 +39,7 @@
       | 8     | 4     | all  | 10    |
       | 8     | 4     | none | 10    |
 
-  Scenario: Without a list of instances, only the ratio of own requests is used
+  Scenario: Repeats stay within the bound without a list of instances
     Given 8 instances that see none, and 10 failing requests a second
     And a store that cannot be read
     When they run for 60 s
