Check a runner again when its connection is open

A request that had chosen a runner was sent to it although its exit became known while the connection was opened (kin of the users' DRAIN).

Change: after the connect a runner that is no longer usable gets nothing. The request goes to another one; as nothing was sent, that is no retry and does not count for the runner's health.

Result: both cases of the new scenario fail without the check.

--- a/damaskpoint/forwarding/attempts.py
+++ b/damaskpoint/forwarding/attempts.py
@@ -36,7 +36,9 @@
 _LOG: Final = logging.getLogger(__name__)
 _MS: Final = 1000
 # Codes of failures that do not count against the health of the runner.
-_HEALTHY_CODES: Final = frozenset((Code.UPSTREAM_OVERLOADED, Code.RESULT_LOST))
+_HEALTHY_CODES: Final = frozenset(
+    (Code.UPSTREAM_OVERLOADED, Code.RESULT_LOST, Code.NO_UPSTREAM)
+)
 # Endings of answers whose runner may have crashed.
 _BROKEN_ENDINGS: Final = frozenset((Ending.CLOSED, Ending.SOCKET_ERROR))
 # Maximum sends of one request, including those that the runner did not run.
@@ -67,6 +69,8 @@
         self._relay = relay
         self._failed: set[str] = set()
         self._sends = 0
+        # Whether the budget knows of the request.
+        self._is_recorded = False
         # Number of runners that may have run the request.
         self._possible_runs = 0
         # The present send, and number of those that broke after their head.
@@ -106,6 +110,8 @@
             if failure.code is not Code.RESULT_LOST:
                 self._failed.add(runner.name)
             self._possible_runs += int(failure.ran is not Ran.NO)
+            if failure.code is Code.NO_UPSTREAM:
+                self._return_to_budget()
         return last_failure
 
     def _choose_runner(self, last_failure: Failure) -> Runner | Failure:
@@ -141,7 +147,9 @@
         self._sends += 1
         budget = self._context.budgets.find(self._service)
         if self._sends == 1:
-            budget.record_first_attempt()
+            if not self._is_recorded:
+                budget.record_first_attempt()
+            self._is_recorded = True
             return True
         if budget.spend():
             return True
@@ -154,6 +162,12 @@
         )
         return False
 
+    def _return_to_budget(self) -> None:
+        """Take back a send that did not reach its runner."""
+        if self._sends > 1:
+            self._context.budgets.find(self._service).refund()
+        self._sends -= 1
+
     async def _try_runner(
         self, runner: Runner, results: Sequence[str]
     ) -> Failure | None:
--- a/damaskpoint/forwarding/sender.py
+++ b/damaskpoint/forwarding/sender.py
@@ -47,8 +47,9 @@
 ) -> OpenAnswer | Failure:
     """Return the answer with its head, or a failure.
 
-    ``ran`` of the failure says whether the request may have run. The caller
-    must close the exchange of the answer.
+    ``ran`` of the failure says whether the request may have run; its code is
+    ``NO_UPSTREAM`` if nothing was sent, as the runner was excluded while the
+    connection was opened. The caller must close the exchange of the answer.
     """
     options = context.options
     exchange = await open_exchange(
@@ -58,6 +59,9 @@
     )
     if isinstance(exchange, Failure):
         return exchange
+    if context.catalog.runners.find(runner.name) is None:
+        exchange.close()
+        return Failure(Code.NO_UPSTREAM, 'the runner is leaving', Ran.NO)
     try:
         async with asyncio.timeout(head_timeout_s):
             exchange.send(request)
--- a/features/gateway.feature
+++ b/features/gateway.feature
@@ -134,6 +134,19 @@
     When a caller sends POST /unsafe/one with the key "key-1"
     Then the answer is 500 with the body of the runner
 
+  # Guards against sending to a runner that was chosen before its exit was known.
+  Scenario Outline: A request is not sent to a runner that leaves during the connect: <path>
+    Given a site with a runner of each service
+    And a second runner of the service "plain"
+    When the first runner that is connected to leaves while a caller sends POST <path>
+    Then the answer is 200 with the body of the runner
+    And the runner that left saw no request
+
+    Examples:
+      | path        |
+      | /unsafe/one |
+      | /safe/one   |
+
   # Guards against serving every request once the last key has been taken away.
   Scenario Outline: The configuration decides whether keys are needed: <tenants>, <key>
     Given a site with a runner of each service
