--- a/damaskpoint/catalog/runners.py
+++ b/damaskpoint/catalog/runners.py
@@ -1,9 +1,10 @@
 """The table of usable runners, which survives outages of the registry.
 
 After an outage the registry reports an entry as removed even if it only lapsed
-during the outage, which takes some seconds. Such runners stay in use until they are registered again, or
-until a grace period ends. The same holds after a restore of the registry from
-a copy; runners that are known to leave or to be gone stay excluded then.
+during the outage, which takes some seconds. Such runners stay in use until they
+are registered again, or until a grace period ends. The same holds after a
+restore of the registry from a copy; runners that are known to leave or to be
+gone stay excluded then.
 """
 
 from __future__ import annotations
--- a/damaskpoint/forwarding/budgets.py
+++ b/damaskpoint/forwarding/budgets.py
@@ -12,8 +12,8 @@
 
 from damaskpoint.pipeline.retry_budget import RetryBudget
 
-# Share of the bound that is used, since instances may temporarily disagree on
-# how many of them share the slack.
+# Share of the bound that is used. The rest is for processes that have just
+# started, and for instances that do not know of a new one yet.
 _USED_SHARE: Final = 0.7
 # Share of the bound that processes may use in the first window after a start,
 # beside what the processes before them have used.
