--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -10,13 +10,7 @@
 from tornado.http1connection import HTTP1Connection
 
 from damaskpoint.gateway.caller_server import CallerServer
-from features.support.gateway_site import (
-    HOST,
-    KEY,
-    create_configuration,
-    run,
-    until,
-)
+from features.support.gateway_site import HOST, KEY, run, until
 
 _WAIT_S: Final = 10.0
 # Longest time between the end of an answer and that of its connection.
@@ -37,16 +31,6 @@
     return '\r\n'.join(lines).encode()
 
 
-async def _lengthen_timeouts(context: Any) -> None:
-    site = context.site
-    routes = create_configuration(2)['Routes']
-    site.configure(
-        2, Routes=[{**route, 'TimeoutMs': 30_000} for route in routes]
-    )
-    catalog = site.gateway.catalog
-    await until(lambda: catalog.configuration.version == 2)
-
-
 def _list_requests(context: Any) -> list[str]:
     """Return the ids of the requests that runners have received."""
     return [
@@ -62,7 +46,7 @@
     line = request.removeprefix('the rest of ')
 
     async def stop() -> None:
-        await _lengthen_timeouts(context)
+        await context.site.lengthen_timeouts()
         reader, writer = await asyncio.open_connection(HOST, context.site.port)
         writer.write(_encode_head(line, 'first', 'Connection: keep-alive'))
         context.received = b''
--- a/features/steps/gateway_shutdown_steps.py
+++ b/features/steps/gateway_shutdown_steps.py
@@ -15,13 +15,7 @@
 from damaskpoint.forwarding.metadata import RequestMetadata
 from damaskpoint.forwarding.request import CallerRequest
 from damaskpoint.settings import ShutdownOptions
-from features.support.gateway_site import (
-    HOST,
-    KEY,
-    create_configuration,
-    run,
-    until,
-)
+from features.support.gateway_site import HOST, KEY, run, until
 
 _WAIT_S: Final = 10.0
 _ROUTE: Final = 'route-1'
@@ -88,12 +82,7 @@
 
     async def stop() -> None:
         site = context.site
-        routes = create_configuration(2)['Routes']
-        site.configure(
-            2, Routes=[{**route, 'TimeoutMs': 30_000} for route in routes]
-        )
-        catalog = site.gateway.catalog
-        await until(lambda: catalog.configuration.version == 2)
+        await site.lengthen_timeouts()
         waiting = [
             asyncio.ensure_future(_request_status(context, path, f'id-{path}'))
             for path in (first, second)
--- a/features/support/gateway_site.py
+++ b/features/support/gateway_site.py
@@ -21,6 +21,7 @@
 
     from tornado.httpserver import HTTPServer
 
+    from damaskpoint.catalog.catalog import Catalog
     from damaskpoint.catalog.runners import RunnerTable
     from damaskpoint.gateway.runtime import GatewayRuntime
 
@@ -141,6 +142,16 @@
             'op', 'config', {**create_configuration(version), **changes}
         )
 
+    async def lengthen_timeouts(self) -> None:
+        """Configure long timeouts of all routes; wait until they are known."""
+        routes = create_configuration(2)['Routes']
+        self.configure(
+            2, Routes=[{**route, 'TimeoutMs': 30_000} for route in routes]
+        )
+        assert self.gateway is not None
+        catalog = self.gateway.catalog
+        await until(lambda: _find_version(catalog) == 2)
+
     def create_gateway(self) -> GatewayRuntime:
         """Create the gateway without starting it."""
         self.port = find_free_port()
@@ -187,6 +198,11 @@
         return int(sockets[0].getsockname()[1])
 
 
+def _find_version(catalog: Catalog) -> int | None:
+    configuration = catalog.configuration
+    return configuration.version if configuration else None
+
+
 def _find_port(runners: RunnerTable, name: str) -> int | None:
     runner = runners.find(name)
     return runner.port if runner else None
