Start a gateway without the settings of entry and reconciler

Importing the settings took 32 ms of a start, most of it for reading the docstrings of fields and building validators of sections that a gateway does not have. The docstrings are now read only for the page in docs, validators are built when first used, and shared sections have a module of their own.

--- a/damaskpoint/entry/peering.py
+++ b/damaskpoint/entry/peering.py
@@ -33,7 +33,7 @@
     from damaskpoint.membership.service import Membership
     from damaskpoint.routing.lending import PermitLender
     from damaskpoint.routing.wiring import Routing
-    from damaskpoint.settings import InstanceOptions
+    from damaskpoint.settings_base import InstanceOptions
 
 _MS_PER_S = 1_000
 
--- a/damaskpoint/entry/shutdown.py
+++ b/damaskpoint/entry/shutdown.py
@@ -10,7 +10,7 @@
 from damaskpoint.observe.state import StateSource
 
 if TYPE_CHECKING:
-    from damaskpoint.settings import ShutdownOptions
+    from damaskpoint.settings_base import ShutdownOptions
 
 
 @final
--- a/damaskpoint/gateway/options.py
+++ b/damaskpoint/gateway/options.py
@@ -10,7 +10,7 @@
 import pydantic
 
 from damaskpoint import defaults
-from damaskpoint.settings import LogOptions, Section, read_model
+from damaskpoint.settings_base import LogOptions, Section, read_model
 
 if TYPE_CHECKING:
     import pathlib
--- a/damaskpoint/gateway/wiring.py
+++ b/damaskpoint/gateway/wiring.py
@@ -47,7 +47,7 @@
 from damaskpoint.platform.store_instances import StoreInstances
 from damaskpoint.quarantine.guard import PromptGuard
 from damaskpoint.quarantine.stored import QuarantineSink, QuarantineWriter
-from damaskpoint.settings import (
+from damaskpoint.settings_base import (
     InstanceOptions,
     MembershipOptions,
     ShutdownOptions,
--- a/damaskpoint/main/entry.py
+++ b/damaskpoint/main/entry.py
@@ -9,10 +9,8 @@
 from typing import TYPE_CHECKING, Final
 
 from damaskpoint.entry.runtime import create_runtime
-from damaskpoint.main.common_arguments import (
-    add_instance_arguments,
-    read_options,
-)
+from damaskpoint.main.common_arguments import add_instance_arguments
+from damaskpoint.main.instance_options import read_options
 from damaskpoint.observe.logs import set_up_logs
 
 if TYPE_CHECKING:
--- a/damaskpoint/main/gateway.py
+++ b/damaskpoint/main/gateway.py
@@ -14,7 +14,7 @@
 from damaskpoint.gateway.wiring import create_gateway
 from damaskpoint.main.common_arguments import add_instance_arguments
 from damaskpoint.observe.bounded_log import set_up_bounded_logs
-from damaskpoint.settings import report_invalid
+from damaskpoint.settings_base import report_invalid
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/damaskpoint/main/reconciler.py
+++ b/damaskpoint/main/reconciler.py
@@ -11,10 +11,8 @@
 
 from damaskpoint.config.follower import create_follower
 from damaskpoint.forwarding.report_client import create_report_client
-from damaskpoint.main.common_arguments import (
-    add_instance_arguments,
-    read_options,
-)
+from damaskpoint.main.common_arguments import add_instance_arguments
+from damaskpoint.main.instance_options import read_options
 from damaskpoint.observe.logs import set_up_logs
 from damaskpoint.observe.operator_app import create_operator_app
 from damaskpoint.observe.state import StateRegistry
--- a/damaskpoint/membership/service.py
+++ b/damaskpoint/membership/service.py
@@ -21,7 +21,7 @@
 
     from damaskpoint.membership.gossip import MembershipListener
     from damaskpoint.platform.base import ListedInstance
-    from damaskpoint.settings import InstanceOptions, MembershipOptions
+    from damaskpoint.settings_base import InstanceOptions, MembershipOptions
 
 _NS_PER_MS: Final = 1_000_000
 
--- a/damaskpoint/observe/logs.py
+++ b/damaskpoint/observe/logs.py
@@ -9,7 +9,7 @@
 from pythonjsonlogger import json as json_logger
 
 if TYPE_CHECKING:
-    from damaskpoint.settings import LogOptions
+    from damaskpoint.settings_base import LogOptions
 
 _TEXT_FORMAT: Final = '%(asctime)s %(levelname)s %(name)s %(message)s'
 _JSON_FORMAT: Final = '%(asctime)s %(levelname)s %(name)s %(message)s'
--- a/damaskpoint/platform/rows.py
+++ b/damaskpoint/platform/rows.py
@@ -28,7 +28,9 @@
     Unknown fields are ignored, as the platform may add new ones.
     """
 
-    model_config = pydantic.ConfigDict(extra='ignore', frozen=True)
+    model_config = pydantic.ConfigDict(
+        extra='ignore', frozen=True, defer_build=True
+    )
 
 
 class _Stage(_Row):
@@ -109,7 +111,9 @@
 
 
 class _RunnerEntry(_Row):
-    model_config = pydantic.ConfigDict(extra='ignore', strict=True)
+    model_config = pydantic.ConfigDict(
+        extra='ignore', strict=True, defer_build=True
+    )
 
     Service: str = pydantic.Field(min_length=1)
     Address: str
--- a/damaskpoint/settings_doc.py
+++ b/damaskpoint/settings_doc.py
@@ -6,8 +6,11 @@
 
 from __future__ import annotations
 
+import ast
+import inspect
 import json
 import sys
+import textwrap
 from typing import TYPE_CHECKING, Any, Final, Literal, get_args, get_origin
 
 from pydantic_core import PydanticUndefined
@@ -48,24 +51,47 @@
 
 def _write_model(title: str, model: type[BaseModel]) -> list[str]:
     lines = [f'## {title}\n']
+    sections = _read_descriptions(model)
     for name, field in model.model_fields.items():
         section: Any = field.annotation
         lines.append(f'### {name}\n')
-        lines.append(f'{field.description}\n')
+        lines.append(f'{sections[name]}\n')
         lines.append('| option | type | default | meaning |')
         lines.append('|---|---|---|---|')
+        options = _read_descriptions(section)
         for option, option_field in section.model_fields.items():
-            lines.append(_write_row(option, option_field))
+            lines.append(_write_row(option, option_field, options[option]))
         lines.append('')
     return lines
 
 
-def _write_row(option: str, field: FieldInfo) -> str:
+def _read_descriptions(model: type[BaseModel]) -> dict[str, str]:
+    """Return the docstring below each field, by the name of the field.
+
+    Only this page needs them; pydantic would read them at each start.
+    """
+    source = textwrap.dedent(inspect.getsource(model))
+    definition = ast.parse(source).body[0]
+    assert isinstance(definition, ast.ClassDef)
+    descriptions_by_name: dict[str, str] = {}
+    name = ''
+    for statement in definition.body:
+        if isinstance(statement, ast.AnnAssign):
+            name = ast.unparse(statement.target)
+            continue
+        if name and isinstance(statement, ast.Expr):
+            text = ast.literal_eval(statement.value)
+            descriptions_by_name[name] = inspect.cleandoc(text)
+        name = ''
+    return descriptions_by_name
+
+
+def _write_row(option: str, field: FieldInfo, description: str) -> str:
     default = 'none (required)'
     if field.default is not PydanticUndefined:
         default = f'`{json.dumps(field.default)}`'
     kind = _name_type(field.annotation)
-    return f'| `{option}` | {kind} | {default} | {field.description} |'
+    return f'| `{option}` | {kind} | {default} | {description} |'
 
 
 def _name_type(annotation: Any) -> str:
--- a/features/steps/entry_parts_steps.py
+++ b/features/steps/entry_parts_steps.py
@@ -28,7 +28,7 @@
     Ticket,
     Upstream,
 )
-from damaskpoint.settings import ShutdownOptions
+from damaskpoint.settings_base import ShutdownOptions
 
 _UPSTREAM = Upstream('u', 'p', 'z', '127.0.0.1', 1, 1)
 _NOW = 1_000.0
--- a/features/steps/gateway_shutdown_steps.py
+++ b/features/steps/gateway_shutdown_steps.py
@@ -14,7 +14,7 @@
 from damaskpoint.forwarding.completion import CompletionCheck
 from damaskpoint.forwarding.metadata import RequestMetadata
 from damaskpoint.forwarding.request import CallerRequest
-from damaskpoint.settings import ShutdownOptions
+from damaskpoint.settings_base import ShutdownOptions
 from features.support.gateway_site import HOST, KEY, run, until
 
 _WAIT_S: Final = 10.0
--- a/features/steps/gossip_steps.py
+++ b/features/steps/gossip_steps.py
@@ -14,7 +14,7 @@
 from damaskpoint.errors import Code, Failure
 from damaskpoint.membership import facts
 from damaskpoint.membership.service import create_membership
-from damaskpoint.settings import InstanceOptions, MembershipOptions
+from damaskpoint.settings_base import InstanceOptions, MembershipOptions
 from damaskpoint.wire.peer_client import create_peer_client
 from damaskpoint.wire.peer_server import create_peer_server
 from features.steps.membership_bench import FixedVersionService
--- a/features/steps/observe_steps.py
+++ b/features/steps/observe_steps.py
@@ -17,7 +17,7 @@
 from damaskpoint.observe.logs import set_up_logs
 from damaskpoint.observe.operator_app import Readiness, create_operator_app
 from damaskpoint.observe.state import StateRegistry, StateSource
-from damaskpoint.settings import LogOptions
+from damaskpoint.settings_base import LogOptions
 from features.support.launcher import ROOT, Launcher, fetch
 
 _PORT = 8081
