Make larger groups of stage runners, and group them once a change

Hashing split 8 runners into groups of 5 or 6 and 2 or 3: pieces waited 176 ms (median) at a small group while runners of the other one were free. Runners were grouped anew several times for each piece.

--- a/damaskpoint/batching/pool.py
+++ b/damaskpoint/batching/pool.py
@@ -36,13 +36,18 @@
     from damaskpoint.catalog.model import Runner
     from damaskpoint.membership.facts import Address
 
+    # The usable runners of a service, and the same by the name of their group.
+    _Grouping = tuple[tuple[Runner, ...], dict[str, list[Runner]]]
+
 _LOG: Final = logging.getLogger(__name__)
 # Interval at which the peer that holds an order is checked to be live
 # (seconds): a fraction of the time after which a silent peer is not live.
 _LIVENESS_POLL_S: Final = 0.1
 # Runners per group: enough that one becomes free soon, and few enough that
-# the work of batching spreads over the instances.
-_RUNNERS_PER_GROUP: Final = 6
+# the work of batching spreads over the instances. Hashing makes groups of
+# unequal size, and pieces wait longer at the small ones, so a service of up to
+# this many runners is one group.
+_RUNNERS_PER_GROUP: Final = 12
 _GROUP_SEPARATOR: Final = '#'
 
 
@@ -69,6 +74,8 @@
         self._caller = caller
         self._client = client
         self._groups_by_name: dict[str, RunnerGroup] = {}
+        # The usable runners of each service as they were last grouped.
+        self._groups_by_service: dict[str, _Grouping] = {}
         self._release_tasks: set[asyncio.Task[None]] = set()
 
     # Commands.
@@ -142,12 +149,15 @@
 
     def choose_group(self, service: str, request_id: str) -> str:
         """Return a group for a request, weighted by the groups' sizes."""
-        sizes_by_group: dict[str, float] = {}
-        for runner in self._catalog.runners.usable(service):
-            name = self.find_group_name(runner)
-            sizes_by_group[name] = sizes_by_group.get(name, 0) + 1
-        if not sizes_by_group:
+        runners_by_group = self._list_groups(service)
+        if not runners_by_group:
             return f'{service}{_GROUP_SEPARATOR}0'
+        if len(runners_by_group) == 1:
+            return next(iter(runners_by_group))
+        sizes_by_group = {
+            group: float(len(runners))
+            for group, runners in runners_by_group.items()
+        }
         return rendezvous.order_weighted(sizes_by_group, request_id)[0]
 
     def find_group_name(self, runner: Runner) -> str:
@@ -157,14 +167,10 @@
         number = xxhash.xxh32_intdigest(runner.name.encode()) % groups
         return f'{runner.service}{_GROUP_SEPARATOR}{number}'
 
-    def find_runners(self, group: str) -> list[Runner]:
+    def find_runners(self, group: str) -> Sequence[Runner]:
         """Return the usable runners of a group."""
         service, _, _ = group.rpartition(_GROUP_SEPARATOR)
-        found = []
-        for runner in self._catalog.runners.usable(service):
-            if self.find_group_name(runner) == group:
-                found.append(runner)
-        return found
+        return self._list_groups(service).get(group, ())
 
     def find_zone(self, runner_name: str) -> str:
         """Return the zone of a runner, or an empty string."""
@@ -204,6 +210,23 @@
 
     # Steps.
 
+    def _list_groups(self, service: str) -> dict[str, list[Runner]]:
+        """Return the runners of each group of a service.
+
+        They are grouped again only when the table of runners has changed,
+        since each piece looks them up several times.
+        """
+        usable = self._catalog.runners.usable(service)
+        cached = self._groups_by_service.get(service)
+        if cached is not None and cached[0] is usable:
+            return cached[1]
+        runners_by_group: dict[str, list[Runner]] = {}
+        for runner in usable:
+            group = self.find_group_name(runner)
+            runners_by_group.setdefault(group, []).append(runner)
+        self._groups_by_service[service] = (usable, runners_by_group)
+        return runners_by_group
+
     def _find_or_create_group(self, name: str) -> RunnerGroup | None:
         group = self._groups_by_name.get(name)
         if group is not None:
