Keep one batching instance while instances start, leave or are lost

Causes, each shown by a scenario of features/batching.feature that fails on: a process that has just started knows no peer and calls the runners of each group itself; a leaving one does so for its groups during its whole shutdown (6 of 6 calls for the orders of six instances); all instances whose order is lost call the same runners (six instances made the ten calls); a full runner is called again after 50 ms (4 refusals for one call of 0.2 s ahead).

Change: batching/assignment.py decides who batches by the phase of the process. A gateway is starting until it has configuration, runners and the platform's list and has heard of four in five of those listed, 3 s at most; until then it orders from serving and listed instances. A leaving one hands back what waits, by the new piece reason handed_back, and what arrives. An order that is lost goes to the next instance by rendezvous, the lost one is avoided until it is heard of again; after three places the instance calls the runners itself, delayed by up to 0.2 s. A refusing runner is called again when its call can have ended, or an answer of it shows a free place. The load in Damaskpoint-Server-Load is read for stage calls.

Starting peers count among the senders to cold runners and the writers of quarantines, as before, when each process was serving at once.

The futures of pieces move from RunnerGroup to PieceWaiters, the placing of orders from StagePool to OrderPlacer, as both would have too many methods.

New: log lines "runner full", "batching instance changed", "pieces handed back", "no batching instance, calling runners directly", "batching for runners", and a counter for each of the first four.

--- a/damaskpoint/batching/base.py
+++ b/damaskpoint/batching/base.py
@@ -8,7 +8,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from damaskpoint.batching.model import Piece, PieceOutcome
+    from damaskpoint.batching.assignment import InstanceView
+    from damaskpoint.batching.model import CallAnswer, Piece
     from damaskpoint.catalog.model import Runner
     from damaskpoint.errors import Failure
     from damaskpoint.membership.facts import Address
@@ -20,8 +21,8 @@
     @abc.abstractmethod
     async def run_pieces(
         self, runner: Runner, pieces: Sequence[Piece], timeout_s: float
-    ) -> tuple[PieceOutcome, ...] | Failure | None:
-        """Return one outcome per piece, or None if the runner was full.
+    ) -> CallAnswer | Failure:
+        """Return the runner's answer, also if it was full.
 
         Fails if the call takes longer than ``timeout_s`` seconds. A pause that
         the runner asks for is recorded before the result is returned.
@@ -37,8 +38,19 @@
 
     @abc.abstractmethod
     def batching_names(self, now: float) -> frozenset[str]:
-        """Return the names of the live instances that batch for runners."""
+        """Return the names of the live instances that are not leaving."""
+
+    @abc.abstractmethod
+    def find_view(self, now: float) -> InstanceView:
+        """Return the instances by what they do, this one included."""
 
     @abc.abstractmethod
     def find_address(self, name: str, now: float) -> Address | None:
-        """Return the address of a live instance, or None."""
+        """Return the address of an instance, or None.
+
+        The instance is live, or only listed while nothing was heard of it.
+        """
+
+    @abc.abstractmethod
+    def find_last_seen(self, name: str) -> float | None:
+        """Return when an instance was last heard of; None if it never was."""
--- a/damaskpoint/batching/capacity.py
+++ b/damaskpoint/batching/capacity.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from damaskpoint.batching.model import RunnerLoad
     from damaskpoint.catalog.model import BatchLimits
 
 # Weight of one call in the average pace: a few calls reveal a slow runner.
@@ -45,6 +46,11 @@
         # When the current wait for free memory began; None without one.
         self._memory_wait_since: float | None = None
         self._paused_until = float('-inf')
+        # When the call ahead of a refused one can have ended.
+        self._full_until = float('-inf')
+        # Calls of other instances at the runner, and until when they count.
+        self._foreign_calls = 0
+        self._foreign_until = float('-inf')
 
     # Commands.
 
@@ -62,16 +68,36 @@
         self._reserved_bytes -= size
         self.busy_until = now
 
-    def update_pace(self, pieces: int, took_s: float) -> None:
-        """Update the average pace with the duration of a call."""
+    def record_answer(
+        self, load: RunnerLoad | None, pieces: int, took_s: float, now: float
+    ) -> None:
+        """Apply the duration of an ended call, and the load in its answer.
+
+        An answer frees a place, so a full runner may be called again.
+        """
         estimate_s = self._limits.estimate_call_s(pieces)
         change = took_s / estimate_s - self.pace
         self.pace = max(float(1), self.pace + _PACE_WEIGHT * change)
+        self._full_until = now
+        if load is None:
+            return
+        # Whether the report counts the answered call is up to the runner.
+        foreign_calls = load.running + load.waiting - self.calls - 1
+        self.record_foreign(foreign_calls, self._least_call_s(load), now)
 
     def pause(self, length_s: float, now: float) -> None:
         """Take no new call for ``length_s`` seconds."""
         self._paused_until = now + length_s
 
+    def record_full(self, load: RunnerLoad | None, now: float) -> None:
+        """Take no new call before the call ahead can have ended."""
+        self._full_until = now + self._least_call_s(load)
+
+    def record_foreign(self, calls: int, busy_s: float, now: float) -> None:
+        """Count calls of other instances for ``busy_s`` seconds."""
+        self._foreign_calls = max(0, calls)
+        self._foreign_until = now + busy_s
+
     def add_result(self, handle: str, size: int, now: float) -> None:
         """Count a result as occupying memory until released or expired."""
         self._results_by_handle[handle] = (
@@ -114,15 +140,23 @@
 
     def is_idle(self, now: float) -> bool:
         """Return whether the runner can take another call now."""
-        if now < self._paused_until:
+        if now < max(self._paused_until, self._full_until):
             return False
-        return self.calls < self._limits.max_concurrent_calls
+        calls = self.calls
+        if now < self._foreign_until:
+            calls += self._foreign_calls
+        return calls < self._limits.max_concurrent_calls
 
     @property
     def used_bytes(self) -> float:
         """Return the memory that known results occupy."""
         return self._used_bytes
 
+    def _least_call_s(self, load: RunnerLoad | None) -> float:
+        """Return the duration of the shortest call now (seconds)."""
+        slowness = self.pace if load is None else max(self.pace, load.slowness)
+        return self._limits.estimate_call_s(1) * slowness
+
     def _expire(self, now: float) -> None:
         expired = []
         for handle, (_, ends_at) in self._results_by_handle.items():
--- a/damaskpoint/batching/group.py
+++ b/damaskpoint/batching/group.py
@@ -11,11 +11,13 @@
 import time
 from typing import TYPE_CHECKING, Final, final
 
+from damaskpoint.batching import metrics
 from damaskpoint.batching.capacity import RunnerCapacity
-from damaskpoint.batching.model import Piece, PieceOutcome, PieceReason
+from damaskpoint.batching.model import PieceOutcome, PieceReason
 from damaskpoint.batching.paces import NOMINAL_PACE
 from damaskpoint.batching.queue import IdleRunner, PieceQueue, sum_bytes
 from damaskpoint.batching.releaser import ResultReleaser
+from damaskpoint.batching.waiters import PieceWaiters
 from damaskpoint.errors import Failure
 
 if TYPE_CHECKING:
@@ -23,6 +25,7 @@
 
     from damaskpoint.balancing.health import RunnerHealth
     from damaskpoint.batching.base import PieceCaller
+    from damaskpoint.batching.model import Piece, RunnerLoad
     from damaskpoint.batching.queue import Ticket
     from damaskpoint.catalog.model import BatchLimits, Runner
 
@@ -34,8 +37,6 @@
 # Interval at which a waiting queue is dispatched without other events
 # (seconds): a small fraction of the shortest call.
 _POLL_S: Final = 0.02
-# Pause after a runner refused a call because it was full (seconds).
-_FULL_PAUSE_S: Final = 0.05
 # Pause after a runner had less free memory than estimated (seconds): results
 # of a lost instance stay for seconds, other results for about a call.
 _OUT_OF_MEMORY_PAUSE_S: Final = 0.1
@@ -65,11 +66,12 @@
         self._health = health
         self._caller = caller
         self._capacity_by_runner: dict[str, RunnerCapacity] = {}
-        self._waiters_by_ticket: dict[int, asyncio.Future[PieceOutcome]] = {}
-        self._attempts_by_ticket: dict[int, int] = {}
+        self._waiters = PieceWaiters()
         self._releaser = ResultReleaser(caller, health, self._handle_released)
         self._tasks: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
+        # Whether pieces that were not run go back to their requests.
+        self._is_handing_back = False
 
     # Commands.
 
@@ -82,12 +84,9 @@
         """
         loop = asyncio.get_running_loop()
         now = time.monotonic()
+        self._is_handing_back = False
         tickets = [self.queue.add(piece, now) for piece in pieces]
-        waiters: list[asyncio.Future[PieceOutcome]] = []
-        for ticket in tickets:
-            waiter: asyncio.Future[PieceOutcome] = loop.create_future()
-            self._waiters_by_ticket[ticket.number] = waiter
-            waiters.append(waiter)
+        waiters = [self._waiters.add(ticket, loop) for ticket in tickets]
         # Dispatched in the next iteration of the loop, so that pieces that
         # arrive in this one share a call.
         loop.call_soon(self._dispatch)
@@ -97,6 +96,17 @@
             self._abandon(tickets, waiters)
             raise
 
+    def hand_back(self) -> int:
+        """Return the waiting pieces to their requests; count them.
+
+        Pieces in flight follow if their call ends without running them, until
+        more pieces are ordered.
+        """
+        self._is_handing_back = True
+        tickets = self.queue.take_all()
+        self._put_back(tickets)
+        return len(tickets)
+
     def release(self, runner: Runner, handles: Iterable[str]) -> None:
         """Release results at their runner after a short delay."""
         self._releaser.release(runner, handles)
@@ -193,7 +203,7 @@
     def _drop_late(self, pace: float, starts_at: float) -> None:
         """Drop the pieces that are late if they start at this time."""
         for ticket in self.queue.take_late(pace, starts_at):
-            self._resolve(ticket, PieceOutcome(None, PieceReason.LATE))
+            self._waiters.resolve(ticket, PieceOutcome(None, PieceReason.LATE))
 
     async def _call(self, runner: Runner, tickets: Sequence[Ticket]) -> None:
         capacity = self._find_capacity(runner.name)
@@ -206,16 +216,20 @@
         )
         now = time.monotonic()
         capacity.end_call(sum_bytes(tickets), now)
-        if answer is None:
-            # The runner was full and ran none of the pieces.
-            capacity.pause(_FULL_PAUSE_S, now)
-            self.queue.put_back(self._select_awaited(tickets))
-        elif isinstance(answer, Failure):
+        if isinstance(answer, Failure):
             self._handle_failed_call(runner, tickets, answer)
+        elif answer.outcomes is None:
+            capacity.record_full(answer.load, now)
+            _log_full(runner, tickets, answer.load)
+            self._put_back(self._waiters.select_awaited(tickets))
         else:
-            capacity.update_pace(len(tickets), now - began_at)
-            self._distribute(runner, tickets, answer, now)
-            _log_call(runner, tickets, answer, now - began_at, capacity)
+            capacity.record_answer(
+                answer.load, len(tickets), now - began_at, now
+            )
+            self._distribute(runner, tickets, answer.outcomes, now)
+            _log_call(
+                runner, tickets, answer.outcomes, now - began_at, capacity
+            )
         self._dispatch()
 
     def _distribute(
@@ -231,14 +245,14 @@
             if outcome.handle is not None:
                 size = ticket.piece.result_bytes
                 capacity.add_result(outcome.handle, size, now)
-                if ticket.number not in self._waiters_by_ticket:
+                if not self._waiters.awaits(ticket):
                     orphaned.append(outcome.handle)
             if outcome.reason is PieceReason.NO_ROOM:
-                self.queue.put_back(self._select_awaited((ticket,)))
+                self._put_back(self._waiters.select_awaited((ticket,)))
             elif outcome.reason is PieceReason.FAILED:
                 self._retry(ticket, outcome)
             else:
-                self._resolve(ticket, outcome)
+                self._waiters.resolve(ticket, outcome)
         if any(item.reason is PieceReason.NO_ROOM for item in outcomes):
             capacity.record_out_of_memory(now)
             capacity.pause(_OUT_OF_MEMORY_PAUSE_S, now)
@@ -259,35 +273,27 @@
                 'reason': failure.detail,
             },
         )
-        for ticket in self._select_awaited(tickets):
+        for ticket in self._waiters.select_awaited(tickets):
             unreachable = PieceOutcome(None, PieceReason.UNREACHABLE)
             self._retry(ticket, unreachable)
 
     def _retry(self, ticket: Ticket, outcome: PieceOutcome) -> None:
         """Requeue a piece, or resolve it if it failed too often."""
-        attempts = self._attempts_by_ticket.get(ticket.number, 1)
-        self._attempts_by_ticket[ticket.number] = attempts + 1
-        if (
-            attempts < _MAX_ATTEMPTS
-            and ticket.number in self._waiters_by_ticket
-        ):
-            self.queue.put_back((ticket,))
+        self._waiters.record_failure(ticket)
+        is_last = self._waiters.count_failures(ticket) >= _MAX_ATTEMPTS
+        if self._waiters.awaits(ticket) and not is_last:
+            self._put_back((ticket,))
         else:
-            self._resolve(ticket, outcome)
-
-    def _select_awaited(self, tickets: Iterable[Ticket]) -> list[Ticket]:
-        """Return the pieces that their request still waits for."""
-        awaited = []
+            self._waiters.resolve(ticket, outcome)
+
+    def _put_back(self, tickets: Iterable[Ticket]) -> None:
+        """Queue pieces again, or return them to their requests."""
+        if not self._is_handing_back:
+            self.queue.put_back(tickets)
+            return
+        handed_back = PieceOutcome(None, PieceReason.HANDED_BACK)
         for ticket in tickets:
-            if ticket.number in self._waiters_by_ticket:
-                awaited.append(ticket)
-        return awaited
-
-    def _resolve(self, ticket: Ticket, outcome: PieceOutcome) -> None:
-        self._attempts_by_ticket.pop(ticket.number, None)
-        waiter = self._waiters_by_ticket.pop(ticket.number, None)
-        if waiter is not None and not waiter.done():
-            waiter.set_result(outcome)
+            self._waiters.resolve(ticket, handed_back)
 
     def _abandon(
         self,
@@ -298,8 +304,7 @@
         runners_by_name = {item.name: item for item in self._find_runners()}
         for ticket, waiter in zip(tickets, waiters, strict=True):
             self.queue.cancel(ticket)
-            self._attempts_by_ticket.pop(ticket.number, None)
-            self._waiters_by_ticket.pop(ticket.number, None)
+            self._waiters.forget(ticket)
             if not waiter.done() or waiter.cancelled():
                 continue
             outcome = waiter.result()
@@ -346,6 +351,22 @@
     )
 
 
+def _log_full(
+    runner: Runner, tickets: Sequence[Ticket], load: RunnerLoad | None
+) -> None:
+    metrics.FULL_RUNNERS.inc({'service': runner.service})
+    _LOG.info(
+        'runner full',
+        extra={
+            'runner': runner.name,
+            'requests': _list_requests(tickets),
+            'pieces': len(tickets),
+            'running': None if load is None else load.running,
+            'waiting_calls': None if load is None else load.waiting,
+        },
+    )
+
+
 def _by_rank(ranked: tuple[_Rank, Runner]) -> _Rank:
     return ranked[0]
 
--- a/damaskpoint/batching/model.py
+++ b/damaskpoint/batching/model.py
@@ -22,6 +22,8 @@
     FAILED = 'failed'
     # The runner or its batching instance did not answer.
     UNREACHABLE = 'unreachable'
+    # Its batching instance is leaving; another one should be asked.
+    HANDED_BACK = 'handed_back'
 
 
 @final
@@ -62,3 +64,26 @@
     reason: PieceReason | None
     # The runner that holds the result.
     runner: str = ''
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class RunnerLoad:
+    """The calls at a runner, of all instances, by its own report."""
+
+    running: int
+    waiting: int
+    # Calls that it runs at the same time.
+    slots: int
+    # How long work takes now, relative to the usual time.
+    slowness: float = 1
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class CallAnswer:
+    """A runner's answer to a call with pieces."""
+
+    # One for each piece; None if the runner was full and ran none of them.
+    outcomes: tuple[PieceOutcome, ...] | None
+    load: RunnerLoad | None = None
--- a/damaskpoint/batching/peer_orders.py
+++ b/damaskpoint/batching/peer_orders.py
@@ -50,7 +50,8 @@
 
     Each call has its own connection, which closes if the call is cancelled,
     so that the peer can drop the pieces at once; tornado's client would keep
-    it open. Failures: ``PEER_UNREACHABLE``, ``MESSAGE_MALFORMED``.
+    it open. Failures: ``PEER_UNREACHABLE``, ``MESSAGE_MALFORMED``, and
+    ``PEER_UNKNOWN`` if the peer has not heard of this instance yet.
     """
 
     async def order(
@@ -113,6 +114,10 @@
             return Failure(Code.PEER_UNREACHABLE, f'{address.host}: {error}')
         finally:
             exchange.close()
+        if head.status == http.HTTPStatus.FORBIDDEN:
+            return Failure(
+                Code.PEER_UNKNOWN, f'{address.host} does not know this instance'
+            )
         if head.status != http.HTTPStatus.OK:
             return Failure(
                 Code.PEER_UNREACHABLE, f'{address.host}: HTTP {head.status}'
@@ -174,7 +179,7 @@
             self._refuse(pieces)
             return
         self._task = asyncio.ensure_future(
-            self._pool.run_locally(order.group, pieces)
+            self._pool.run_for_peer(order.group, pieces)
         )
         try:
             outcomes = await self._task
--- /dev/null
+++ b/damaskpoint/batching/placement.py
@@ -0,0 +1,196 @@
+"""Places orders of pieces with the batching instance of their group.
+
+Pieces that an instance hands back, or whose order is lost with it, are ordered
+from the next one. All instances try them in the same order, so that they meet
+at the same next one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from typing import TYPE_CHECKING, Final, final
+
+from damaskpoint.batching import metrics
+from damaskpoint.batching.assignment import compute_direct_delay_s
+from damaskpoint.batching.model import PieceOutcome, PieceReason
+from damaskpoint.errors import Code, Failure
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Sequence
+
+    from damaskpoint.batching.base import Peers
+    from damaskpoint.batching.batchers import BatcherDirectory
+    from damaskpoint.batching.model import Piece
+    from damaskpoint.batching.peer_orders import PieceOrderClient
+    from damaskpoint.membership.facts import Address
+
+    Outcomes = tuple[PieceOutcome, ...]
+    # Runs pieces of a group as its batching instance.
+    RunLocally = Callable[[str, Sequence[Piece]], Awaitable[Outcomes]]
+
+_LOG: Final = logging.getLogger(__name__)
+_MS: Final = 1000
+# Interval at which the peer that holds an order is checked to be live
+# (seconds): a fraction of the time after which a silent peer is not live.
+_LIVENESS_POLL_S: Final = 0.1
+# Instances that an order is tried at before the runners are called directly.
+_MAX_PLACES: Final = 3
+_HANDED_BACK: Final = PieceOutcome(None, PieceReason.HANDED_BACK)
+
+
+@final
+class OrderPlacer:
+    """Orders pieces from the batching instances."""
+
+    def __init__(
+        self,
+        own_name: str,
+        peers: Peers,
+        batchers: BatcherDirectory,
+        client: PieceOrderClient,
+        run_locally: RunLocally,
+    ) -> None:
+        """Order from peers by ``client``, and here by ``run_locally``."""
+        self._own_name = own_name
+        self._peers = peers
+        self._batchers = batchers
+        self._client = client
+        self._run_locally = run_locally
+
+    async def place(self, group: str, pieces: Sequence[Piece]) -> Outcomes:
+        """Run pieces of one stage of one request and return the outcomes."""
+        outcomes = list(hand_back(pieces))
+        declined: set[str] = set()
+        while len(declined) < _MAX_PLACES:
+            batcher = self._batchers.find(group, time.monotonic(), declined)
+            if batcher is None:
+                break
+            waiting = _list_handed_back(outcomes)
+            ran = await self._run_at(
+                batcher, group, [pieces[index] for index in waiting]
+            )
+            _replace(outcomes, waiting, ran)
+            if not _list_handed_back(outcomes):
+                return tuple(outcomes)
+            declined.add(batcher)
+        waiting = _list_handed_back(outcomes)
+        ran = await self._run_directly(
+            group, [pieces[index] for index in waiting]
+        )
+        _replace(outcomes, waiting, ran)
+        return tuple(outcomes)
+
+    async def _run_at(
+        self, batcher: str, group: str, pieces: Sequence[Piece]
+    ) -> Outcomes:
+        """Run pieces at an instance; they are handed back if it is lost."""
+        self._log_change(group, batcher)
+        if batcher == self._own_name:
+            return await self._run_locally(group, pieces)
+        address = self._peers.find_address(batcher, time.monotonic())
+        if address is None:
+            return hand_back(pieces)
+        outcomes = await self._order(batcher, address, group, pieces)
+        if not isinstance(outcomes, Failure):
+            return outcomes
+        # A peer that does not know this instance yet serves others.
+        if outcomes.code is not Code.PEER_UNKNOWN:
+            self._batchers.record_lost(batcher, time.monotonic())
+        _LOG.info(
+            'batching instance lost, ordering from the next one',
+            extra={
+                'request': pieces[0].request_id,
+                'group': group,
+                'instance': batcher,
+                'reason': outcomes.detail,
+            },
+        )
+        return hand_back(pieces)
+
+    async def _order(
+        self,
+        batcher: str,
+        address: Address,
+        group: str,
+        pieces: Sequence[Piece],
+    ) -> Outcomes | Failure:
+        """Order pieces from a peer; fails as soon as it is no longer live."""
+        order = asyncio.ensure_future(
+            self._client.order(address, group, pieces)
+        )
+        try:
+            while not order.done():
+                await asyncio.wait((order,), timeout=_LIVENESS_POLL_S)
+                if self._peers.find_address(batcher, time.monotonic()) is None:
+                    break
+        finally:
+            if not order.done():
+                order.cancel()
+        if order.done() and not order.cancelled():
+            return order.result()
+        return Failure(Code.PEER_UNREACHABLE, 'peer is no longer live')
+
+    async def _run_directly(
+        self, group: str, pieces: Sequence[Piece]
+    ) -> Outcomes:
+        """Run pieces without the batching instance, after a short delay."""
+        service = find_service_name(group)
+        metrics.DIRECT_ORDERS.inc({'service': service})
+        delay_s = compute_direct_delay_s(self._own_name, group)
+        _LOG.info(
+            'no batching instance, calling runners directly',
+            extra={
+                'request': pieces[0].request_id,
+                'group': group,
+                'pieces': len(pieces),
+                'delay_ms': round(delay_s * _MS),
+            },
+        )
+        await asyncio.sleep(delay_s)
+        outcomes = await self._run_locally(group, pieces)
+        return tuple(
+            PieceOutcome(None, PieceReason.UNREACHABLE)
+            if outcome.reason is PieceReason.HANDED_BACK
+            else outcome
+            for outcome in outcomes
+        )
+
+    def _log_change(self, group: str, batcher: str) -> None:
+        previous = self._batchers.record_used(group, batcher)
+        if previous is None:
+            return
+        metrics.BATCHER_CHANGES.inc({'service': find_service_name(group)})
+        _LOG.info(
+            'batching instance changed',
+            extra={'group': group, 'previous': previous, 'instance': batcher},
+        )
+
+
+def hand_back(pieces: Sequence[Piece]) -> Outcomes:
+    """Return the outcomes of pieces that another instance should run."""
+    return tuple(_HANDED_BACK for _ in pieces)
+
+
+def find_service_name(group: str) -> str:
+    """Return the name of the service that a group belongs to."""
+    return group.rpartition('#')[0]
+
+
+def _replace(
+    outcomes: list[PieceOutcome],
+    indexes: Sequence[int],
+    ran: Sequence[PieceOutcome],
+) -> None:
+    for index, outcome in zip(indexes, ran, strict=True):
+        outcomes[index] = outcome
+
+
+def _list_handed_back(outcomes: Sequence[PieceOutcome]) -> list[int]:
+    """Return the indexes of the pieces that are to be ordered again."""
+    return [
+        index
+        for index, outcome in enumerate(outcomes)
+        if outcome.reason is PieceReason.HANDED_BACK
+    ]
--- a/damaskpoint/batching/pool.py
+++ b/damaskpoint/batching/pool.py
@@ -1,7 +1,7 @@
 """Runs pieces at any group of runners, through its batching instance.
 
 The runners of a service are split into small groups. Each group has one
-batching instance, chosen by rendezvous hashing over the live instances. This
+batching instance, chosen by rendezvous hashing, see ``assignment``. This
 serves efficiency only: while instances disagree on who is live, two may batch
 for one group, whose batches are then smaller than necessary.
 """
@@ -18,9 +18,15 @@
 import xxhash
 
 from damaskpoint.balancing import rendezvous
+from damaskpoint.batching import metrics
+from damaskpoint.batching.batchers import BatcherDirectory
 from damaskpoint.batching.group import RunnerGroup
 from damaskpoint.batching.model import PieceOutcome, PieceReason
-from damaskpoint.errors import Code, Failure
+from damaskpoint.batching.placement import (
+    OrderPlacer,
+    find_service_name,
+    hand_back,
+)
 from damaskpoint.membership.facts import PaceFact
 from damaskpoint.observe.state import StateSource
 
@@ -37,9 +43,6 @@
     from damaskpoint.membership.facts import Address
 
 _LOG: Final = logging.getLogger(__name__)
-# Interval at which the peer that holds an order is checked to be live
-# (seconds): a fraction of the time after which a silent peer is not live.
-_LIVENESS_POLL_S: Final = 0.1
 # Runners per group: enough that one becomes free soon, and few enough that
 # the work of batching spreads over the instances.
 _RUNNERS_PER_GROUP: Final = 6
@@ -68,6 +71,10 @@
         self._health = health
         self._caller = caller
         self._client = client
+        self._batchers = BatcherDirectory(own_name, peers)
+        self._placer = OrderPlacer(
+            own_name, peers, self._batchers, client, self.run_locally
+        )
         self._groups_by_name: dict[str, RunnerGroup] = {}
         self._release_tasks: set[asyncio.Task[None]] = set()
 
@@ -77,24 +84,34 @@
         self, group: str, pieces: Sequence[Piece]
     ) -> tuple[PieceOutcome, ...]:
         """Run pieces of one stage of one request and return the outcomes."""
-        now = time.monotonic()
-        batcher = self.find_batcher(group, now)
-        address = self.peers.find_address(batcher, now)
-        if batcher == self._own_name or address is None:
-            return await self.run_locally(group, pieces)
-        outcomes = await self._order_from_peer(batcher, address, group, pieces)
-        if not isinstance(outcomes, Failure):
-            return outcomes
-        _LOG.info(
-            'batching instance lost, calling runners directly',
-            extra={
-                'request': pieces[0].request_id,
-                'group': group,
-                'instance': batcher,
-                'reason': outcomes.detail,
-            },
-        )
-        return await self.run_locally(group, pieces)
+        return await self._placer.place(group, pieces)
+
+    async def run_for_peer(
+        self, group_name: str, pieces: Sequence[Piece]
+    ) -> tuple[PieceOutcome, ...]:
+        """Run pieces that a peer ordered, or hand them back to it.
+
+        A leaving instance hands them back, and so does one that has not read
+        the configuration yet.
+        """
+        is_replaced = self._batchers.is_replaced(time.monotonic())
+        group = None if is_replaced else self._find_or_create_group(group_name)
+        if group is None:
+            return hand_back(pieces)
+        return await group.run_pieces(pieces)
+
+    def hand_back(self, now: float) -> None:
+        """Return all waiting pieces, unless there is no other instance."""
+        if not self._batchers.is_replaced(now):
+            return
+        for name, group in self._groups_by_name.items():
+            count = group.hand_back()
+            if not count:
+                continue
+            metrics.HANDED_BACK.add({}, count)
+            _LOG.info(
+                'pieces handed back', extra={'group': name, 'pieces': count}
+            )
 
     async def run_locally(
         self, group_name: str, pieces: Sequence[Piece]
@@ -137,6 +154,7 @@
         for name, group in tuple(self._groups_by_name.items()):
             if group.is_unused and not self.find_runners(name):
                 self._groups_by_name.pop(name)
+                self._batchers.forget(name)
 
     # Queries.
 
@@ -159,9 +177,8 @@
 
     def find_runners(self, group: str) -> list[Runner]:
         """Return the usable runners of a group."""
-        service, _, _ = group.rpartition(_GROUP_SEPARATOR)
         found = []
-        for runner in self._catalog.runners.usable(service):
+        for runner in self._catalog.runners.usable(find_service_name(group)):
             if self.find_group_name(runner) == group:
                 found.append(runner)
         return found
@@ -173,8 +190,7 @@
 
     def find_batcher(self, group: str, now: float) -> str:
         """Return the instance that batches for a group."""
-        names = self.peers.batching_names(now) | {self._own_name}
-        return rendezvous.order(names, group)[0]
+        return self._batchers.find(group, now) or self._own_name
 
     def find_pace(self, group_name: str, now: float) -> float:
         """Return the pace of a group, as defined in ``batching.paces``."""
@@ -208,9 +224,7 @@
         group = self._groups_by_name.get(name)
         if group is not None:
             return group
-        service = self._catalog.find_service(
-            name.rpartition(_GROUP_SEPARATOR)[0]
-        )
+        service = self._catalog.find_service(find_service_name(name))
         if service is None or service.batches is None:
             return None
         group = RunnerGroup(
@@ -222,29 +236,6 @@
         self._groups_by_name[name] = group
         return group
 
-    async def _order_from_peer(
-        self,
-        batcher: str,
-        address: Address,
-        group: str,
-        pieces: Sequence[Piece],
-    ) -> tuple[PieceOutcome, ...] | Failure:
-        """Order pieces from a peer; fails as soon as it is no longer live."""
-        order = asyncio.ensure_future(
-            self._client.order(address, group, pieces)
-        )
-        try:
-            while not order.done():
-                await asyncio.wait((order,), timeout=_LIVENESS_POLL_S)
-                if self.peers.find_address(batcher, time.monotonic()) is None:
-                    break
-        finally:
-            if not order.done():
-                order.cancel()
-        if order.done() and not order.cancelled():
-            return order.result()
-        return Failure(Code.PEER_UNREACHABLE, 'peer is no longer live')
-
     async def _release_at_peer(
         self, address: Address, runner_name: str, handles: Sequence[str]
     ) -> None:
--- a/damaskpoint/batching/queue.py
+++ b/damaskpoint/batching/queue.py
@@ -104,6 +104,12 @@
         for ticket in tickets:
             bisect.insort(self._tickets, ticket)
 
+    def take_all(self) -> tuple[Ticket, ...]:
+        """Remove and return all pieces."""
+        tickets = tuple(self._tickets)
+        self._tickets = []
+        return tickets
+
     def cancel(self, ticket: Ticket) -> None:
         """Remove a piece whose request no longer needs it."""
         position = bisect.bisect_left(self._tickets, ticket)
--- a/damaskpoint/entry/peer_demand.py
+++ b/damaskpoint/entry/peer_demand.py
@@ -59,5 +59,5 @@
             if peer.phase is not Phase.STARTING:
                 names.add(peer.name)
         if now < self._discovery_ends_at:
-            names.update(self._membership.listed_names)
+            names.update(self._membership.listed_by_name)
         return tuple(sorted(names))
--- a/damaskpoint/gateway/peers.py
+++ b/damaskpoint/gateway/peers.py
@@ -8,6 +8,11 @@
 from typing import TYPE_CHECKING, Final, final
 
 from damaskpoint import defaults
+from damaskpoint.batching.assignment import (
+    InstanceView,
+    Introduction,
+    is_introduced,
+)
 from damaskpoint.batching.base import Peers
 from damaskpoint.batching.report_age import find_max_age_s
 from damaskpoint.errors import Failure
@@ -41,25 +46,55 @@
         """Read the live instances from this membership."""
         self._own_name = own_name
         self._membership = membership
-        self._batching_names: frozenset[str] = frozenset()
+        self._serving: frozenset[str] = frozenset()
+        self._starting: frozenset[str] = frozenset()
         self._refreshed_at = float('-inf')
 
     def batching_names(self, now: float) -> frozenset[str]:
-        """Return the live instances that may form batches for runners."""
-        if now - self._refreshed_at > _LIVE_PEERS_CACHE_S:
-            self._refreshed_at = now
-            self._batching_names = frozenset(
-                peer.name
-                for peer in self._membership.live_peers(now)
-                if peer.phase is facts.Phase.SERVING
-            )
-        return self._batching_names
+        """Return the live instances that are not leaving."""
+        self._refresh(now)
+        return self._serving | self._starting
+
+    def find_view(self, now: float) -> InstanceView:
+        """Return the instances by what they do, this one included."""
+        self._refresh(now)
+        phase = self._membership.view.own.phase
+        is_starting = phase is facts.Phase.STARTING
+        return InstanceView(
+            self._own_name,
+            phase,
+            self._serving,
+            self._starting,
+            self._list_unheard() if is_starting else frozenset(),
+        )
 
     def find_address(self, name: str, now: float) -> facts.Address | None:
-        """Return the address of a live instance, or None."""
-        peer = self._membership.view.peers.find_live(name, now)
+        """Return the address of an instance, or None."""
+        peers = self._membership.view.peers
+        if peers.find(name) is None:
+            return self._membership.listed_by_name.get(name)
+        peer = peers.find_live(name, now)
         return None if peer is None else peer.address
 
+    def find_last_seen(self, name: str) -> float | None:
+        """Return when an instance was last heard of; None if it never was."""
+        peers = self._membership.view.peers
+        return None if peers.find(name) is None else peers.last_seen(name)
+
+    def _refresh(self, now: float) -> None:
+        if now - self._refreshed_at <= _LIVE_PEERS_CACHE_S:
+            return
+        self._refreshed_at = now
+        names_by_phase: dict[facts.Phase, set[str]] = {}
+        for peer in self._membership.live_peers(now):
+            names_by_phase.setdefault(peer.phase, set()).add(peer.name)
+        self._serving = frozenset(names_by_phase.get(facts.Phase.SERVING, ()))
+        self._starting = frozenset(names_by_phase.get(facts.Phase.STARTING, ()))
+
+    def _list_unheard(self) -> frozenset[str]:
+        listed = set(self._membership.listed_by_name) - {self._own_name}
+        return frozenset(listed.difference(self._membership.view.peers.names()))
+
 
 @final
 class GatewayListener(MembershipListener):
@@ -71,6 +106,8 @@
         """Connect the gossip of a membership with this context."""
         self._membership = membership
         self._context = context
+        # When the platform's list was first known.
+        self._listed_at: float | None = None
 
     def prepare_round(self, now: float) -> None:
         """Publish this instance's facts and refresh those of its peers."""
@@ -85,7 +122,7 @@
         self._membership.publish_pledges(pledges.list_own())
         self._membership.publish_run_counts(context.prompts.list_run_counts())
         context.loads.set_peer_counts(self._membership.view.work.sum_shares())
-        self._expire(now)
+        self._advance(now)
         context.budgets.update(self._count_instances(), now)
 
     def on_configuration(
@@ -132,6 +169,39 @@
         for count in counts:
             self._context.prompts.record_peer_runs(peer, count, now)
 
+    def _end_start(self, now: float) -> None:
+        """Announce that this instance batches, once it knows its peers."""
+        introduction = self._describe_start(now)
+        if not is_introduced(introduction):
+            return
+        self._membership.set_phase(facts.Phase.SERVING)
+        _LOG.info(
+            'batching for runners',
+            extra={
+                'listed': introduction.listed,
+                'heard': introduction.heard,
+                'listed_for_s': introduction.listed_for_s,
+            },
+        )
+
+    def _describe_start(self, now: float) -> Introduction:
+        membership = self._membership
+        if membership.has_list and self._listed_at is None:
+            self._listed_at = now
+        listed_for_s = None
+        if self._listed_at is not None:
+            listed_for_s = round(now - self._listed_at, 3)
+        catalog = self._context.catalog
+        listed = set(membership.listed_by_name)
+        listed.discard(self._context.options.own_name)
+        return Introduction(
+            has_catalog=catalog.configuration is not None
+            and len(catalog.runners) > 0,
+            listed_for_s=listed_for_s,
+            listed=len(listed),
+            heard=len(listed.intersection(membership.view.peers.names())),
+        )
+
     def _count_instances(self) -> int | None:
         """Return the most instances that may be running, this one included.
 
@@ -140,10 +210,12 @@
         membership = self._membership
         if not membership.has_list:
             return None
-        listed = membership.listed_names
+        listed = frozenset(membership.listed_by_name)
         return len(membership.view.peers.unended_names(listed)) + 1
 
-    def _expire(self, now: float) -> None:
+    def _advance(self, now: float) -> None:
+        if self._membership.view.own.phase is facts.Phase.STARTING:
+            self._end_start(now)
         max_age_s = find_max_age_s(self._membership.cycle_s)
         self._context.pool.paces.expire(now, max_age_s)
         self._context.planner.pledges.expire(now, max_age_s)
--- a/damaskpoint/gateway/runtime.py
+++ b/damaskpoint/gateway/runtime.py
@@ -136,6 +136,7 @@
         self._components.shutdown.begin(time.monotonic())
         self._caller_server.begin_shutdown()
         self._components.membership.set_phase(facts.Phase.LEAVING)
+        self._components.forwarding.pool.hand_back(time.monotonic())
         _LOG.info(
             'shutting down',
             extra={'in_progress': self._components.handler.count},
@@ -184,8 +185,8 @@
         self._listen(self._ready_server, listen.readiness)
         self._operator_server.listen(listen.operator_port, host)
         components.order_server.listen(listen.peer_port, host)
+        # Its phase is starting until it has heard of most of its peers.
         components.membership.start()
-        components.membership.set_phase(facts.Phase.SERVING)
         for coroutine in (
             *(follower.run() for follower in components.followers),
             components.discovery.run(),
--- a/damaskpoint/membership/addresses.py
+++ b/damaskpoint/membership/addresses.py
@@ -8,7 +8,7 @@
 from damaskpoint.membership.facts import Address
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from damaskpoint.membership.peers import PeerTable
     from damaskpoint.platform.base import ListedInstance
@@ -48,6 +48,11 @@
         """Return the names of the entries in the platform's list."""
         return frozenset(self._listed_by_name)
 
+    @property
+    def listed_by_name(self) -> Mapping[str, Address]:
+        """Return the addresses of the entries in the platform's list."""
+        return self._listed_by_name
+
     def hosts(self) -> frozenset[str]:
         """Return the IP addresses in the settings and the platform's list."""
         found = {address.host for address in self._seeds}
--- a/damaskpoint/membership/service.py
+++ b/damaskpoint/membership/service.py
@@ -176,9 +176,9 @@
         return self._loop.cycle_s
 
     @property
-    def listed_names(self) -> frozenset[str]:
-        """Return the names of the entries in the platform's list."""
-        return self._gossiper.addresses.listed_names
+    def listed_by_name(self) -> Mapping[str, facts.Address]:
+        """Return the addresses of the entries in the platform's list."""
+        return self._gossiper.addresses.listed_by_name
 
     def is_peer_host(self, host: str) -> bool:
         """Return whether messages from this IP address are accepted."""
--- a/damaskpoint/platform/piece_caller.py
+++ b/damaskpoint/platform/piece_caller.py
@@ -10,6 +10,7 @@
 
 from damaskpoint import protocol
 from damaskpoint.batching.base import PieceCaller
+from damaskpoint.batching.model import CallAnswer
 from damaskpoint.errors import Code, Failure, Ran
 from damaskpoint.forwarding import exchange
 from damaskpoint.platform import names, requests, stage_calls
@@ -18,7 +19,7 @@
     from collections.abc import Sequence
 
     from damaskpoint.balancing.signals import RunnerSignals
-    from damaskpoint.batching.model import Piece, PieceOutcome
+    from damaskpoint.batching.model import Piece
     from damaskpoint.catalog.model import Runner
 
 _LOG: Final = logging.getLogger(__name__)
@@ -45,8 +46,8 @@
 
     async def run_pieces(
         self, runner: Runner, pieces: Sequence[Piece], timeout_s: float
-    ) -> tuple[PieceOutcome, ...] | Failure | None:
-        """Return one outcome per piece, or None if the runner was full."""
+    ) -> CallAnswer | Failure:
+        """Return the runner's answer, also if it was full."""
         body = stage_calls.encode_pieces(pieces, time.monotonic())
         response = await self._call(
             runner, names.PATH_RUN_PIECES, body, timeout_s
@@ -54,12 +55,16 @@
         if isinstance(response, Failure):
             return response
         head, answer = response
+        load = stage_calls.decode_load(head.headers.get(names.SERVER_LOAD, ''))
         if head.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
             if names.NOT_RUN in head.headers:
-                return None
+                return CallAnswer(None, load)
         if head.status != http.HTTPStatus.OK:
             return Failure(Code.UPSTREAM_FAILED, f'HTTP {head.status}')
-        return stage_calls.decode_outcomes(answer, len(pieces), runner.name)
+        outcomes = stage_calls.decode_outcomes(answer, len(pieces), runner.name)
+        if isinstance(outcomes, Failure):
+            return outcomes
+        return CallAnswer(outcomes, load)
 
     async def release(self, runner: Runner, handles: Sequence[str]) -> None:
         """Release results at a runner; a failure is only logged."""
--- a/damaskpoint/platform/stage_calls.py
+++ b/damaskpoint/platform/stage_calls.py
@@ -6,7 +6,7 @@
 import math
 from typing import TYPE_CHECKING, Any, Final
 
-from damaskpoint.batching.model import PieceOutcome, PieceReason
+from damaskpoint.batching.model import PieceOutcome, PieceReason, RunnerLoad
 from damaskpoint.errors import Code, Failure
 
 if TYPE_CHECKING:
@@ -24,6 +24,9 @@
     'room': PieceReason.NO_ROOM,
     'error': PieceReason.FAILED,
 }
+_PERCENT: Final = 100
+# Running and waiting calls and slots, and the slowness in percent, if given.
+_LOAD_FIELDS: Final = (3, 4)
 
 
 def encode_pieces(pieces: Iterable[Piece], now: float) -> bytes:
@@ -55,6 +58,20 @@
     return outcomes
 
 
+def decode_load(text: str) -> RunnerLoad | None:
+    """Return the load in a runner's header; None if absent or malformed."""
+    fields = text.split(',')
+    if len(fields) not in _LOAD_FIELDS:
+        return None
+    numbers = []
+    for entry in fields:
+        if not entry.strip().isdecimal():
+            return None
+        numbers.append(int(entry))
+    slowness = numbers[3] / _PERCENT if len(numbers) > 3 else float(1)
+    return RunnerLoad(numbers[0], numbers[1], numbers[2], slowness)
+
+
 def _encode_piece(piece: Piece, now: float) -> dict[str, object]:
     entry: dict[str, object] = {
         'Id': piece.request_id,
--- /dev/null
+++ b/features/batching.feature
@@ -0,0 +1,46 @@
+Feature: One instance batches for a group of runners
+  Instances that start, leave or are lost, and runners that are full. A runner
+  takes one call at a time, of 0.2 s and more, and two waiting ones.
+
+  # Guards against a process that has just started and batches for all groups,
+  # as it knows no peer yet.
+  Scenario: A starting instance orders from the listed ones
+    Given 6 instances that batch for 5 runners
+    When an instance starts that has heard of nobody
+    And it orders 2 pieces of the group stage#0
+    Then all pieces are made
+    And it has called no runner itself
+
+  # Guards against a leaving process that batches on while others have moved to
+  # the next instance.
+  Scenario: A leaving instance orders from the next one
+    Given 6 instances that batch for 5 runners
+    When the batching instance of the group stage#0 begins its shutdown
+    And it orders 2 pieces of the group stage#0
+    Then all pieces are made
+    And it has called no runner itself
+
+  # Guards against two batching instances while a shutdown lasts.
+  Scenario: A leaving instance hands back the pieces that wait
+    Given 6 instances that batch for 1 runner
+    When all instances order 10 pieces of the group stage#0
+    And its batching instance begins its shutdown after 0.1 s
+    Then all pieces are made
+    And the leaving instance has called a runner once
+
+  # Guards against all instances calling the same runners by themselves.
+  Scenario: Orders of a lost instance are made by the next one
+    Given 6 instances that batch for 5 runners
+    When all instances order 10 pieces of the group stage#0
+    And its batching instance is killed after 0.1 s
+    Then all pieces of the others are made
+    And 1 other instance has called runners
+
+  # Guards against a refused call that is repeated while the call ahead of it
+  # takes 0.2 s and more.
+  Scenario: A full runner is not called again before its call can have ended
+    Given 1 instance that batches for 1 runner
+    When others occupy the runner with 3 calls
+    And it orders 2 pieces of the group stage#0
+    Then all pieces are made
+    And at most 2 calls were refused
--- a/features/steps/piece_queue_steps.py
+++ b/features/steps/piece_queue_steps.py
@@ -12,7 +12,7 @@
 from damaskpoint.batching.capacity import RunnerCapacity
 from damaskpoint.batching.estimate import GroupLoad, estimate_end_s
 from damaskpoint.batching.group import RunnerGroup
-from damaskpoint.batching.model import Piece, PieceOutcome
+from damaskpoint.batching.model import CallAnswer, Piece, PieceOutcome
 from damaskpoint.batching.pledges import PledgeTable
 from damaskpoint.batching.queue import IdleRunner, PieceQueue
 from damaskpoint.catalog.model import BatchLimits, Runner
@@ -37,13 +37,13 @@
 
     async def run_pieces(
         self, runner: Runner, pieces: Sequence[Piece], timeout_s: float
-    ) -> tuple[PieceOutcome, ...] | Failure:
+    ) -> CallAnswer | Failure:
         """Fail at once like a closed port, or complete all pieces."""
         self.calls += 1
         if time.monotonic() < self._accepts_at:
             return Failure(Code.UPSTREAM_UNREACHABLE, 'refused')
         outcome = PieceOutcome('handle', None, runner.name)
-        return (outcome,) * len(pieces)
+        return CallAnswer((outcome,) * len(pieces))
 
     async def release(self, runner: Runner, handles: Sequence[str]) -> None:
         """Do nothing."""
--- a/features/support/quarantine_store.py
+++ b/features/support/quarantine_store.py
@@ -4,8 +4,10 @@
 
 from typing import TYPE_CHECKING, Any, Final
 
+from damaskpoint.batching.assignment import InstanceView
 from damaskpoint.batching.base import Peers
 from damaskpoint.errors import Code, Failure
+from damaskpoint.membership.facts import Phase
 from damaskpoint.platform import names
 from damaskpoint.platform.store import ChangeConflict, Rows, StoredRow
 from damaskpoint.quarantine.guard import PromptGuard
@@ -27,6 +29,7 @@
     def __init__(self, all_names: frozenset[str]) -> None:
         self._names = all_names
         self._addresses_by_name: dict[str, Address] = {}
+        self._seen_at_by_name: dict[str, float] = {}
 
     def batching_names(self, now: float) -> frozenset[str]:
         return self._names
@@ -34,6 +37,12 @@
     def find_address(self, name: str, now: float) -> Address | None:
         return self._addresses_by_name.get(name)
 
+    def find_view(self, now: float) -> InstanceView:
+        return InstanceView('', Phase.SERVING, self._names)
+
+    def find_last_seen(self, name: str) -> float | None:
+        return self._seen_at_by_name.get(name)
+
 
 class QuarantineStore:
     """One table; its clock is ``now`` plus an offset."""
