--- a/damaskpoint/membership/facts.py
+++ b/damaskpoint/membership/facts.py
@@ -192,6 +192,20 @@
     begun: int
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class CapacityFact:
+    """A runner's own report of its load and its pace."""
+
+    runner: str
+    # Requests that run or wait, of all callers.
+    busy: int
+    slots: int
+    # How long work takes on its machine, 1 is usual.
+    pace: float
+    measured_at: float
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class HeartbeatFact:
@@ -217,6 +231,7 @@
     paces: tuple[PaceFact, ...] = ()
     pledges: tuple[PledgeFact, ...] = ()
     run_counts: tuple[RunCountFact, ...] = ()
+    capacities: tuple[CapacityFact, ...] = ()
 
 
 @final
--- a/damaskpoint/membership/gossip.py
+++ b/damaskpoint/membership/gossip.py
@@ -78,6 +78,11 @@
     ) -> None:
         """Handle how many runs a peer has begun since its start."""
 
+    def on_capacities(
+        self, capacities: tuple[facts.CapacityFact, ...], now: float
+    ) -> None:
+        """Handle reports of runners that a peer knows; none by default."""
+
 
 @final
 class GossipLoop:
@@ -192,6 +197,8 @@
         self, listener: MembershipListener, merged: MergeResult, now: float
     ) -> None:
         sender = merged.sender.name
+        if merged.capacities:
+            listener.on_capacities(merged.capacities, now)
         if merged.shares:
             listener.on_shares(sender, merged.shares, now)
         if merged.paces:
--- a/damaskpoint/membership/packing.py
+++ b/damaskpoint/membership/packing.py
@@ -1,10 +1,10 @@
 """Chooses the content of datagrams and limits the bytes sent per second.
 
 Marks are packed first, then the sender's paces, pledges and run counts, peers,
-their heartbeats, the rest of the sender's own work and load reports; new marks
-and peers come before old ones. Each kind may use a fraction of the bytes that
-remain at that point; bytes that it does not use are available to the kinds
-after it.
+their heartbeats, reports of slow runners, the rest of the sender's own work
+and load reports; new marks and peers come before old ones. Each kind may use a
+fraction of the bytes that remain at that point; bytes that it does not use are
+available to the kinds after it.
 """
 
 from __future__ import annotations
@@ -35,6 +35,7 @@
 _NEW_PEERS_FRACTION: Final = 0.5
 _OLD_PEERS_FRACTION: Final = 0.1
 _HEARTBEATS_FRACTION: Final = 0.6
+_CAPACITIES_FRACTION: Final = 0.3
 _WINDOW_S: Final = 1.0
 
 _Fact = TypeVar('_Fact')
@@ -94,6 +95,11 @@
         sender=view.own,
         configuration=view.configuration,
         marks=marks,
+        capacities=budget.take(
+            view.own_capacities,
+            partial(sizes.measure_capacity, now=now),
+            _CAPACITIES_FRACTION,
+        ),
         demands=budget.take(
             view.own_demands.iterate(), sizes.measure_demand, _WORK_FRACTION
         ),
--- a/damaskpoint/membership/service.py
+++ b/damaskpoint/membership/service.py
@@ -86,6 +86,8 @@
         self._loop = loop
         self._gossiper = loop.gossiper
         self._clock = clock
+        # Publishes or relays reports of runners, the most important first.
+        self.publish_capacities = loop.gossiper.view.publish_capacities
         # Whether the platform's list of instances has been read.
         self.has_list = False
 
--- a/damaskpoint/membership/sizes.py
+++ b/damaskpoint/membership/sizes.py
@@ -126,6 +126,18 @@
     return _sum_fields(fields) + _RARE_LIST_BYTES
 
 
+def measure_capacity(fact: facts.CapacityFact, now: float) -> int:
+    """Return the size of a runner's report."""
+    fields = (
+        measure_text(fact.runner),
+        measure_number(fact.busy),
+        measure_number(fact.slots),
+        measure_number(round(fact.pace * _MS)),
+        _measure_age(fact.measured_at, now),
+    )
+    return _sum_fields(fields) + _RARE_LIST_BYTES
+
+
 def measure_heartbeat(fact: facts.HeartbeatFact) -> int:
     """Return the size of a heartbeat."""
     return _BEAT_ID_BYTES + measure_number(fact.heartbeat)
--- a/damaskpoint/membership/view.py
+++ b/damaskpoint/membership/view.py
@@ -14,6 +14,7 @@
 
 from damaskpoint import defaults
 from damaskpoint.membership.facts import (
+    CapacityFact,
     ConfigurationFact,
     GossipMessage,
     LoadFact,
@@ -61,6 +62,8 @@
     changed_peers: tuple[PeerFact, ...]
     # The sender's own; they only grow until its next start.
     run_counts: tuple[RunCountFact, ...]
+    # New or not.
+    capacities: tuple[CapacityFact, ...]
 
 
 @final
@@ -84,6 +87,7 @@
         self.own_paces: OwnWork[PaceFact] = OwnWork()
         self.own_pledges: OwnWork[PledgeFact] = OwnWork()
         self.own_run_counts: tuple[RunCountFact, ...] = ()
+        self.own_capacities: tuple[CapacityFact, ...] = ()
 
     # Commands: facts of this process.
 
@@ -171,6 +175,10 @@
         """Publish how many runs of this process have begun their answers."""
         self.own_run_counts = tuple(counts)[: defaults.MAX_RUN_COUNTS]
 
+    def publish_capacities(self, capacities: Iterable[CapacityFact]) -> None:
+        """Publish or relay reports of runners, the most important first."""
+        self.own_capacities = tuple(capacities)[: defaults.MAX_CAPACITIES]
+
     # Commands: facts of other processes.
 
     def merge(self, message: GossipMessage, now: float) -> MergeResult:
@@ -202,6 +210,7 @@
             message.pledges if is_in_order else (),
             tuple(changed),
             message.run_counts,
+            message.capacities,
         )
 
     # Queries.
--- a/damaskpoint/wire/gossip_codec.py
+++ b/damaskpoint/wire/gossip_codec.py
@@ -53,6 +53,8 @@
             for fact in message.run_counts
         ]
         or None,
+        capacities=[_encode_capacity(fact, now) for fact in message.capacities]
+        or None,
     )
     return codec.encode(gossip)
 
@@ -147,6 +149,18 @@
     return ttypes.PledgeFact(fact.group, fact.urgent, fact.deferred)
 
 
+def _encode_capacity(
+    fact: facts.CapacityFact, now: float
+) -> ttypes.CapacityFact:
+    return ttypes.CapacityFact(
+        runner=fact.runner,
+        busy=fact.busy,
+        slots=fact.slots,
+        pace_permille=round(fact.pace * _MILLI_PER_UNIT),
+        age_ms=_age_ms(fact.measured_at, now),
+    )
+
+
 def _age_ms(happened_at: float, now: float) -> int:
     # Rounded up, so that no hop makes a fact appear newer than it is.
     return min(
@@ -178,6 +192,9 @@
         run_counts=tuple(
             _decode_run_count(fact) for fact in gossip.run_counts or ()
         ),
+        capacities=tuple(
+            _decode_capacity(fact, now) for fact in gossip.capacities or ()
+        ),
     )
 
 
@@ -289,6 +306,19 @@
     )
 
 
+def _decode_capacity(
+    fact: ttypes.CapacityFact, now: float
+) -> facts.CapacityFact:
+    fact.validate()
+    return facts.CapacityFact(
+        runner=_check_name(fact.runner),
+        busy=_check_number(fact.busy),
+        slots=_check_number(fact.slots),
+        pace=_check_number(fact.pace_permille) / _MILLI_PER_UNIT,
+        measured_at=_decode_time(fact.age_ms, now),
+    )
+
+
 def _decode_time(age_ms: int, now: float) -> float:
     return now - min(_check_number(age_ms), _MAX_AGE_MS) / _MILLI_PER_UNIT
 
--- a/damaskpoint/wire/peer.thrift
+++ b/damaskpoint/wire/peer.thrift
@@ -112,6 +112,17 @@
   2: required i64 begun
 }
 
+// A runner's report of its load and its pace, relayed by peers.
+struct CapacityFact {
+  1: required string runner
+  // Requests that run or wait, of all callers.
+  2: required i32 busy
+  3: required i32 slots
+  // How long work takes on its machine, relative to usual, times 1000.
+  4: required i32 pace_permille
+  5: required i32 age_ms
+}
+
 struct Gossip {
   1: required PeerFact sender
   2: optional ConfigurationFact configuration
@@ -131,6 +142,7 @@
   // versions reject a message with marks of a kind that they do not know.
   14: optional list<MarkFact> part_marks
   15: optional list<RunCountFact> run_counts
+  17: optional list<CapacityFact> capacities
 }
 
 // Pieces of one stage of one request, sent to the instance that batches for
