Choose runners by their learned cost where they differ

The choice counted requests in flight and took all runners as equal; the counts of peers are 0.3 to 2 s old, and the header Damaskpoint-Server-Load was not read. Runners now have a cost from their reports and from measured latencies. Plain requests are drawn by cost; prompts leave their runner, and their zone, when that costs less than staying. Services whose runners neither report nor differ keep their order.

--- /dev/null
+++ b/damaskpoint/balancing/capacities.py
@@ -0,0 +1,252 @@
+"""How much load each runner sustains and what a request at it costs.
+
+Figures come from the runners' reports, directly or from peers, and from the
+latencies that this instance measures. Without a fresh figure a runner counts
+as an average one of its service.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Final, final
+
+from damaskpoint.balancing.capacity_choice import CostedRunners
+from damaskpoint.balancing.latency_paces import LatencyPaces, LatencySample
+from damaskpoint.balancing.load_reports import ReportTable
+from damaskpoint.observe.state import StateSource
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
+    from damaskpoint.balancing.load_reports import RunnerReport
+    from damaskpoint.balancing.loads import RunnerLoads
+    from damaskpoint.catalog.model import Runner
+    from damaskpoint.forwarding.metadata import LoadReport
+    from damaskpoint.membership.facts import CapacityFact
+
+# Weight of one request in the mean duration of a service's requests.
+_RUN_WEIGHT: Final = 0.05
+_DEFAULT_RUN_S: Final = 0.2
+# Bounds of the time constant with which reported load is forgotten (seconds).
+# It is the mean duration of a request, as the load of a runner is replaced in
+# about that time.
+_MIN_LOAD_MEMORY_S: Final = 0.1
+_MAX_LOAD_MEMORY_S: Final = 3.0
+# Time for which the answer whether runners differ is cached (seconds).
+_DIFFERENCE_CACHE_S: Final = 0.25
+# A change of a learned limit by this factor is logged.
+_LOGGED_FACTOR: Final = 1.5
+# Interval at which limits are compared with the logged ones (seconds).
+_COMPARE_INTERVAL_S: Final = 1.0
+_DECIMALS: Final = 3
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class RunnerEstimate:
+    """What one more request at a runner costs."""
+
+    # Expected time with the wait for a slot (seconds). For a stream it is the
+    # time until the first event.
+    cost_s: float
+    # Requests at the runner, as a share of those that it sustains.
+    load: float
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class LimitChange:
+    """A learned limit that has changed much."""
+
+    runner: str
+    slots: int
+    limit: float
+    previous: float
+    pace: float
+
+
+@final
+class RunnerCapacities(StateSource):
+    """Learned figures of all runners; times are monotonic seconds."""
+
+    def __init__(self, loads: RunnerLoads) -> None:
+        """Start without figures; ``loads`` counts the requests in flight."""
+        self._reports = ReportTable()
+        self._latencies = LatencyPaces()
+        self._loads = loads
+        self._run_s_by_service: dict[str, float] = {}
+        self._differences_by_service: dict[str, tuple[bool, float]] = {}
+        # Runners whose latency was measured, and their limits in the log.
+        self._measured_by_name: dict[str, Runner] = {}
+        self._logged_limit_by_runner: dict[str, float] = {}
+        self._compared_at = float('-inf')
+
+    # Commands.
+
+    def record_report(
+        self, runner: Runner, report: LoadReport, now: float
+    ) -> None:
+        """Record the report in an answer that was received now."""
+        own = self._loads.find_own(runner.name)
+        self._reports.record(runner, report, own, now)
+
+    def apply_fact(self, runner: Runner, fact: CapacityFact) -> None:
+        """Apply a peer's report unless a newer one is known."""
+        own = self._loads.find_own(runner.name)
+        self._reports.apply_fact(runner, fact, own)
+
+    def record_latency(
+        self, runner: Runner, route: str, began_at: float, now: float
+    ) -> None:
+        """Record the time until a runner began or completed its answer."""
+        self._measured_by_name[runner.name] = runner
+        report = self._reports.find(runner.name)
+        self._latencies.record(
+            LatencySample(
+                service=runner.service,
+                route=route,
+                runner=runner.name,
+                utilization=self._utilization(runner, report, now),
+                took_s=now - began_at,
+                reported_pace=report.discount_pace(now) if report else 1,
+            ),
+            now,
+        )
+
+    def record_run(self, service: str, took_s: float) -> None:
+        """Record the time from the send to the end of an answer."""
+        mean_s = self._run_s_by_service.get(service, took_s)
+        self._run_s_by_service[service] = mean_s + _RUN_WEIGHT * (
+            took_s - mean_s
+        )
+
+    def take_limit_changes(self, now: float) -> list[LimitChange]:
+        """Return the learned limits that have changed much, each once.
+
+        They are compared once in a while.
+        """
+        changes: list[LimitChange] = []
+        if now - self._compared_at < _COMPARE_INTERVAL_S:
+            return changes
+        self._compared_at = now
+        for runner in self._measured_by_name.values():
+            change = self._take_limit_change(runner)
+            if change is not None:
+                changes.append(change)
+        return changes
+
+    def expire(self, runners: Iterable[str], now: float) -> None:
+        """Drop old reports and the figures of runners that are gone."""
+        self._reports.expire(now)
+        known = frozenset(runners)
+        self._latencies.forget_except(known)
+        for name in tuple(self._measured_by_name):
+            if name not in known:
+                self._measured_by_name.pop(name)
+                self._logged_limit_by_runner.pop(name, None)
+
+    # Queries.
+
+    def is_informed(self, service: str, now: float) -> bool:
+        """Return whether the runners of a service should not be taken as equal.
+
+        That is so if they tell their load, or if their latencies differ.
+        """
+        if self._reports.is_reporting(service, now):
+            return True
+        known = self._differences_by_service.get(service)
+        if known is None or now - known[1] > _DIFFERENCE_CACHE_S:
+            known = (self._latencies.are_different(service, now), now)
+            self._differences_by_service[service] = known
+        return known[0]
+
+    def list_news(self, now: float, limit: int) -> list[CapacityFact]:
+        """Return the newest reports that peers should know."""
+        return self._reports.list_news(now, limit)
+
+    def estimate(self, runner: Runner, now: float) -> RunnerEstimate:
+        """Return what a request at a runner costs now."""
+        service = runner.service
+        report = self._reports.find(runner.name)
+        utilization = self._utilization(runner, report, now)
+        pace = self._pace(runner, report, now)
+        growth = self._latencies.find_growth(service)
+        usual_s = self._latencies.find_usual_s(service) or _DEFAULT_RUN_S
+        run_s = self._run_s_by_service.get(service, usual_s)
+        wait_s = max(float(0), utilization - 1) * run_s
+        return RunnerEstimate(
+            cost_s=pace * (usual_s * (1 + growth * utilization) + wait_s),
+            load=utilization * pace,
+        )
+
+    def cost_runners(
+        self, runners: Sequence[Runner], avoided: frozenset[str], now: float
+    ) -> CostedRunners:
+        """Return the costs of runners of one service."""
+        cost_s_by_name: dict[str, float] = {}
+        load_by_name: dict[str, float] = {}
+        for runner in runners:
+            estimate = self.estimate(runner, now)
+            cost_s_by_name[runner.name] = estimate.cost_s
+            load_by_name[runner.name] = estimate.load
+        count = max(1, len(runners))
+        return CostedRunners(
+            runners=runners,
+            cost_s_by_name=cost_s_by_name,
+            load_by_name=load_by_name,
+            mean_cost_s=sum(cost_s_by_name.values()) / count,
+            mean_load=sum(load_by_name.values()) / count,
+            avoided=avoided,
+        )
+
+    def dump_state(self, now: float) -> dict[str, object]:
+        """Return each runner's report with its source and age."""
+        reports: dict[str, object] = {}
+        for name, report in self._reports.iterate():
+            reports[name] = {
+                'busy': report.busy,
+                'slots': report.slots,
+                'pace': round(report.pace, _DECIMALS),
+                'age_s': round(now - report.measured_at, _DECIMALS),
+                'source': report.source.value,
+            }
+        return {
+            'reports_by_runner': reports,
+            'latencies_by_service': self._latencies.dump(),
+            'run_s_by_service': dict(self._run_s_by_service),
+        }
+
+    def _take_limit_change(self, runner: Runner) -> LimitChange | None:
+        pace = self._latencies.find_lasting_pace(runner.service, runner.name)
+        if pace is None:
+            return None
+        limit = runner.slots / pace
+        previous = self._logged_limit_by_runner.get(
+            runner.name, float(runner.slots)
+        )
+        if max(limit, previous) < min(limit, previous) * _LOGGED_FACTOR:
+            return None
+        self._logged_limit_by_runner[runner.name] = limit
+        return LimitChange(runner.name, runner.slots, limit, previous, pace)
+
+    def _pace(
+        self, runner: Runner, report: RunnerReport | None, now: float
+    ) -> float:
+        learned = self._latencies.find_pace(runner.service, runner.name, now)
+        return learned * report.discount_pace(now) if report else learned
+
+    def _utilization(
+        self, runner: Runner, report: RunnerReport | None, now: float
+    ) -> float:
+        counted = self._loads.find(runner.name)
+        if report is None:
+            return counted / max(1, runner.slots)
+        own = self._loads.find_own(runner.name)
+        # Own requests are counted exactly, so a report cannot hide them.
+        reported = max(own, report.busy + own - report.own_in_flight)
+        run_s = self._run_s_by_service.get(runner.service, _DEFAULT_RUN_S)
+        memory_s = min(_MAX_LOAD_MEMORY_S, max(_MIN_LOAD_MEMORY_S, run_s))
+        left = math.exp((report.measured_at - now) / memory_s)
+        busy = left * reported + (1 - left) * counted
+        return busy / max(1, report.slots)
--- a/damaskpoint/balancing/loads.py
+++ b/damaskpoint/balancing/loads.py
@@ -38,6 +38,10 @@
             runner, 0
         )
 
+    def find_own(self, runner: str) -> int:
+        """Return the number of this instance's requests at a runner."""
+        return self._own_by_runner[runner]
+
     @property
     def own_by_runner(self) -> Mapping[str, int]:
         """Return this instance's requests in flight by runner."""
--- a/damaskpoint/balancing/signals.py
+++ b/damaskpoint/balancing/signals.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Final, final
 
 if TYPE_CHECKING:
+    from damaskpoint.balancing.capacities import RunnerCapacities
     from damaskpoint.balancing.health import RunnerHealth
     from damaskpoint.catalog.model import Runner
     from damaskpoint.catalog.runners import RunnerTable
@@ -16,18 +17,26 @@
 
 @final
 class RunnerSignals:
-    """Passes cold times, announced exits and pauses to the runners' state."""
+    """Passes what runners say to the state that is kept of them."""
 
-    def __init__(self, runners: RunnerTable, health: RunnerHealth) -> None:
-        """Apply signals to this table and this health."""
+    def __init__(
+        self,
+        runners: RunnerTable,
+        health: RunnerHealth,
+        capacities: RunnerCapacities,
+    ) -> None:
+        """Apply signals to this table, this health and these figures."""
         self._runners = runners
         self._health = health
+        self._capacities = capacities
         self._unpublished: list[tuple[str, int]] = []
 
     def record(
         self, runner: Runner, metadata: AnswerMetadata, now: float
     ) -> None:
         """Apply the signals in an answer; ``now`` is monotonic seconds."""
+        if metadata.load is not None:
+            self._capacities.record_report(runner, metadata.load, now)
         if metadata.cold_left_s is not None:
             self._runners.record_cold(runner.name, metadata.cold_left_s, now)
         if metadata.pause_s is not None:
--- a/damaskpoint/forwarding/attempts.py
+++ b/damaskpoint/forwarding/attempts.py
@@ -191,6 +191,7 @@
         if failure is None:
             took_s = time.monotonic() - began_at
             self._context.completion.record_run(self._request, took_s)
+            self._context.capacities.record_run(self._service, took_s)
         elif failure.ran is Ran.NO:
             self.ran = ran_before
         self._record_attempt(runner, failure, began_at)
@@ -226,6 +227,13 @@
             self._record_begun if head.is_success else None
         )
         self._progress = Progress.HEAD
+        if head.is_success:
+            self._context.capacities.record_latency(
+                open_answer.runner,
+                self._route.name,
+                began_at,
+                time.monotonic(),
+            )
         if head.is_success and self._route.kind is RequestKind.STREAM:
             took_s = time.monotonic() - began_at
             self._context.first_events.record(self._service, took_s)
--- a/damaskpoint/forwarding/choosing.py
+++ b/damaskpoint/forwarding/choosing.py
@@ -4,6 +4,11 @@
 
 from typing import TYPE_CHECKING, final
 
+from damaskpoint.balancing.capacity_choice import (
+    PromptPlace,
+    order_by_cost,
+    order_by_place,
+)
 from damaskpoint.balancing.runner_choice import (
     Candidates,
     order_by_load,
@@ -71,22 +76,38 @@
 
     def _order(self, excluded: Container[str], now: float) -> list[Runner]:
         context = self._context
+        key = self._metadata.affinity_key
         usable = [
             runner
             for runner in context.catalog.runners.usable(self._service)
             if runner.name not in excluded
             and not context.health.is_paused(runner.name, now)
         ]
+        avoided = frozenset(
+            runner.name
+            for runner in usable
+            if context.health.is_avoided(runner.name, now)
+        )
+        if context.capacities.is_informed(self._service, now):
+            costed = context.capacities.cost_runners(usable, avoided, now)
+            if self._metadata.prompt:
+                place = _find_place(self._metadata, self._zone)
+                return order_by_place(costed, place)
+            return order_by_cost(costed, context.options.zone, key)
         candidates = Candidates(
             usable,
             {runner.name: context.loads.find(runner.name) for runner in usable},
-            frozenset(
-                runner.name
-                for runner in usable
-                if context.health.is_avoided(runner.name, now)
-            ),
+            avoided,
         )
-        key = self._metadata.affinity_key
         if self._metadata.prompt:
             return order_by_prompt(candidates, self._zone, key)
         return order_by_load(candidates, context.options.zone, key)
+
+
+def _find_place(metadata: RequestMetadata, zone: str | None) -> PromptPlace:
+    return PromptPlace(
+        zone=zone,
+        key=metadata.affinity_key,
+        shared_tokens=sum(part.tokens for part in metadata.prompt[:-1]),
+        request_id=metadata.request_id,
+    )
--- a/damaskpoint/forwarding/context.py
+++ b/damaskpoint/forwarding/context.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, final
 
 if TYPE_CHECKING:
+    from damaskpoint.balancing.capacities import RunnerCapacities
     from damaskpoint.balancing.cold_limit import ColdLimiter
     from damaskpoint.balancing.health import RunnerHealth
     from damaskpoint.balancing.loads import RunnerLoads
@@ -43,6 +44,7 @@
     catalog: Catalog
     health: RunnerHealth
     loads: RunnerLoads
+    capacities: RunnerCapacities
     cold: ColdLimiter
     signals: RunnerSignals
     budgets: ServiceBudgets
--- a/damaskpoint/forwarding/metadata.py
+++ b/damaskpoint/forwarding/metadata.py
@@ -62,6 +62,19 @@
         return 0
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """What a runner reports of its load in a header."""
+
+    running: int
+    waiting: int
+    slots: int
+    # How long work takes on its machine now; 100 is usual. None if the runner
+    # does not tell.
+    percent: int | None = None
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class AnswerMetadata:
@@ -77,3 +90,5 @@
     is_leaving: bool = False
     # For how long the runner wants no further requests of this instance.
     pause_s: float | None = None
+    # The runner's load as it began to answer.
+    load: LoadReport | None = None
--- a/damaskpoint/gateway/peers.py
+++ b/damaskpoint/gateway/peers.py
@@ -84,7 +84,7 @@
         self._membership.publish_paces(context.pool.own_paces(now))
         self._membership.publish_pledges(pledges.list_own())
         self._membership.publish_run_counts(context.prompts.list_run_counts())
-        context.loads.set_peer_counts(self._membership.view.work.sum_shares())
+        self._share_capacities(now)
         self._expire(now)
         context.budgets.update(self._count_instances(), now)
 
@@ -132,6 +132,16 @@
         for count in counts:
             self._context.prompts.record_peer_runs(peer, count, now)
 
+    def on_capacities(
+        self, capacities: tuple[facts.CapacityFact, ...], now: float
+    ) -> None:
+        """Apply the reports of runners that a peer knows."""
+        context = self._context
+        for fact in capacities:
+            runner = context.catalog.runners.find(fact.runner)
+            if runner is not None:
+                context.capacities.apply_fact(runner, fact)
+
     def _count_instances(self) -> int | None:
         """Return the most instances that may be running, this one included.
 
@@ -143,11 +153,33 @@
         listed = membership.listed_names
         return len(membership.view.peers.unended_names(listed)) + 1
 
+    def _share_capacities(self, now: float) -> None:
+        """Exchange the load of runners, and log the limits learned."""
+        context = self._context
+        context.loads.set_peer_counts(self._membership.view.work.sum_shares())
+        self._membership.publish_capacities(
+            context.capacities.list_news(now, defaults.MAX_CAPACITIES)
+        )
+        for change in context.capacities.take_limit_changes(now):
+            _LOG.info(
+                'learned limit of a runner changed',
+                extra={
+                    'runner': change.runner,
+                    'slots': change.slots,
+                    'limit': round(change.limit, 1),
+                    'previous': round(change.previous, 1),
+                    'pace': round(change.pace, 2),
+                },
+            )
+
     def _expire(self, now: float) -> None:
         max_age_s = find_max_age_s(self._membership.cycle_s)
         self._context.pool.paces.expire(now, max_age_s)
         self._context.planner.pledges.expire(now, max_age_s)
         self._context.prompts.expire(now)
+        self._context.capacities.expire(
+            self._context.catalog.runners.names(), now
+        )
 
 
 @final
--- a/damaskpoint/gateway/wiring.py
+++ b/damaskpoint/gateway/wiring.py
@@ -5,6 +5,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from damaskpoint.balancing.capacities import RunnerCapacities
 from damaskpoint.balancing.cold_limit import ColdBound, ColdLimiter
 from damaskpoint.balancing.health import RunnerHealth
 from damaskpoint.balancing.loads import RunnerLoads
@@ -153,8 +154,9 @@
     own_name = options.instance.name
     catalog = Catalog()
     health = RunnerHealth()
-    signals = RunnerSignals(catalog.runners, health)
     loads = RunnerLoads()
+    capacities = RunnerCapacities(loads)
+    signals = RunnerSignals(catalog.runners, health, capacities)
     pool = StagePool(
         own_name,
         catalog,
@@ -169,6 +171,7 @@
     prompts = PromptGuard(membership.publish_mark)
     registry.register('catalog', catalog)
     registry.register('health', health)
+    registry.register('capacities', capacities)
     registry.register('stages', pool)
     registry.register('prompts', prompts)
     return ForwardingContext(
@@ -181,6 +184,7 @@
         catalog=catalog,
         health=health,
         loads=loads,
+        capacities=capacities,
         signals=signals,
         cold=ColdLimiter(
             own_name, ColdBound(bounds.cold_overshoot, bounds.cold_slack)
--- a/damaskpoint/platform/names.py
+++ b/damaskpoint/platform/names.py
@@ -27,6 +27,9 @@
 RUNNER_NAME: Final = 'Damaskpoint-Instance-Id'
 COLD_LEFT_MS: Final = 'Damaskpoint-Cold-Ms'
 LEAVING: Final = 'Server-Leaving'
+# Requests that run and wait, slots, and at some runners how long work takes
+# now, in percent of the usual time.
+SERVER_LOAD: Final = 'Damaskpoint-Server-Load'
 # Header of all answers of the store; counts its restores from a copy.
 STORE_ERA: Final = 'Store-Era'
 
--- a/damaskpoint/platform/requests.py
+++ b/damaskpoint/platform/requests.py
@@ -10,6 +10,7 @@
 from damaskpoint.errors import Code, Failure
 from damaskpoint.forwarding.metadata import (
     AnswerMetadata,
+    LoadReport,
     PromptPart,
     RequestMetadata,
 )
@@ -26,6 +27,9 @@
 _MAX_ID_CHARACTERS: Final = 200
 _BEARER: Final = 'bearer '
 _LEAVING_VALUE: Final = '1'
+# Fields of a runner's load that are always present, and a bound on each.
+_LOAD_FIELDS: Final = 3
+_MAX_LOAD_DIGITS: Final = 6
 
 
 def read_request_metadata(headers: HTTPHeaders) -> RequestMetadata | Failure:
@@ -107,6 +111,7 @@
         cold_left_s=int(cold_ms) / _MS_PER_S if cold_ms.isdecimal() else None,
         is_leaving=headers.get(names.LEAVING) == _LEAVING_VALUE,
         pause_s=_read_pause_s(status, headers),
+        load=_read_load(headers.get(names.SERVER_LOAD, '')),
     )
 
 
@@ -135,6 +140,21 @@
     return pause_s if 0 < pause_s < float('inf') else None
 
 
+def _read_load(text: str) -> LoadReport | None:
+    """Return the load in a header; None if it is absent or malformed."""
+    if not text:
+        return None
+    fields = [field.strip() for field in text.split(',')]
+    if len(fields) < _LOAD_FIELDS:
+        return None
+    for field in fields:
+        if not field.isdecimal() or len(field) > _MAX_LOAD_DIGITS:
+            return None
+    running, waiting, slots = map(int, fields[:_LOAD_FIELDS])
+    percent = int(fields[_LOAD_FIELDS]) if fields[_LOAD_FIELDS:] else None
+    return LoadReport(running, waiting, slots, percent)
+
+
 def _malformed_header(name: str) -> Failure:
     return Failure(Code.HEADER_MALFORMED, name)
 
