--- a/damaskpoint/gateway/peers.py
+++ b/damaskpoint/gateway/peers.py
@@ -121,7 +121,7 @@
         self._membership.publish_paces(context.pool.own_paces(now))
         self._membership.publish_pledges(pledges.list_own())
         self._membership.publish_run_counts(context.prompts.list_run_counts())
-        context.loads.set_peer_counts(self._membership.view.work.sum_shares())
+        self._share_capacities(now)
         self._advance(now)
         context.budgets.update(self._count_instances(), now)
 
@@ -169,6 +169,16 @@
         for count in counts:
             self._context.prompts.record_peer_runs(peer, count, now)
 
+    def on_capacities(
+        self, capacities: tuple[facts.CapacityFact, ...], now: float
+    ) -> None:
+        """Apply the reports of runners that a peer knows."""
+        context = self._context
+        for fact in capacities:
+            runner = context.catalog.runners.find(fact.runner)
+            if runner is not None:
+                context.capacities.apply_fact(runner, fact)
+
     def _end_start(self, now: float) -> None:
         """Announce that this instance batches, once it knows its peers."""
         introduction = self._describe_start(now)
@@ -213,13 +223,36 @@
         listed = frozenset(membership.listed_by_name)
         return len(membership.view.peers.unended_names(listed)) + 1
 
+    def _share_capacities(self, now: float) -> None:
+        """Exchange the load of runners, and log the limits learned."""
+        context = self._context
+        context.loads.set_peer_counts(self._membership.view.work.sum_shares())
+        self._membership.publish_capacities(
+            context.capacities.list_news(now, defaults.MAX_CAPACITIES)
+        )
+        for change in context.capacities.take_limit_changes(now):
+            _LOG.info(
+                'learned limit of a runner changed',
+                extra={
+                    'runner': change.runner,
+                    'slots': change.slots,
+                    'limit': round(change.limit, 1),
+                    'previous': round(change.previous, 1),
+                    'pace': round(change.pace, 2),
+                },
+            )
+
     def _advance(self, now: float) -> None:
+        """End the start once it is due, and drop old reports of peers."""
         if self._membership.view.own.phase is facts.Phase.STARTING:
             self._end_start(now)
         max_age_s = find_max_age_s(self._membership.cycle_s)
         self._context.pool.paces.expire(now, max_age_s)
         self._context.planner.pledges.expire(now, max_age_s)
         self._context.prompts.expire(now)
+        self._context.capacities.expire(
+            self._context.catalog.runners.names(), now
+        )
 
 
 @final
--- a/damaskpoint/membership/packing.py
+++ b/damaskpoint/membership/packing.py
@@ -1,10 +1,10 @@
 """Chooses the content of datagrams and limits the bytes sent per second.
 
 Marks are packed first, then the sender's paces, pledges and run counts, peers,
-their heartbeats, the rest of the sender's own work and load reports; new marks
-and peers come before old ones. Each kind may use a fraction of the bytes that
-remain at that point; bytes that it does not use are available to the kinds
-after it.
+their heartbeats, reports of slow runners, the rest of the sender's own work
+and load reports; new marks and peers come before old ones. Each kind may use a
+fraction of the bytes that remain at that point; bytes that it does not use are
+available to the kinds after it.
 """
 
 from __future__ import annotations
@@ -40,6 +40,7 @@
 # datagrams a second, so that it still hears of each peer several times within
 # the time after which a silent one counts as failed.
 _MAX_HEARTBEATS: Final = 16
+_CAPACITIES_FRACTION: Final = 0.3
 _WINDOW_S: Final = 1.0
 
 _Fact = TypeVar('_Fact')
@@ -101,6 +102,11 @@
         sender=view.own,
         configuration=view.configuration,
         marks=marks,
+        capacities=budget.take(
+            view.own_capacities,
+            partial(sizes.measure_capacity, now=now),
+            _CAPACITIES_FRACTION,
+        ),
         demands=budget.take(
             view.own_demands.iterate(), sizes.measure_demand, _WORK_FRACTION
         ),
