--- a/damaskpoint/settings_doc.py
+++ b/damaskpoint/settings_doc.py
@@ -49,23 +49,7 @@
     return '\n'.join(lines)
 
 
-def _write_model(title: str, model: type[BaseModel]) -> list[str]:
-    lines = [f'## {title}\n']
-    sections = _read_descriptions(model)
-    for name, field in model.model_fields.items():
-        section: Any = field.annotation
-        lines.append(f'### {name}\n')
-        lines.append(f'{sections[name]}\n')
-        lines.append('| option | type | default | meaning |')
-        lines.append('|---|---|---|---|')
-        options = _read_descriptions(section)
-        for option, option_field in section.model_fields.items():
-            lines.append(_write_row(option, option_field, options[option]))
-        lines.append('')
-    return lines
-
-
-def _read_descriptions(model: type[BaseModel]) -> dict[str, str]:
+def read_descriptions(model: type[BaseModel]) -> dict[str, str]:
     """Return the docstring below each field, by the name of the field.
 
     Only this page needs them; pydantic would read them at each start.
@@ -86,6 +70,22 @@
     return descriptions_by_name
 
 
+def _write_model(title: str, model: type[BaseModel]) -> list[str]:
+    lines = [f'## {title}\n']
+    sections = read_descriptions(model)
+    for name, field in model.model_fields.items():
+        section: Any = field.annotation
+        lines.append(f'### {name}\n')
+        lines.append(f'{sections[name]}\n')
+        lines.append('| option | type | default | meaning |')
+        lines.append('|---|---|---|---|')
+        options = read_descriptions(section)
+        for option, option_field in section.model_fields.items():
+            lines.append(_write_row(option, option_field, options[option]))
+        lines.append('')
+    return lines
+
+
 def _write_row(option: str, field: FieldInfo, description: str) -> str:
     default = 'none (required)'
     if field.default is not PydanticUndefined:
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -12,8 +12,9 @@
 from behave import then, when
 
 from damaskpoint.errors import Code, Failure
+from damaskpoint.gateway.options import GatewayOptions
 from damaskpoint.settings import Options, load_options
-from damaskpoint.settings_doc import write_page
+from damaskpoint.settings_doc import read_descriptions, write_page
 
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
 _SAMPLE = _ROOT / 'samples' / 'entry.json5'
@@ -49,12 +50,15 @@
 @then('every option of the model has a description')
 def check_descriptions(context: Any) -> None:
     """Check each option of each section."""
-    for section_field in Options.model_fields.values():
-        section = section_field.annotation
-        assert section
-        assert section_field.description
-        for name, field in section.model_fields.items():
-            assert field.description, name
+    for model in (Options, GatewayOptions):
+        sections = read_descriptions(model)
+        for name, section_field in model.model_fields.items():
+            section: Any = section_field.annotation
+            assert section
+            assert sections[name], name
+            described = read_descriptions(section)
+            for option in section.model_fields:
+                assert described[option], option
 
 
 @when('the settings are the sample with')
