Order from peers from the own address, by which they know this instance

Cause: the connection of an order came from any local address. On machines with several addresses (and on loopback, where deployments are tried out) the peer answers 403, as it accepts only the hosts of its peers, and each instance calls all runners itself. On 116 orders were refused so in the scenario of features/batching_gateways.feature.

Change: the client of orders binds the instance's own host, as gossip does.

--- a/damaskpoint/batching/peer_orders.py
+++ b/damaskpoint/batching/peer_orders.py
@@ -62,6 +62,10 @@
     ``PEER_UNKNOWN`` if the peer has not heard of this instance yet.
     """
 
+    def __init__(self, own_host: str) -> None:
+        """Connect from this IP address, by which peers know this instance."""
+        self._own_host = own_host
+
     async def order(
         self,
         address: Address,
@@ -107,6 +111,7 @@
             (address.host, address.port),
             min(_CONNECT_TIMEOUT_S, timeout_s),
             _ACK_TIMEOUT_S,
+            self._own_host,
         )
         if isinstance(exchange, Failure):
             return Failure(
--- a/damaskpoint/forwarding/connecting.py
+++ b/damaskpoint/forwarding/connecting.py
@@ -18,12 +18,15 @@
 
 
 async def open_stream(
-    address: SocketAddress, timeout_s: float, ack_timeout_s: float | None = None
+    address: SocketAddress,
+    timeout_s: float,
+    ack_timeout_s: float | None = None,
+    source_host: str | None = None,
 ) -> iostream.IOStream | Failure:
     """Connect within ``timeout_s`` seconds, without a resolver or threads.
 
     ``ack_timeout_s`` bounds the time in seconds for which sent bytes may stay
-    unacknowledged.
+    unacknowledged. ``source_host`` is the IP address to connect from.
     Fails with ``UPSTREAM_UNREACHABLE``.
     """
     is_ipv6 = ':' in address[0]
@@ -35,7 +38,7 @@
     loop = asyncio.get_running_loop()
     timer = loop.call_later(timeout_s, stream.close)
     try:
-        await stream.connect(address)
+        await _connect(stream, address, source_host)
     except (OSError, iostream.StreamClosedError) as error:
         stream.close()
         return Failure(Code.UPSTREAM_UNREACHABLE, f'connect: {error}')
@@ -48,6 +51,14 @@
     return stream
 
 
+async def _connect(
+    stream: iostream.IOStream, address: SocketAddress, source_host: str | None
+) -> None:
+    if source_host is not None:
+        stream.socket.bind((source_host, 0))
+    await stream.connect(address)
+
+
 def limit_unacknowledged_time(
     sock: socket.socket, ack_timeout_s: float
 ) -> None:
--- a/damaskpoint/forwarding/exchange.py
+++ b/damaskpoint/forwarding/exchange.py
@@ -119,13 +119,16 @@
 
 
 async def open_exchange(
-    address: SocketAddress, connect_s: float, ack_timeout_s: float
+    address: SocketAddress,
+    connect_s: float,
+    ack_timeout_s: float,
+    source_host: str | None = None,
 ) -> Exchange | Failure:
     """Connect to a runner; fails with ``UPSTREAM_UNREACHABLE``.
 
     Both times are in seconds, as in ``open_stream``.
     """
-    stream = await open_stream(address, connect_s, ack_timeout_s)
+    stream = await open_stream(address, connect_s, ack_timeout_s, source_host)
     return stream if isinstance(stream, Failure) else Exchange(stream)
 
 
--- a/damaskpoint/gateway/wiring.py
+++ b/damaskpoint/gateway/wiring.py
@@ -164,7 +164,7 @@
         HttpPieceCaller(
             options.runners.connect_s, options.runners.silence_s, signals
         ),
-        PieceOrderClient(),
+        PieceOrderClient(options.instance.host),
     )
     prompts = PromptGuard(membership.publish_mark)
     registry.register('catalog', catalog)
--- a/features/steps/batching_decisions_steps.py
+++ b/features/steps/batching_decisions_steps.py
@@ -206,7 +206,7 @@
     held = (CallHolding(runner, 'peer', 1, now + busy_s),)
     context.answer = run(
         context,
-        peer_orders.PieceOrderClient().order(
+        peer_orders.PieceOrderClient(HOST).order(
             Address(HOST, context.port), 'stage#0', pieces, held
         ),
     )
--- a/features/steps/gateway_change_steps.py
+++ b/features/steps/gateway_change_steps.py
@@ -46,8 +46,10 @@
     site = context.site
     context.left = []
 
-    async def open_and_leave(address: Any, *timeouts: float) -> Any:
-        opened = await open_exchange(address, *timeouts)
+    async def open_and_leave(
+        address: Any, connect_s: float, ack_timeout_s: float
+    ) -> Any:
+        opened = await open_exchange(address, connect_s, ack_timeout_s)
         for name, port in site.ports_by_name.items():
             if port == address[1] and not context.left:
                 context.left.append(name)
