Let less urgent requests give way where not all can be in time

Cause: a priority only moved a piece by 0.2 s a level in the order by time needed, so with more work than can be in time requests of priority 1 with a near due time took the places of priority 0, whose later stages were late then. A request of which some pieces had run was dropped like one without.

Change: batching/urgency.py goes through the queue in its order, with the rate of the group. A request that would be late takes the place of less urgent ones (then of ones without work done) if that is enough; else it gives way itself, so a request that is late anyway holds up no other. What gives way runs after the others, as late pieces did before. Requests of which pieces were taken count as having cost.

Ruled out: strict order by priority, which makes less urgent requests late although there is time for all.

--- a/damaskpoint/batching/group.py
+++ b/damaskpoint/batching/group.py
@@ -180,11 +180,14 @@
         self, runner: Runner, idle: Sequence[Runner], now: float
     ) -> tuple[Ticket, ...]:
         capacity = self._find_capacity(runner.name)
+        runners = self._find_runners()
         idle_runner = IdleRunner(
             zone=runner.zone,
-            group_zones=frozenset(item.zone for item in self._find_runners()),
+            group_zones=frozenset(item.zone for item in runners),
             free_bytes=capacity.free_bytes(now),
             allows_small_batch=capacity.is_memory_wait_over(now),
+            group_slots=len(runners) * self._limits.max_concurrent_calls,
+            group_pace=self.pace,
         )
         tickets = self.queue.take_batch(idle_runner, now)
         if tickets:
--- a/damaskpoint/batching/queue.py
+++ b/damaskpoint/batching/queue.py
@@ -1,7 +1,8 @@
 """The queue of the pieces that wait for a group of runners.
 
 Pieces are ordered by the time at which they are needed. The priority and the
-size of their request move that time by fixed offsets.
+size of their request move that time by fixed offsets. Where not all can be in
+time, less urgent requests give way, see ``urgency``.
 """
 
 from __future__ import annotations
@@ -10,12 +11,21 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final, final
 
+from damaskpoint.batching.urgency import (
+    GroupRate,
+    WaitingPieces,
+    find_yielding,
+)
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
     from damaskpoint.batching.model import Piece
     from damaskpoint.catalog.model import BatchLimits
 
+    # Request id and index of the stage.
+    _RequestStage = tuple[str, int]
+
 # How long a piece waits for a runner of its preferred zone, per byte that
 # would cross zones (seconds per byte) and at most (seconds): for a megabyte
 # about as long as a call of a stage.
@@ -55,6 +65,9 @@
     free_bytes: float
     # Whether the batch may be small because memory is short.
     allows_small_batch: bool
+    # Calls that the group runs at the same time, and its pace.
+    group_slots: int = 1
+    group_pace: float = 1
 
 
 @final
@@ -87,6 +100,8 @@
         self.limits = limits
         self._tickets: list[Ticket] = []
         self._last_number = 0
+        # Requests of which pieces have been taken while others wait.
+        self._begun: frozenset[_RequestStage] = frozenset()
 
     # Commands.
 
@@ -120,7 +135,7 @@
         """Remove and return the pieces that are no longer worth running.
 
         If more pieces wait than fit into one call, this includes those that
-        would miss their objective and for whose request no work was done yet.
+        would miss their objective and for whose request no work was begun yet.
         """
         earliest_end_at = now + self.limits.estimate_call_s(1) * pace
         is_contended = len(self._tickets) > self.limits.max_pieces
@@ -128,7 +143,7 @@
         remaining = []
         for ticket in self._tickets:
             piece = ticket.piece
-            is_droppable = is_contended and not piece.has_cost
+            is_droppable = is_contended and not self._has_cost(ticket)
             last_useful_at = piece.needed_at if is_droppable else piece.ends_at
             if last_useful_at < earliest_end_at:
                 late.append(ticket)
@@ -146,7 +161,7 @@
         taken: list[Ticket] = []
         remaining: list[Ticket] = []
         eligible = 0
-        for ticket in self._list_by_urgency(now):
+        for ticket in self._list_by_urgency(runner, now):
             if len(taken) == self.limits.max_pieces or _waits_for_own_zone(
                 ticket, runner, now
             ):
@@ -164,6 +179,8 @@
         ):
             return ()
         self._tickets = sorted(remaining)
+        begun = self._begun.union(map(_identify, taken))
+        self._begun = begun.intersection(map(_identify, remaining))
         return tuple(taken)
 
     # Queries.
@@ -178,27 +195,61 @@
 
     # Steps.
 
-    def _list_by_urgency(self, now: float) -> list[Ticket]:
+    def _list_by_urgency(self, runner: IdleRunner, now: float) -> list[Ticket]:
         """Return the tickets in the order in which they should run.
 
-        Pieces that are deferred or miss their objective come last. Of these,
-        requests with results come first, as runners keep results for a short
-        time only.
+        Pieces that are deferred or miss their objective come last, and before
+        them those that give way to others. Of these, requests with results
+        come first, as runners keep results for a short time only.
         """
-        earliest_end_at = now + self.limits.estimate_call_s(1)
+        yielding = self._find_yielding(runner, now)
         in_time = []
         with_cost = []
         others = []
         for ticket in self._tickets:
-            piece = ticket.piece
-            if not piece.is_deferred and piece.needed_at >= earliest_end_at:
+            if not ticket.piece.is_deferred and (
+                _identify(ticket) not in yielding
+            ):
                 in_time.append(ticket)
-            elif piece.has_cost:
+            elif self._has_cost(ticket):
                 with_cost.append(ticket)
             else:
                 others.append(ticket)
         return in_time + with_cost + others
 
+    def _find_yielding(
+        self, runner: IdleRunner, now: float
+    ) -> frozenset[_RequestStage]:
+        """Return the requests that cannot be in time or give way."""
+        tickets_by_request: dict[_RequestStage, list[Ticket]] = {}
+        for ticket in self._tickets:
+            if not ticket.piece.is_deferred:
+                tickets_by_request.setdefault(_identify(ticket), []).append(
+                    ticket
+                )
+        waiting = [
+            WaitingPieces(
+                pieces=len(tickets),
+                priority=tickets[0].piece.priority,
+                has_cost=self._has_cost(tickets[0]),
+                left_s=tickets[0].piece.needed_at - now,
+            )
+            for tickets in tickets_by_request.values()
+        ]
+        rate = GroupRate(self.limits, runner.group_slots, runner.group_pace)
+        requests = tuple(tickets_by_request)
+        return frozenset(
+            requests[index] for index in find_yielding(waiting, rate)
+        )
+
+    def _has_cost(self, ticket: Ticket) -> bool:
+        """Return whether work for the request of a piece was begun."""
+        return ticket.piece.has_cost or _identify(ticket) in self._begun
+
+
+def _identify(ticket: Ticket) -> _RequestStage:
+    return (ticket.piece.request_id, ticket.piece.stage)
+
 
 def sum_bytes(tickets: Sequence[Ticket]) -> int:
     """Return the total size of the results of pieces."""
--- a/features/piece_queue.feature
+++ b/features/piece_queue.feature
@@ -102,6 +102,39 @@
       | also if the piece is late, not deferred | 0.1  | x      |            | c b   |
       | otherwise by the time needed            | 2.0  |        | x          | c a   |
 
+  # Guards against a less urgent request in the place that a more urgent one
+  # needs to be in time, and against results that are made and then not used.
+  # A call takes 0.2 s and 0.01 s for each piece.
+  Scenario Outline: More pieces wait than can be in time: <case>
+    Given a queue for batches of <most> pieces
+    And these requests wait
+      | name | priority | needed | pieces | cost   |
+      | a    | <a prio> | <a at> | <a>    |        |
+      | b    | 0        | <b at> | <b>    | <cost> |
+    When a runner takes one batch after the other
+    Then the requests <complete> are complete in time
+
+    Examples:
+      | case                                     | most | a prio | a at | a         | b at | b     | cost | complete  |
+      | there is time for all                    | 1    | 1      | 0.65 | 1,1       | 0.9  | 1,1   |      | a a b b   |
+      | the less urgent ones give way            | 1    | 1      | 0.65 | 1,1,1     | 0.9  | 1,1   |      | a a b b   |
+      | all of them, if all their time is needed | 1    | 1      | 0.30 | 1         | 0.9  | 1,1,1,1,1 |  | b b b b   |
+      | but not for a request that is late then  | 1    | 1      | 0.30 | 1         | 0.9  | 5     |      | a         |
+      | a large request gives way as a whole     | 2    | 1      | 0.60 | 4         | 0.8  | 2,2   |      | b b       |
+      | requests with results come first         | 1    | 0      | 0.30 | 1         | 0.4  | 1     | x    | b         |
+      | urgent ones do not give way              | 1    | 0      | 0.30 | 1         | 0.4  | 1     |      | a         |
+
+  Scenario: A request of which pieces were made is not dropped
+    Given a queue for batches of 2 pieces
+    And these requests wait
+      | name | priority | needed | pieces | cost |
+      | a    | 0        | 0.5    | 3      |      |
+      | b    | 0        | 0.9    | 2      |      |
+    When a runner of zone z with 1000 bytes free takes a batch at 0
+    And late pieces are dropped at 0.4
+    Then the batch has the pieces a0 a0
+    And the pieces - are dropped
+
   Scenario Outline: Pieces ahead of a new request: <case>
     Given pledges of 3 urgent and 4 deferred pieces here, and 5 and 6 at a peer
     Then <ahead> pieces are ahead of a request that is <kind>
--- a/features/steps/piece_queue_steps.py
+++ b/features/steps/piece_queue_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import collections
+import string
 import time
 from typing import TYPE_CHECKING, Any, Final, final
 
@@ -77,6 +79,66 @@
         context.queue.add(_create_piece(row), 0)
 
 
+@given('these requests wait')
+def add_requests(context: Any) -> None:
+    """Add the pieces of each request at time 0, a number for each request."""
+    context.sizes = {}
+    for row in context.table:
+        for number, size in enumerate(row['pieces'].split(',')):
+            name = f'{row["name"]}{number}'
+            context.sizes[name] = int(size)
+            for index in range(int(size)):
+                context.queue.add(_create_request_piece(row, name, index), 0)
+
+
+@when('a runner takes one batch after the other')
+def take_all_batches(context: Any) -> None:
+    """Run calls one after the other; late pieces are dropped before each."""
+    context.made = collections.Counter()
+    now = float(0)
+    while True:
+        context.queue.take_late(1, now)
+        runner = IdleRunner('z', frozenset('z'), 1_000, True)
+        tickets = context.queue.take_batch(runner, now)
+        if not tickets:
+            return
+        now += context.queue.limits.estimate_call_s(len(tickets))
+        for ticket in tickets:
+            if now <= ticket.piece.needed_at:
+                context.made[ticket.piece.request_id] += 1
+
+
+@then('the requests {names} are complete in time')
+def check_complete(context: Any, names: str) -> None:
+    """Compare the requests all of whose pieces are in time, sorted by name."""
+    complete = sorted(
+        name
+        for name, size in context.sizes.items()
+        if context.made[name] == size
+    )
+    found = [name.rstrip(string.digits) for name in complete]
+    assert found == _split_names(names), (found, context.made)
+
+
+def _create_request_piece(row: Any, request_id: str, index: int) -> Piece:
+    return Piece(
+        request_id=request_id,
+        stage=0,
+        index=index,
+        key='',
+        inputs=(),
+        zone='z',
+        moved_bytes=0,
+        priority=int(row['priority']),
+        ends_at=9,
+        needed_at=float(row['needed']),
+        lead_s=0,
+        result_bytes=1,
+        has_cost=bool(row['cost']),
+        is_deferred=False,
+    )
+
+
 def _create_piece(row: Any) -> Piece:
     cost = row['cost'] if 'cost' in row.headings else ''
     deferred = row['deferred'] if 'deferred' in row.headings else ''
