--- a/damaskpoint/batching/peer_connections.py
+++ b/damaskpoint/batching/peer_connections.py
@@ -52,8 +52,9 @@
 class PeerConnections:
     """Sends calls to peers; a cancelled call closes its connection."""
 
-    def __init__(self) -> None:
-        """Start without connections."""
+    def __init__(self, own_host: str | None = None) -> None:
+        """Connect from this IP address, by which peers know this instance."""
+        self._own_host = own_host
         self._idle_by_address: dict[Address, list[_IdleConnection]] = {}
 
     async def call(
@@ -73,7 +74,10 @@
                 if exchange.has_head or exchange.ending not in _LOST_ENDINGS:
                     raise
         opened = await open_exchange(
-            (address.host, address.port), _CONNECT_TIMEOUT_S, _ACK_TIMEOUT_S
+            (address.host, address.port),
+            _CONNECT_TIMEOUT_S,
+            _ACK_TIMEOUT_S,
+            self._own_host,
         )
         if isinstance(opened, Failure):
             return opened
