Draw two runners by cost, and move prompts to one drawn by key

A prompt moved to the next runner in hash order below 1.1 of the mean, and the mean of the service grew with the busy zone, so little moved. It now moves to a runner drawn by the prompt's key, weighted by cost, if the gain exceeds the price. Plain requests prefer the second runner drawn if it is much cheaper. Gossip carries five reports instead of three, also of runners that are not slow. Costs of a service are computed with its figures looked up once, and scores of prompts are cached.

--- a/damaskpoint/balancing/capacities.py
+++ b/damaskpoint/balancing/capacities.py
@@ -12,7 +12,11 @@
 from typing import TYPE_CHECKING, Final, final
 
 from damaskpoint.balancing.capacity_choice import CostedRunners
-from damaskpoint.balancing.latency_paces import LatencyPaces, LatencySample
+from damaskpoint.balancing.latency_paces import (
+    LatencyPaces,
+    LatencySample,
+    ServicePaces,
+)
 from damaskpoint.balancing.load_reports import ReportTable
 from damaskpoint.observe.state import StateSource
 
@@ -44,14 +48,23 @@
 
 @final
 @dataclass(frozen=True, slots=True)
-class RunnerEstimate:
-    """What one more request at a runner costs."""
+class _Terms:
+    """What the cost of a request depends on at all runners of a service."""
 
-    # Expected time with the wait for a slot (seconds). For a stream it is the
-    # time until the first event.
-    cost_s: float
-    # Requests at the runner, as a share of those that it sustains.
-    load: float
+    paces: ServicePaces
+    # Usual time of a request, for a stream until the first event (seconds).
+    usual_s: float
+    # Added share of it at a full runner.
+    growth: float
+    # Time that a request occupies a slot, and time after which the load of a
+    # runner says nothing any more (seconds).
+    run_s: float
+    memory_s: float
+
+    def cost_s(self, utilization: float) -> float:
+        """Return the time of a request, with its wait for a slot."""
+        wait_s = (utilization - 1) * self.run_s if utilization > 1 else 0
+        return self.usual_s * (1 + self.growth * utilization) + wait_s
 
 
 @final
@@ -102,12 +115,13 @@
         """Record the time until a runner began or completed its answer."""
         self._measured_by_name[runner.name] = runner
         report = self._reports.find(runner.name)
+        terms = self._find_terms(runner.service)
         self._latencies.record(
             LatencySample(
                 service=runner.service,
                 route=route,
                 runner=runner.name,
-                utilization=self._utilization(runner, report, now),
+                utilization=self._utilization(runner, report, terms, now),
                 took_s=now - began_at,
                 reported_pace=report.discount_pace(now) if report else 1,
             ),
@@ -165,38 +179,26 @@
         """Return the newest reports that peers should know."""
         return self._reports.list_news(now, limit)
 
-    def estimate(self, runner: Runner, now: float) -> RunnerEstimate:
-        """Return what a request at a runner costs now."""
-        service = runner.service
-        report = self._reports.find(runner.name)
-        utilization = self._utilization(runner, report, now)
-        pace = self._pace(runner, report, now)
-        growth = self._latencies.find_growth(service)
-        usual_s = self._latencies.find_usual_s(service) or _DEFAULT_RUN_S
-        run_s = self._run_s_by_service.get(service, usual_s)
-        wait_s = max(float(0), utilization - 1) * run_s
-        return RunnerEstimate(
-            cost_s=pace * (usual_s * (1 + growth * utilization) + wait_s),
-            load=utilization * pace,
-        )
-
     def cost_runners(
         self, runners: Sequence[Runner], avoided: frozenset[str], now: float
     ) -> CostedRunners:
-        """Return the costs of runners of one service."""
+        """Return what one more request at each runner of a service costs."""
         cost_s_by_name: dict[str, float] = {}
         load_by_name: dict[str, float] = {}
+        terms = self._find_terms(runners[0].service if runners else '')
         for runner in runners:
-            estimate = self.estimate(runner, now)
-            cost_s_by_name[runner.name] = estimate.cost_s
-            load_by_name[runner.name] = estimate.load
-        count = max(1, len(runners))
+            report = self._reports.find(runner.name)
+            utilization = self._utilization(runner, report, terms, now)
+            pace = terms.paces.find(runner.name, now)
+            if report is not None:
+                pace *= report.discount_pace(now)
+            cost_s_by_name[runner.name] = pace * terms.cost_s(utilization)
+            load_by_name[runner.name] = pace * utilization
         return CostedRunners(
             runners=runners,
             cost_s_by_name=cost_s_by_name,
             load_by_name=load_by_name,
-            mean_cost_s=sum(cost_s_by_name.values()) / count,
-            mean_load=sum(load_by_name.values()) / count,
+            mean_cost_s=sum(cost_s_by_name.values()) / max(1, len(runners)),
             avoided=avoided,
         )
 
@@ -218,7 +220,8 @@
         }
 
     def _take_limit_change(self, runner: Runner) -> LimitChange | None:
-        pace = self._latencies.find_lasting_pace(runner.service, runner.name)
+        paces = self._latencies.find_service(runner.service)
+        pace = paces.find_lasting(runner.name)
         if pace is None:
             return None
         limit = runner.slots / pace
@@ -230,23 +233,31 @@
         self._logged_limit_by_runner[runner.name] = limit
         return LimitChange(runner.name, runner.slots, limit, previous, pace)
 
-    def _pace(
-        self, runner: Runner, report: RunnerReport | None, now: float
-    ) -> float:
-        learned = self._latencies.find_pace(runner.service, runner.name, now)
-        return learned * report.discount_pace(now) if report else learned
+    def _find_terms(self, service: str) -> _Terms:
+        paces = self._latencies.find_service(service)
+        usual_s = paces.usual_s or _DEFAULT_RUN_S
+        run_s = self._run_s_by_service.get(service, usual_s)
+        return _Terms(
+            paces=paces,
+            usual_s=usual_s,
+            growth=paces.growth,
+            run_s=run_s,
+            memory_s=min(_MAX_LOAD_MEMORY_S, max(_MIN_LOAD_MEMORY_S, run_s)),
+        )
 
     def _utilization(
-        self, runner: Runner, report: RunnerReport | None, now: float
+        self,
+        runner: Runner,
+        report: RunnerReport | None,
+        terms: _Terms,
+        now: float,
     ) -> float:
-        counted = self._loads.find(runner.name)
+        """Return the requests at a runner per slot; above 1 some wait."""
+        own = self._loads.find_own(runner.name)
+        counted = own + self._loads.find_peers(runner.name)
         if report is None:
             return counted / max(1, runner.slots)
-        own = self._loads.find_own(runner.name)
         # Own requests are counted exactly, so a report cannot hide them.
         reported = max(own, report.busy + own - report.own_in_flight)
-        run_s = self._run_s_by_service.get(runner.service, _DEFAULT_RUN_S)
-        memory_s = min(_MAX_LOAD_MEMORY_S, max(_MIN_LOAD_MEMORY_S, run_s))
-        left = math.exp((report.measured_at - now) / memory_s)
-        busy = left * reported + (1 - left) * counted
-        return busy / max(1, report.slots)
+        left = math.exp((report.measured_at - now) / terms.memory_s)
+        return (counted + left * (reported - counted)) / max(1, report.slots)
--- a/damaskpoint/balancing/capacity_choice.py
+++ b/damaskpoint/balancing/capacity_choice.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
-import enum
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import TYPE_CHECKING, Final, final
 
 import xxhash
@@ -20,22 +20,23 @@
 
     from damaskpoint.catalog.model import Runner
 
-    # Sort key of a runner, lower is better: avoided, fit, cost, position.
-    _Rank = tuple[bool, '_Fit', float, int]
-    # The same for a request without affinity: avoided, negative score.
+    # Sort key of a runner, lower is better: avoided, negative score.
     _WeightedRank = tuple[bool, float]
 
 # Exponent of the cost in a runner's weight: one that is twice as expensive
-# gets an eighth of the requests.
-_COST_EXPONENT: Final = 3
+# is drawn a quarter as often.
+_COST_EXPONENT: Final = 2
+# Two runners are drawn, and the second is preferred if its cost is below this
+# share of the first one's.
+_SECOND_SHARE: Final = 0.65
+# The same for a prompt that moves, whose requests all go to one runner.
+_MOVE_EXPONENT: Final = 4
 # One-way and return network path to a runner of another zone (seconds).
 ZONE_PATH_S: Final = 0.003
 # Speed at which a runner reads a prompt that it does not have (tokens per
-# second). It is low for a model runner, so that prompts rarely move.
-_READ_TOKENS_PER_S: Final = 60_000
-# A runner is good enough for a moved prompt up to this multiple of the mean
-# cost.
-_GOOD_FACTOR: Final = 1.1
+# second). It is half that of slow runners, as the requests that already run
+# there are delayed as well.
+_READ_TOKENS_PER_S: Final = 30_000
 # A prompt moves once the gain exceeds its price times a factor between these
 # bounds, drawn by request: a part of the requests moves first.
 _MIN_PRICE_FACTOR: Final = 0.5
@@ -45,22 +46,12 @@
 _LOAD_FACTOR: Final = 1.25
 _LOAD_SLACK: Final = 0.12
 _MIN_LOAD_BOUND: Final = 0.6
+# Cached scores of runners for prompts, about 4 MB.
+_CACHED_SCORES: Final = 16_384
 _DIGEST_BITS: Final = 32
 _DIGEST_SCALE: Final = float(1 << _DIGEST_BITS)
 
 
-@final
-class _Fit(enum.IntEnum):
-    """How well a runner suits a prompt, best first."""
-
-    # The runner that probably has the prompt in its cache.
-    HOME = 0
-    ZONE = 1
-    OTHER_ZONE = 2
-    # More expensive than what can be expected elsewhere.
-    NONE = 3
-
-
 @final
 @dataclass(frozen=True, slots=True)
 class CostedRunners:
@@ -71,7 +62,6 @@
     # Requests at a runner per slot that it sustains.
     load_by_name: Mapping[str, float]
     mean_cost_s: float
-    mean_load: float
     # Names of runners that failed recently; chosen only if there is no other.
     avoided: frozenset[str]
 
@@ -94,7 +84,8 @@
 ) -> list[Runner]:
     """Return the runners for a request without affinity.
 
-    The first one is drawn by the request's id, weighted by cost.
+    Two are drawn by the request's id, weighted by cost; the first of them is
+    preferred unless it is much more expensive.
     """
     ranked: list[tuple[_WeightedRank, Runner]] = []
     for runner in costed.runners:
@@ -105,83 +96,102 @@
         score = rendezvous.score(runner.name, request_id, weight)
         ranked.append(((runner.name in costed.avoided, -score), runner))
     ranked.sort(key=_by_score)
-    return [item for _, item in ranked]
+    ordered = [item for _, item in ranked]
+    if len(ordered) > 1 and _is_much_cheaper(costed, *ordered[:2]):
+        ordered.insert(0, ordered.pop(1))
+    return ordered
+
+
+def _is_much_cheaper(
+    costed: CostedRunners, first: Runner, second: Runner
+) -> bool:
+    if second.name in costed.avoided:
+        return False
+    bound_s = costed.cost_s_by_name[first.name] * _SECOND_SHARE
+    return costed.cost_s_by_name[second.name] < bound_s
 
 
 def order_by_place(costed: CostedRunners, place: PromptPlace) -> list[Runner]:
     """Return the runners for a prompt, the preferred one first.
 
     The prompt stays at the first runner of its home zone by rendezvous
-    hashing while that costs less than moving it. Otherwise it moves to the
-    next runner that is not busier than the mean, in the zone if possible.
+    hashing while that costs less than moving it. Otherwise it moves to a
+    runner that is drawn by the prompt's key, weighted by cost, so that all of
+    its requests move to the same one.
     """
-    by_name = {runner.name: runner for runner in costed.runners}
-    names = rendezvous.order(by_name, place.key)
-    home = _find_first(names, by_name, place.zone)
-    ranked: list[tuple[_Rank, Runner]] = []
-    for position, name in enumerate(names):
-        rank = _rank(costed, place, by_name[name], is_home=name == home)
-        ranked.append(((*rank, position), by_name[name]))
-    ranked.sort(key=_by_rank)
-    return [runner for _, runner in ranked]
-
-
-def _find_first(
-    names: Sequence[str], by_name: Mapping[str, Runner], zone: str | None
-) -> str:
-    """Return the first name of a runner in a zone, or an empty string."""
-    for name in names:
-        if by_name[name].zone == zone:
-            return name
-    return ''
-
-
-def _rank(
-    costed: CostedRunners, place: PromptPlace, runner: Runner, *, is_home: bool
-) -> tuple[bool, _Fit, float]:
-    is_avoided = runner.name in costed.avoided
-    cost_s = costed.cost_s_by_name[runner.name]
-    if is_home:
-        if _is_worth_staying(costed, place, runner):
-            return (is_avoided, _Fit.HOME, 0)
-        return (is_avoided, _Fit.NONE, cost_s)
-    in_zone = runner.zone == place.zone
-    if _is_good_enough(costed, runner):
-        return (is_avoided, _Fit.ZONE if in_zone else _Fit.OTHER_ZONE, 0)
-    cost_s += place.shared_tokens / _READ_TOKENS_PER_S
-    if not in_zone:
-        cost_s += ZONE_PATH_S
-    return (is_avoided, _Fit.NONE, cost_s)
+    home = _find_home(costed, place)
+    others = _order_others(costed, place, home)
+    if home is None:
+        return others
+    if home.name in costed.avoided:
+        return [*others, home]
+    if not others or _is_worth_staying(costed, place, home, others[0]):
+        return [home, *others]
+    return [others[0], home, *others[1:]]
+
+
+def _find_home(costed: CostedRunners, place: PromptPlace) -> Runner | None:
+    """Return the runner that probably has the prompt in its cache."""
+    home = None
+    highest = float(0)
+    for runner in costed.runners:
+        if runner.zone != place.zone:
+            continue
+        score = _score_prompt(runner.name, place.key)
+        if home is None or score > highest:
+            home = runner
+            highest = score
+    return home
+
+
+def _order_others(
+    costed: CostedRunners, place: PromptPlace, home: Runner | None
+) -> list[Runner]:
+    ranked: list[tuple[_WeightedRank, Runner]] = []
+    for runner in costed.runners:
+        if runner is home:
+            continue
+        cost_s = costed.cost_s_by_name[runner.name]
+        cost_s += _price_s(place, runner)
+        weight = (costed.mean_cost_s / cost_s) ** _MOVE_EXPONENT
+        score = weight * _score_prompt(runner.name, place.key)
+        ranked.append(((runner.name in costed.avoided, -score), runner))
+    ranked.sort(key=_by_score)
+    return [item for _, item in ranked]
+
+
+@lru_cache(_CACHED_SCORES)
+def _score_prompt(runner: str, key: str) -> float:
+    """Return the unweighted score; few prompts have most of the requests."""
+    return rendezvous.score(runner, key)
+
+
+def _price_s(place: PromptPlace, runner: Runner) -> float:
+    """Return what it takes to move a prompt to a runner (seconds)."""
+    read_s = place.shared_tokens / _READ_TOKENS_PER_S
+    return read_s if runner.zone == place.zone else read_s + ZONE_PATH_S
 
 
 def _is_worth_staying(
-    costed: CostedRunners, place: PromptPlace, home: Runner
+    costed: CostedRunners, place: PromptPlace, home: Runner, other: Runner
 ) -> bool:
     """Return whether a prompt stays where it probably is in the cache."""
+    if other.name in costed.avoided:
+        return True
     digest = xxhash.xxh32_intdigest(f'move\n{place.request_id}'.encode())
     factor = _MIN_PRICE_FACTOR + _PRICE_FACTOR_RANGE * digest / _DIGEST_SCALE
-    price_s = place.shared_tokens / _READ_TOKENS_PER_S + ZONE_PATH_S
-    excess_s = costed.cost_s_by_name[home.name] - costed.mean_cost_s
-    if excess_s > price_s * factor:
+    price_s = _price_s(place, other) * factor
+    gain_s = (
+        costed.cost_s_by_name[home.name] - costed.cost_s_by_name[other.name]
+    )
+    if gain_s > price_s:
         return False
     load_bound = max(
-        _MIN_LOAD_BOUND, costed.mean_load * _LOAD_FACTOR + _LOAD_SLACK * factor
+        _MIN_LOAD_BOUND,
+        costed.load_by_name[other.name] * _LOAD_FACTOR + _LOAD_SLACK * factor,
     )
     return costed.load_by_name[home.name] <= load_bound
 
 
-def _is_good_enough(costed: CostedRunners, runner: Runner) -> bool:
-    cost_s = costed.cost_s_by_name[runner.name]
-    load = costed.load_by_name[runner.name]
-    return (
-        cost_s <= costed.mean_cost_s * _GOOD_FACTOR
-        and load <= costed.mean_load * _GOOD_FACTOR
-    )
-
-
-def _by_rank(ranked: tuple[_Rank, Runner]) -> _Rank:
-    return ranked[0]
-
-
 def _by_score(ranked: tuple[_WeightedRank, Runner]) -> _WeightedRank:
     return ranked[0]
--- a/damaskpoint/balancing/latency_paces.py
+++ b/damaskpoint/balancing/latency_paces.py
@@ -72,8 +72,8 @@
 
 @final
 @dataclass(slots=True)
-class _ServiceTimes:
-    """Usual times of a service and how they grow with load."""
+class ServicePaces:
+    """The paces of a service's runners, and how its times grow with load."""
 
     usual_s_by_route: dict[str, float] = field(default_factory=dict)
     paces_by_runner: dict[str, _RunnerPace] = field(default_factory=dict)
@@ -97,6 +97,23 @@
         idle = max(_MIN_INTERCEPT, self.mean_ratio - slope * self.mean_load)
         return min(_MAX_GROWTH, max(_MIN_GROWTH, slope / idle))
 
+    def find(self, runner: str, now: float) -> float:
+        """Return the pace of a runner, an average one without figures."""
+        known = self.paces_by_runner.get(runner)
+        if known is None or known.samples < _MIN_SAMPLES:
+            return 1
+        if known.episode_pace <= 1:
+            return known.pace
+        left = math.exp((known.episode_at - now) / EPISODE_S)
+        return known.pace * (1 + (known.episode_pace - 1) * left)
+
+    def find_lasting(self, runner: str) -> float | None:
+        """Return the pace without episodes; None before it is known."""
+        known = self.paces_by_runner.get(runner)
+        if known is None or known.samples < _MIN_SAMPLES:
+            return None
+        return known.pace
+
     def record_relation(self, load: float, ratio: float) -> None:
         """Update how the time of a request depends on the load."""
         self.samples += 1
@@ -121,14 +138,14 @@
 
     def __init__(self) -> None:
         """Start without measurements."""
-        self._times_by_service: dict[str, _ServiceTimes] = {}
+        self._times_by_service: dict[str, ServicePaces] = {}
 
     # Commands.
 
     def record(self, sample: LatencySample, now: float) -> None:
         """Record the time of a request that succeeded."""
         times = self._times_by_service.setdefault(
-            sample.service, _ServiceTimes()
+            sample.service, ServicePaces()
         )
         usual_s = times.usual_s_by_route.get(sample.route, sample.took_s)
         took_s = sample.took_s / sample.reported_pace
@@ -154,43 +171,15 @@
 
     # Queries.
 
-    def find_pace(self, service: str, runner: str, now: float) -> float:
-        """Return the pace of a runner, an average one without figures."""
-        times = self._times_by_service.get(service)
-        known = times.paces_by_runner.get(runner) if times else None
-        if known is None or known.samples < _MIN_SAMPLES:
-            return 1
-        age_s = now - known.episode_at
-        if known.episode_pace <= 1 or age_s > EPISODE_S * _MAX_RATIO:
-            return known.pace
-        left = math.exp(-age_s / EPISODE_S)
-        return known.pace * (1 + (known.episode_pace - 1) * left)
-
-    def find_lasting_pace(self, service: str, runner: str) -> float | None:
-        """Return the pace without episodes; None before it is known."""
-        times = self._times_by_service.get(service)
-        known = times.paces_by_runner.get(runner) if times else None
-        if known is None or known.samples < _MIN_SAMPLES:
-            return None
-        return known.pace
-
-    def find_growth(self, service: str) -> float:
-        """Return how much longer a full runner takes, 1 for twice as long."""
-        times = self._times_by_service.get(service)
-        return times.growth if times else _DEFAULT_GROWTH
-
-    def find_usual_s(self, service: str) -> float:
-        """Return the mean time of a request; 0 if it is not known."""
-        times = self._times_by_service.get(service)
-        return times.usual_s if times else 0
+    def find_service(self, service: str) -> ServicePaces:
+        """Return the figures of a service, empty ones if there are none."""
+        return self._times_by_service.get(service) or ServicePaces()
 
     def are_different(self, service: str, now: float) -> bool:
         """Return whether the runners of a service differ in their pace."""
-        times = self._times_by_service.get(service)
-        if times is None:
-            return False
+        times = self.find_service(service)
         paces = [
-            self.find_pace(service, name, now)
+            times.find(name, now)
             for name, known in times.paces_by_runner.items()
             if known.samples >= _MIN_SAMPLES
         ]
@@ -215,7 +204,7 @@
 
 
 def _record_pace(
-    times: _ServiceTimes, runner: str, ratio: float, now: float
+    times: ServicePaces, runner: str, ratio: float, now: float
 ) -> None:
     known = times.paces_by_runner.setdefault(runner, _RunnerPace())
     known.samples += 1
--- a/damaskpoint/balancing/load_reports.py
+++ b/damaskpoint/balancing/load_reports.py
@@ -28,8 +28,8 @@
 _MAX_PACE: Final = 10.0
 _MAX_SLOTS_FACTOR: Final = 4
 _PERCENT: Final = 100
-# Peers are told of a pace that differs from 1 by this much, or of a runner
-# that queues, while the figure is at most this old (seconds).
+# Peers are told of reports that are at most this old (seconds), of runners
+# with at least this pace before others.
 _NEWS_PACE: Final = 1.3
 _NEWS_AGE_S: Final = 0.5
 
@@ -132,14 +132,12 @@
         return reported_at is not None and now - reported_at <= _INFORMED_S
 
     def list_news(self, now: float, limit: int) -> list[CapacityFact]:
-        """Return the newest reports that peers should know, newest first."""
+        """Return the reports that peers should know, slow runners first."""
         news = []
         for name, report in self._reports_by_runner.items():
-            if now - report.measured_at > _NEWS_AGE_S:
-                continue
-            if report.pace >= _NEWS_PACE or report.busy > report.slots:
+            if now - report.measured_at <= _NEWS_AGE_S:
                 news.append(_create_fact(name, report))
-        news.sort(key=_measured_at, reverse=True)
+        news.sort(key=_rank, reverse=True)
         return news[:limit]
 
     def iterate(self) -> Iterator[tuple[str, RunnerReport]]:
@@ -153,5 +151,5 @@
     )
 
 
-def _measured_at(fact: CapacityFact) -> float:
-    return fact.measured_at
+def _rank(fact: CapacityFact) -> tuple[bool, float]:
+    return (fact.pace >= _NEWS_PACE, fact.measured_at)
--- a/damaskpoint/balancing/loads.py
+++ b/damaskpoint/balancing/loads.py
@@ -42,6 +42,10 @@
         """Return the number of this instance's requests at a runner."""
         return self._own_by_runner[runner]
 
+    def find_peers(self, runner: str) -> int:
+        """Return the number of all peers' requests at a runner."""
+        return self._peer_counts_by_runner.get(runner, 0)
+
     @property
     def own_by_runner(self) -> Mapping[str, int]:
         """Return this instance's requests in flight by runner."""
--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -65,7 +65,7 @@
 # Services whose runs a process reports to its peers.
 MAX_RUN_COUNTS: Final = 8
 # Reports of runners in one datagram.
-MAX_CAPACITIES: Final = 3
+MAX_CAPACITIES: Final = 5
 DEMAND_KEEP_S: Final = 5.0
 # Share of the byte rate for regular rounds; the rest is for news.
 ROUND_SHARE: Final = 0.6
--- a/features/support/capacity_fleet.py
+++ b/features/support/capacity_fleet.py
@@ -34,7 +34,7 @@
 SERVICE: Final = 'service'
 _ROUND_S: Final = 0.15
 _PEERS_PER_ROUND: Final = 15
-_NEWS: Final = 3
+_NEWS: Final = 5
 # Growth of a run's time from an idle to a full runner.
 _BUSY_GROWTH: Final = 2.0
 
