Test the choice of runners by load pattern

Each simulated pattern names the load it stands for and its bound, and checks that the order by requests in flight alone, the only one before, misses it. A service whose runners are silent and equal keeps that order. A request counts as waiting as soon as all slots of a runner are taken. The stand-in of a runner can report its load.

--- a/damaskpoint/balancing/capacities.py
+++ b/damaskpoint/balancing/capacities.py
@@ -61,10 +61,11 @@
     run_s: float
     memory_s: float
 
-    def cost_s(self, utilization: float) -> float:
-        """Return the time of a request, with its wait for a slot."""
-        wait_s = (utilization - 1) * self.run_s if utilization > 1 else 0
-        return self.usual_s * (1 + self.growth * utilization) + wait_s
+    def cost_s(self, utilization: float, slots: int) -> float:
+        """Return the time of one more request, with its wait for a slot."""
+        cost_s = self.usual_s * (1 + self.growth * utilization)
+        excess = utilization + 1 / max(1, slots) - 1
+        return cost_s + excess * self.run_s if excess > 0 else cost_s
 
 
 @final
@@ -192,7 +193,9 @@
             pace = terms.paces.find(runner.name, now)
             if report is not None:
                 pace *= report.discount_pace(now)
-            cost_s_by_name[runner.name] = pace * terms.cost_s(utilization)
+            cost_s_by_name[runner.name] = pace * terms.cost_s(
+                utilization, runner.slots
+            )
             load_by_name[runner.name] = pace * utilization
         return CostedRunners(
             runners=runners,
--- a/features/support/capacity_fleet.py
+++ b/features/support/capacity_fleet.py
@@ -59,6 +59,8 @@
     # Reported instead of the pace in percent; None reports the truth.
     claimed_percent: int | None = None
     reports: bool = True
+    # Whether runners are chosen by learned figures, or by counts alone.
+    learns: bool = True
     # Number of prompts and their shared tokens; 0 for plain requests.
     prompts: int = 0
     shared_tokens: int = 6_300
@@ -164,6 +166,7 @@
     def _create_instance(self, zone: str) -> _Instance:
         loads = RunnerLoads()
         capacities = RunnerCapacities(loads)
+        unlearned = SimpleNamespace(is_informed=lambda service, now: False)
         runners = tuple(item.runner for item in self.runners)
         context = SimpleNamespace(
             catalog=SimpleNamespace(
@@ -174,7 +177,7 @@
             ),
             health=RunnerHealth(),
             loads=loads,
-            capacities=capacities,
+            capacities=capacities if self.options.learns else unlearned,
             options=SimpleNamespace(own_name='i', zone=zone),
         )
         return _Instance(loads, capacities, context)
--- a/standins/runner.py
+++ b/standins/runner.py
@@ -38,6 +38,8 @@
     pause_s: float | None = None
     # Whether all answers announce the runner's exit.
     is_leaving: bool = False
+    # Header of all answers with the runner's load; empty for none.
+    load: str = ''
     # Number of next requests that are refused as an input of theirs is gone.
     inputs_to_lose: int = 0
     # Number of next pieces that fail.
@@ -88,6 +90,8 @@
         self.state.calls += 1
         if self.state.is_leaving:
             self.set_header('Server-Leaving', '1')
+        if self.state.load:
+            self.set_header('Damaskpoint-Server-Load', self.state.load)
         expected = self.request.headers.get(_EXPECT, self.state.name)
         if expected != self.state.name:
             self.set_status(_MISDIRECTED, 'Misdirected')
