--- a/damaskpoint/balancing/capacities.py
+++ b/damaskpoint/balancing/capacities.py
@@ -220,6 +220,10 @@
             'reports_by_runner': reports,
             'latencies_by_service': self._latencies.dump(),
             'run_s_by_service': dict(self._run_s_by_service),
+            'is_used_by_service': {
+                service: self.is_informed(service, now)
+                for service in self._run_s_by_service
+            },
         }
 
     def _take_limit_change(self, runner: Runner) -> LimitChange | None:
--- a/damaskpoint/balancing/signals.py
+++ b/damaskpoint/balancing/signals.py
@@ -5,6 +5,8 @@
 import logging
 from typing import TYPE_CHECKING, Final, final
 
+from damaskpoint.balancing import metrics
+
 if TYPE_CHECKING:
     from damaskpoint.balancing.capacities import RunnerCapacities
     from damaskpoint.balancing.health import RunnerHealth
@@ -37,6 +39,7 @@
         """Apply the signals in an answer; ``now`` is monotonic seconds."""
         if metadata.load is not None:
             self._capacities.record_report(runner, metadata.load, now)
+            metrics.REPORTS.inc({'service': runner.service})
         if metadata.cold_left_s is not None:
             self._runners.record_cold(runner.name, metadata.cold_left_s, now)
         if metadata.pause_s is not None:
--- a/damaskpoint/forwarding/choosing.py
+++ b/damaskpoint/forwarding/choosing.py
@@ -15,6 +15,8 @@
     order_by_prompt,
 )
 
+from damaskpoint.forwarding import metrics
+
 if TYPE_CHECKING:
     from collections.abc import Container
 
@@ -47,6 +49,7 @@
         """
         for runner in self._order(excluded, now):
             if self._may_send(runner, now):
+                self._count(runner)
                 return runner
         return None
 
@@ -59,6 +62,11 @@
                 return True
         return False
 
+    def _count(self, runner: Runner) -> None:
+        if self._metadata.prompt:
+            zone = 'home' if runner.zone == self._zone else 'other'
+            metrics.PROMPT_CHOICES.inc({'service': self._service, 'zone': zone})
+
     def _may_send(self, runner: Runner, now: float) -> bool:
         context = self._context
         if not context.catalog.runners.is_cold(runner.name, now):
--- a/damaskpoint/forwarding/metrics.py
+++ b/damaskpoint/forwarding/metrics.py
@@ -40,3 +40,8 @@
     'Sends whose connection broke, by service and how far the answer had come:'
     ' none, head or events.',
 )
+PROMPT_CHOICES: Final = Counter(
+    'damaskpoint_prompt_choices_total',
+    'Runners chosen for a prompt, by service and zone: home, where the prompt'
+    ' probably is in a cache, or other.',
+)
--- a/damaskpoint/gateway/peers.py
+++ b/damaskpoint/gateway/peers.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Final, final
 
 from damaskpoint import defaults
+from damaskpoint.balancing import metrics
 from damaskpoint.batching.base import Peers
 from damaskpoint.batching.report_age import find_max_age_s
 from damaskpoint.errors import Failure
@@ -161,6 +162,7 @@
             context.capacities.list_news(now, defaults.MAX_CAPACITIES)
         )
         for change in context.capacities.take_limit_changes(now):
+            metrics.RUNNER_LIMIT.set({'runner': change.runner}, change.limit)
             _LOG.info(
                 'learned limit of a runner changed',
                 extra={
