--- a/damaskpoint/gateway/peers.py
+++ b/damaskpoint/gateway/peers.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Final, final
 
 from damaskpoint import defaults
+from damaskpoint.balancing import metrics
 from damaskpoint.batching.assignment import (
     InstanceView,
     Introduction,
@@ -231,6 +232,7 @@
             context.capacities.list_news(now, defaults.MAX_CAPACITIES)
         )
         for change in context.capacities.take_limit_changes(now):
+            metrics.RUNNER_LIMIT.set({'runner': change.runner}, change.limit)
             _LOG.info(
                 'learned limit of a runner changed',
                 extra={
