Count only pledges of equal or higher urgency as ahead of a request

Cause: the admission took all pledged pieces of requests that can be in time as ahead of a new one, whatever their priority. With 600 pieces of priority 1 pledged to five runners a request of priority 0 was planned to take 3.6 s and refused, although those pieces give way to it in the queue.

Change: pledges are kept and gossiped by priority (PledgeFact.less_urgent, left out where all have priority 0, so that nothing changes on the wire there). Pieces of peers that do not report priorities count for all. The margin for other work ahead follows the same count.

--- a/damaskpoint/batching/planner.py
+++ b/damaskpoint/batching/planner.py
@@ -34,8 +34,8 @@
     stages_s: float
     # Name of the group that runs each stage, by the stage's index.
     groups_by_stage: Mapping[int, str]
-    # Whether more pieces are pledged to one of the groups than its runners
-    # take in one round of calls.
+    # Whether more pieces that run before are pledged to one of the groups than
+    # its runners take in one round of calls.
     is_contended: bool
     # Whether the request yields to those that can meet their objective.
     is_deferred: bool
@@ -53,6 +53,7 @@
     # Earliest time at which they can start (seconds from now).
     start_s: float
     is_deferred: bool
+    priority: int
 
 
 @final
@@ -95,7 +96,9 @@
             group = self._pool.choose_group(stage.service, metadata.request_id)
             groups_by_stage[stage.index] = group
             pieces = metadata.count_pieces(stage.index)
-            demand = _StageDemand(stage, pieces, start_s, is_deferred)
+            demand = _StageDemand(
+                stage, pieces, start_s, is_deferred, route.priority
+            )
             end_s_by_stage[stage.index] = self._estimate_end_s(
                 demand, group, now
             )
@@ -103,7 +106,10 @@
             self._choose_home_zone(service, metadata, now),
             max(end_s_by_stage.values(), default=float(0)),
             groups_by_stage,
-            any(map(self._is_contended, groups_by_stage.values())),
+            any(
+                self._is_contended(group, route.priority)
+                for group in groups_by_stage.values()
+            ),
             is_deferred,
         )
 
@@ -120,13 +126,15 @@
                 remaining_s_by_stage[index] = max(longest_s, total_s)
         return remaining_s_by_stage
 
-    def _is_contended(self, group: str) -> bool:
+    def _is_contended(self, group: str, priority: int) -> bool:
         runners = self._pool.find_runners(group)
         limits = self._find_limits(runners[0].service) if runners else None
         if limits is None:
             return False
         call_slots = len(runners) * limits.max_concurrent_calls
-        pieces_ahead = self.pledges.count_ahead(group, is_deferred=False)
+        pieces_ahead = self.pledges.count_ahead(
+            group, is_deferred=False, priority=priority
+        )
         return pieces_ahead > call_slots * limits.max_pieces
 
     def _min_stage_s(self, stage: Stage, metadata: RequestMetadata) -> float:
@@ -150,7 +158,9 @@
             limits,
             runners=len(ready),
             pieces_ahead=self.pledges.count_ahead(
-                group, is_deferred=demand.is_deferred
+                group,
+                is_deferred=demand.is_deferred,
+                priority=demand.priority,
             ),
             pace=self._pool.find_pace(group, now),
         )
--- a/damaskpoint/batching/pledges.py
+++ b/damaskpoint/batching/pledges.py
@@ -7,8 +7,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from typing import TYPE_CHECKING, final
+import collections
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Final, final
 
 from damaskpoint.membership.facts import PledgeFact
 
@@ -16,12 +17,18 @@
     from collections.abc import Iterable
 
 
+# Lowest priority that is told apart; 0 is the most urgent.
+_MAX_PRIORITY: Final = 3
+
+
 @final
 @dataclass(slots=True)
 class _OwnPledge:
     """Outstanding pieces of this instance's requests at one group."""
 
-    urgent: int = 0
+    urgent_by_priority: collections.Counter[int] = field(
+        default_factory=collections.Counter
+    )
     deferred: int = 0
     # When a round first found no pieces; None while there are some.
     empty_since: float | None = None
@@ -48,13 +55,15 @@
 
     # Commands.
 
-    def add(self, group: str, pieces: int, *, is_deferred: bool) -> None:
+    def add(
+        self, group: str, pieces: int, *, is_deferred: bool, priority: int = 0
+    ) -> None:
         """Pledge pieces, or withdraw a pledge with a negative number."""
         own = self._own_by_group.setdefault(group, _OwnPledge())
         if is_deferred:
             own.deferred += pieces
         else:
-            own.urgent += pieces
+            own.urgent_by_priority[_clamp(priority)] += pieces
         own.empty_since = None
 
     def record_peer(
@@ -81,33 +90,56 @@
 
     # Queries.
 
-    def count_ahead(self, group: str, *, is_deferred: bool) -> int:
+    def count_ahead(
+        self, group: str, *, is_deferred: bool, priority: int = _MAX_PRIORITY
+    ) -> int:
         """Return the number of pieces that run before a new request's.
 
-        Pieces of deferred requests run before other deferred ones only.
+        Pieces of less urgent requests give way to it, and pieces of deferred
+        requests run before other deferred ones only.
         """
         own = self._own_by_group.get(group, _OwnPledge())
-        reported = self._peer_pledges.get(group, {}).values()
-        urgent = own.urgent + sum(item.pledge.urgent for item in reported)
-        if not is_deferred:
-            return urgent
-        deferred = own.deferred + sum(item.pledge.deferred for item in reported)
-        return urgent + deferred
+        pledges = [_to_fact(group, own)]
+        for reported in self._peer_pledges.get(group, {}).values():
+            pledges.append(reported.pledge)
+        if is_deferred:
+            return sum(item.urgent + item.deferred for item in pledges)
+        level = _clamp(priority)
+        return sum(
+            item.urgent - sum(item.less_urgent[level:]) for item in pledges
+        )
 
     def list_own(self) -> list[PledgeFact]:
         """Return the pledges of this instance, to be sent to peers."""
         return [
-            PledgeFact(group, own.urgent, own.deferred)
-            for group, own in self._own_by_group.items()
+            _to_fact(group, own) for group, own in self._own_by_group.items()
         ]
 
     # Helpers.
 
     def _expire_own(self, oldest: float, now: float) -> None:
         for group, own in tuple(self._own_by_group.items()):
-            if own.urgent or own.deferred:
+            if own.deferred or any(own.urgent_by_priority.values()):
                 continue
             if own.empty_since is None:
                 own.empty_since = now
             if own.empty_since < oldest:
                 self._own_by_group.pop(group)
+
+
+def _clamp(priority: int) -> int:
+    return min(_MAX_PRIORITY, max(0, priority))
+
+
+def _to_fact(group: str, own: _OwnPledge) -> PledgeFact:
+    """Return the pledge as sent; priorities are left out if all are 0."""
+    by_priority = own.urgent_by_priority
+    less_urgent = tuple(
+        by_priority[priority] for priority in range(1, _MAX_PRIORITY + 1)
+    )
+    return PledgeFact(
+        group,
+        sum(by_priority.values()),
+        own.deferred,
+        less_urgent if any(less_urgent) else (),
+    )
--- a/damaskpoint/batching/stages.py
+++ b/damaskpoint/batching/stages.py
@@ -175,7 +175,10 @@
 
     def _add_pledge(self, group: str, pieces: int) -> None:
         self._planner.pledges.add(
-            group, pieces, is_deferred=self._work.plan.is_deferred
+            group,
+            pieces,
+            is_deferred=self._work.plan.is_deferred,
+            priority=self._work.priority,
         )
 
     def _collect_handles(self, stages: Iterable[int]) -> tuple[str, ...]:
--- a/damaskpoint/membership/facts.py
+++ b/damaskpoint/membership/facts.py
@@ -181,6 +181,8 @@
     urgent: int
     # For requests that are served after those.
     deferred: int
+    # Of the urgent ones, those of priority 1, of priority 2 and so on.
+    less_urgent: tuple[int, ...] = ()
 
 
 @final
--- a/damaskpoint/membership/sizes.py
+++ b/damaskpoint/membership/sizes.py
@@ -117,7 +117,11 @@
         measure_number(pledge.urgent),
         measure_number(pledge.deferred),
     )
-    return _sum_fields(fields)
+    size = _sum_fields(fields)
+    if pledge.less_urgent:
+        counts = sum(map(measure_number, pledge.less_urgent))
+        size += _RARE_LIST_BYTES + counts
+    return size
 
 
 def measure_run_count(fact: facts.RunCountFact) -> int:
--- a/damaskpoint/wire/gossip_codec.py
+++ b/damaskpoint/wire/gossip_codec.py
@@ -144,7 +144,9 @@
 
 
 def _encode_pledge(fact: facts.PledgeFact) -> ttypes.PledgeFact:
-    return ttypes.PledgeFact(fact.group, fact.urgent, fact.deferred)
+    return ttypes.PledgeFact(
+        fact.group, fact.urgent, fact.deferred, list(fact.less_urgent) or None
+    )
 
 
 def _age_ms(happened_at: float, now: float) -> int:
@@ -279,6 +281,7 @@
         _check_name(fact.group),
         _check_number(fact.urgent),
         _check_number(fact.deferred),
+        tuple(map(_check_number, fact.less_urgent or ())),
     )
 
 
--- a/damaskpoint/wire/peer.thrift
+++ b/damaskpoint/wire/peer.thrift
@@ -103,6 +103,9 @@
   // deferred behind them.
   2: required i32 urgent
   3: required i32 deferred
+  // Of the urgent ones, those of priority 1, of priority 2 and so on; absent if
+  // all have priority 0.
+  4: optional list<i32> less_urgent
 }
 
 // Runs of the sender at a service that have begun their answers, since the
--- a/features/piece_queue.feature
+++ b/features/piece_queue.feature
@@ -144,6 +144,34 @@
       | only urgent pieces | urgent   | 8     |
       | all pieces         | deferred | 18    |
 
+  # Guards against urgent requests that are refused for work that gives way to
+  # them. The peer's pledges are sent and received as gossip.
+  Scenario Outline: Only requests of equal or higher urgency are ahead: <priority>
+    Given pledges of these pieces by priority
+      | place | 0 | 1 | 2 | 5 | deferred |
+      | here  | 3 | 4 | 5 | 1 | 2        |
+      | peer  | 6 | 7 | 0 | 0 | 3        |
+      | older | 8 |   |   |   | 1        |
+    Then <ahead> pieces are ahead of a request of priority <priority>
+    And 40 pieces are ahead of a deferred request of priority <priority>
+
+    Examples:
+      | priority | ahead |
+      | 0        | 17    |
+      | 1        | 28    |
+      | 2        | 33    |
+      | 3        | 34    |
+      | 9        | 34    |
+
+  Scenario Outline: A plan under a burst of less urgent requests: priority <priority>
+    Given 600 pieces of priority 1 are pledged to a group of 5 runners
+    Then a request of priority <priority> with 2 pieces there is planned to take <stages_s> s, <contended>
+
+    Examples:
+      | priority | stages_s | contended     |
+      | 0        | 0.20     | not contended |
+      | 1        | 3.61     | contended     |
+
   Scenario Outline: The pace of a group follows from its runners: <case>
     Given a group whose runners have the paces <paces>
     Then the group has the pace <pace>
--- a/features/steps/piece_queue_steps.py
+++ b/features/steps/piece_queue_steps.py
@@ -15,11 +15,26 @@
 from damaskpoint.batching.estimate import GroupLoad, estimate_end_s
 from damaskpoint.batching.group import RunnerGroup
 from damaskpoint.batching.model import CallAnswer, Piece, PieceOutcome
+from damaskpoint.batching.planner import Planner
 from damaskpoint.batching.pledges import PledgeTable
 from damaskpoint.batching.queue import IdleRunner, PieceQueue
-from damaskpoint.catalog.model import BatchLimits, Runner
+from damaskpoint.catalog.model import (
+    BatchLimits,
+    RequestKind,
+    Route,
+    Runner,
+    Stage,
+)
 from damaskpoint.errors import Code, Failure
-from damaskpoint.membership.facts import PledgeFact
+from damaskpoint.forwarding.metadata import RequestMetadata
+from damaskpoint.membership.facts import (
+    GossipMessage,
+    PeerFact,
+    Phase,
+    PledgeFact,
+)
+from damaskpoint.wire.gossip_codec import decode_gossip, encode_gossip
+from features.support.batching_fleet import BatchingFleet
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -295,6 +310,91 @@
     assert found == ahead, found
 
 
+@given('pledges of these pieces by priority')
+def pledge_by_priority(context: Any) -> None:
+    """Pledge pieces here and at peers; an older one reports no priorities."""
+    context.pledges = PledgeTable()
+    for row in context.table:
+        table = context.pledges if row['place'] == 'here' else PledgeTable()
+        for heading in ('0', '1', '2', '5'):
+            pieces = int(row[heading] or 0)
+            table.add('group', pieces, is_deferred=False, priority=int(heading))
+        table.add('group', int(row['deferred']), is_deferred=True, priority=0)
+        if row['place'] != 'here':
+            sent = _send_pledges(table.list_own())
+            context.pledges.record_peer(row['place'], sent, 0)
+
+
+def _send_pledges(pledges: Sequence[PledgeFact]) -> tuple[PledgeFact, ...]:
+    """Return the pledges as received from a datagram."""
+    sender = PeerFact('peer', 'z', 'host', 1, 1, 1, Phase.SERVING)
+    message = GossipMessage(sender, pledges=tuple(pledges))
+    received = decode_gossip(encode_gossip(message, 0), 0)
+    assert not isinstance(received, Failure), received
+    return received.pledges
+
+
+@then('{ahead:d} pieces are ahead of a request of priority {priority:d}')
+def check_ahead_of(context: Any, ahead: int, priority: int) -> None:
+    """Compare the count."""
+    found = context.pledges.count_ahead(
+        'group', is_deferred=False, priority=priority
+    )
+    assert found == ahead, found
+
+
+@then(
+    '{ahead:d} pieces are ahead of a deferred request of priority {priority:d}'
+)
+def check_ahead_of_deferred(context: Any, ahead: int, priority: int) -> None:
+    """Compare the count."""
+    found = context.pledges.count_ahead(
+        'group', is_deferred=True, priority=priority
+    )
+    assert found == ahead, found
+
+
+@given(
+    '{pieces:d} pieces of priority {priority:d} are pledged to a group of'
+    ' {runners:d} runners'
+)
+def pledge_burst(
+    context: Any, pieces: int, priority: int, runners: int
+) -> None:
+    """Pledge the pieces at a planner of one instance."""
+    instance = BatchingFleet(1, runners).by_name['i-0']
+    pledges = PledgeTable()
+    pledges.add('stage#0', pieces, is_deferred=False, priority=priority)
+    pool = instance.pool
+    context.planner = Planner(instance.catalog, pool, RunnerHealth(), pledges)
+
+
+@then(
+    'a request of priority {priority:d} with {pieces:d} pieces there is planned'
+    ' to take {stages_s:g} s, {contended}'
+)
+def check_plan(
+    context: Any, priority: int, pieces: int, stages_s: float, contended: str
+) -> None:
+    """Compare the estimate and whether other work is ahead."""
+    route = Route(
+        name='route',
+        host='h',
+        prefix='/',
+        kind=RequestKind.SAFE,
+        timeout_s=9,
+        objective_s=2,
+        priority=priority,
+        targets=(),
+        max_attempts=1,
+        stages=(Stage(0, 'stage', (), 1),),
+    )
+    metadata = RequestMetadata('r', None, None, piece_counts=(pieces,))
+    plan = context.planner.plan(route, 'plain', metadata, 0, is_deferred=False)
+    assert abs(plan.stages_s - stages_s) < _CLOSE, plan
+    assert plan.is_contended == (contended == 'contended'), plan
+
+
 @given('a group whose runners have the paces {paces}')
 def create_group(context: Any, paces: str) -> None:
     """Create a group whose runners have these measured paces."""
--- a/features/support/batching_fleet.py
+++ b/features/support/batching_fleet.py
@@ -98,6 +98,7 @@
 
     name: str
     pool: StagePool
+    catalog: Catalog
     phase: Phase = Phase.SERVING
     # Peers that it has heard of.
     known: set[str] = field(default_factory=set)
@@ -186,16 +187,17 @@
         return found
 
     def _add(self, name: str) -> SimulatedInstance:
+        catalog = self._create_catalog()
         pool = StagePool(
             name,
-            self._create_catalog(),
+            catalog,
             _SimulatedPeers(self, name),
             PaceTable(),
             RunnerHealth(),
             _SimulatedCaller(self, name),
             _SimulatedClient(self, name),  # type: ignore[arg-type]
         )
-        instance = SimulatedInstance(name, pool)
+        instance = SimulatedInstance(name, pool, catalog)
         self.by_name[name] = instance
         return instance
 
