--- a/damaskpoint/batching/pool.py
+++ b/damaskpoint/batching/pool.py
@@ -10,17 +10,14 @@
 
 import asyncio
 import logging
-import math
 import time
 from functools import partial
 from typing import TYPE_CHECKING, Final, final
 
-import xxhash
-
-from damaskpoint.balancing import rendezvous
 from damaskpoint.batching import metrics
 from damaskpoint.batching.batchers import BatcherDirectory
 from damaskpoint.batching.group import RunnerGroup
+from damaskpoint.batching.grouping import RunnerGroups
 from damaskpoint.batching.holdings import HoldingTable
 from damaskpoint.batching.model import OrderAnswer, PieceOutcome, PieceReason
 from damaskpoint.batching.placement import (
@@ -45,16 +42,7 @@
     from damaskpoint.catalog.model import Runner
     from damaskpoint.membership.facts import Address
 
-    # The usable runners of a service, and the same by the name of their group.
-    _Grouping = tuple[tuple[Runner, ...], dict[str, list[Runner]]]
-
 _LOG: Final = logging.getLogger(__name__)
-# Runners per group: enough that one becomes free soon, and few enough that
-# the work of batching spreads over the instances. Hashing makes groups of
-# unequal size, and pieces wait longer at the small ones, so a service of up to
-# this many runners is one group.
-_RUNNERS_PER_GROUP: Final = 12
-_GROUP_SEPARATOR: Final = '#'
 
 
 @final
@@ -85,8 +73,7 @@
             own_name, peers, self._batchers, client, self
         )
         self._groups_by_name: dict[str, RunnerGroup] = {}
-        # The usable runners of each service as they were last grouped.
-        self._groups_by_service: dict[str, _Grouping] = {}
+        self.groups = RunnerGroups(catalog)
         self._release_tasks: set[asyncio.Task[None]] = set()
 
     # Commands.
@@ -161,7 +148,7 @@
         if runner is None:
             return
         now = time.monotonic()
-        batcher = self.find_batcher(self.find_group_name(runner), now)
+        batcher = self.find_batcher(self.groups.find_name(runner), now)
         address = self.peers.find_address(batcher, now)
         if batcher == self._own_name or address is None:
             self.release_locally(runner_name, handles)
@@ -177,7 +164,7 @@
         runner = self._catalog.runners.find(runner_name)
         if runner is None:
             return
-        group = self._find_or_create_group(self.find_group_name(runner))
+        group = self._find_or_create_group(self.groups.find_name(runner))
         if group is not None:
             group.release(runner, handles)
 
@@ -193,27 +180,11 @@
 
     def choose_group(self, service: str, request_id: str) -> str:
         """Return a group for a request, weighted by the groups' sizes."""
-        runners_by_group = self._list_groups(service)
-        if not runners_by_group:
-            return f'{service}{_GROUP_SEPARATOR}0'
-        if len(runners_by_group) == 1:
-            return next(iter(runners_by_group))
-        sizes_by_group = {
-            group: float(len(runners))
-            for group, runners in runners_by_group.items()
-        }
-        return rendezvous.order_weighted(sizes_by_group, request_id)[0]
-
-    def find_group_name(self, runner: Runner) -> str:
-        """Return the name of a runner's group."""
-        count = len(self._catalog.runners.usable(runner.service))
-        groups = max(1, math.ceil(count / _RUNNERS_PER_GROUP))
-        number = xxhash.xxh32_intdigest(runner.name.encode()) % groups
-        return f'{runner.service}{_GROUP_SEPARATOR}{number}'
+        return self.groups.choose(service, request_id)
 
     def find_runners(self, group: str) -> Sequence[Runner]:
         """Return the usable runners of a group."""
-        return self._list_groups(find_service_name(group)).get(group, ())
+        return self.groups.find_runners(group)
 
     def find_zone(self, runner_name: str) -> str:
         """Return the zone of a runner, or an empty string."""
@@ -263,23 +234,6 @@
 
     # Steps.
 
-    def _list_groups(self, service: str) -> dict[str, list[Runner]]:
-        """Return the runners of each group of a service.
-
-        They are grouped again only when the table of runners has changed,
-        since each piece looks them up several times.
-        """
-        usable = self._catalog.runners.usable(service)
-        cached = self._groups_by_service.get(service)
-        if cached is not None and cached[0] is usable:
-            return cached[1]
-        runners_by_group: dict[str, list[Runner]] = {}
-        for runner in usable:
-            group = self.find_group_name(runner)
-            runners_by_group.setdefault(group, []).append(runner)
-        self._groups_by_service[service] = (usable, runners_by_group)
-        return runners_by_group
-
     def _find_or_create_group(self, name: str) -> RunnerGroup | None:
         group = self._groups_by_name.get(name)
         if group is not None:
