Add tests of a gateway process under crowds of callers

The tests start the gateway process with settings for 128 MB and 600 descriptors (the new section "limits", which nothing enforces yet) and bodies up to 1,500,000 bytes. They check that it lives, VmHWM, the open descriptors and one ordinary request. Crowd and bounds are fixed here.

run_all starts the features memory_*.feature when all others have ended, as other load would distort what they measure.

--- a/damaskpoint/gateway/options.py
+++ b/damaskpoint/gateway/options.py
@@ -27,6 +27,8 @@
 _RETRY_WINDOW_S: Final = 10.0
 _SILENCE_TIMEOUT_S: Final = 2.0
 _STORE_TIMEOUT_S: Final = 1.0
+_MEMORY_MB: Final = 1_024
+_MAX_FDS: Final = 8_192
 
 
 @final
@@ -112,6 +114,16 @@
     """Maximum rate of gossip that one instance sends (bytes per second)."""
 
 
+@final
+class LimitsSection(Section):
+    """Resources of the machine that callers may use."""
+
+    memory_mb: int = pydantic.Field(_MEMORY_MB, gt=0)
+    """Memory of the machine that the process may use (MB)."""
+    max_fds: int = pydantic.Field(_MAX_FDS, gt=0)
+    """File descriptors that the process may open."""
+
+
 @final
 class GatewayOptions(Section):
     """All options of a gateway."""
@@ -124,6 +136,8 @@
     """Address of the platform's store."""
     bounds: BoundsSection
     """Limits set by the platform."""
+    limits: LimitsSection = LimitsSection()
+    """Resources of the machine that callers may use."""
     runners: RunnersSection = RunnersSection()
     """Timeouts of calls to runners."""
     gossip: GossipSection = GossipSection()
--- a/features/run_all.py
+++ b/features/run_all.py
@@ -17,20 +17,18 @@
 _KNOWN_PREFIX = 'scenario: '
 _FEATURES = _ROOT / 'features'
 _PROOFS = 'proof_*.feature'
+_MEMORY = 'memory_*.feature'
+
+# Arguments of one behave process.
+Group = list[str]
 
 
 def main() -> int:
     """Run the features and return the exit status."""
-    groups = _split_features(sys.argv[1:])
-    with tempfile.TemporaryDirectory() as folder:
-        runs = [
-            _start(group, pathlib.Path(folder) / f'report-{number}.json')
-            for number, group in enumerate(groups)
-        ]
-        status = max(process.wait() for process, _ in runs)
-        statuses_by_name: dict[str, str] = {}
-        for _, report in runs:
-            statuses_by_name.update(_read_statuses(report))
+    status = 0
+    statuses_by_name: dict[str, str] = {}
+    for groups in _split_features(sys.argv[1:]):
+        status = max(status, _run_together(groups, statuses_by_name))
     known = _read_known_red()
     passed = 0
     failed = 0
@@ -52,17 +50,43 @@
     return 0 if excused else status
 
 
-def _split_features(arguments: list[str]) -> list[list[str]]:
-    """Return the arguments of each behave process.
+def _run_together(groups: list[Group], statuses_by_name: dict[str, str]) -> int:
+    """Run one behave process for each group; return the highest exit status.
+
+    Adds the status of each scenario to ``statuses_by_name``.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        runs = [
+            _start(group, pathlib.Path(folder) / f'report-{number}.json')
+            for number, group in enumerate(groups)
+        ]
+        status = max(process.wait() for process, _ in runs)
+        for _, report in runs:
+            statuses_by_name.update(_read_statuses(report))
+    return status
+
+
+def _split_features(arguments: Group) -> list[list[Group]]:
+    """Return the arguments of each behave process, in runs of processes.
 
     The proof features mostly wait for processes that they start, so they
-    run in parallel with all other features.
+    run in parallel with all other features. The memory features run after
+    both, as other load would distort what they measure.
     """
     if arguments:
-        return [arguments]
-    proofs = sorted(str(path) for path in _FEATURES.glob(_PROOFS))
-    others = sorted(str(path) for path in _FEATURES.glob('*.feature'))
-    return [proofs, [path for path in others if path not in proofs]]
+        return [[arguments]]
+    proofs = _find_features(_PROOFS)
+    memory = _find_features(_MEMORY)
+    others = [
+        path
+        for path in _find_features('*.feature')
+        if path not in proofs and path not in memory
+    ]
+    return [[proofs, others], [memory]]
+
+
+def _find_features(pattern: str) -> list[str]:
+    return sorted(str(path) for path in _FEATURES.glob(pattern))
 
 
 def _start(
--- /dev/null
+++ b/features/steps/memory_steps.py
@@ -0,0 +1,106 @@
+"""Steps for the memory and descriptors of a gateway process under a crowd."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from typing import Any, Final
+
+from behave import given, then, when
+
+from features.support.crowd import Crowd
+from features.support.gateway_site import run
+from features.support.process_site import ProcessSite, encode_head, exchange
+
+_BYTES_PER_MB: Final = 1_000_000
+# How long one try of the ordinary request, and all of them, may take.
+_TRY_S: Final = 10.0
+_ALL_TRIES_S: Final = 120.0
+_BETWEEN_S: Final = 0.5
+
+
+@given(
+    'a gateway process with {memory:d} MB, {descriptors:d} descriptors and'
+    ' bodies up to {body:d} bytes'
+)
+def start_process(
+    context: Any, memory: int, descriptors: int, body: int
+) -> None:
+    """Start the process and its stand-ins; prepare its callers."""
+    context.site = ProcessSite()
+    context.closers.append(context.site.close)
+    context.most_descriptors = 0
+    limits = {'memory_mb': memory, 'max_fds': descriptors}
+
+    async def start() -> None:
+        await context.site.start(body, limits)
+        context.crowd = Crowd(context.site.address, body)
+        context.closers.append(context.crowd.close)
+
+    run(context, start())
+
+
+def _sample(context: Any) -> float:
+    """Record the descriptors; return the processor time (seconds)."""
+    assert context.site.is_running, context.site.log
+    context.most_descriptors = max(
+        context.most_descriptors, context.site.count_descriptors()
+    )
+    return float(context.site.read_cpu_s())
+
+
+@when('a crowd of {count:d} sends {form}')
+def send_all(context: Any, count: int, form: str) -> None:
+    """Let the crowd send until nothing more is taken."""
+    run(context, context.crowd.send(count, form, lambda: _sample(context)))
+
+
+@when('a crowd of {count:d} hardly reads {form}')
+def read_hardly(context: Any, count: int, form: str) -> None:
+    """Let the crowd request answers that it does not read."""
+    path = '/large/1' if form == 'large answers' else '/model/1'
+    run(context, context.crowd.read(count, path, lambda: _sample(context)))
+
+
+@then(
+    'the process has used less than {memory:d} MB and {descriptors:d}'
+    ' descriptors'
+)
+def check_use(context: Any, memory: int, descriptors: int) -> None:
+    """Check the peaks since the start of the process."""
+    assert context.site.is_running, context.site.log
+    peak_mb = context.site.read_peak_bytes() / _BYTES_PER_MB
+    context.most_mb = memory
+    seen = f'{peak_mb:.1f} MB, {context.most_descriptors} descriptors'
+    sys.stdout.write(f'peak: {seen}\n')
+    assert peak_mb < memory, seen
+    assert context.most_descriptors < descriptors, seen
+
+
+@then('an ordinary request is answered')
+def check_ordinary(context: Any) -> None:
+    """Try until one is answered while the crowd is still connected."""
+    request = encode_head(
+        'POST /plain/ordinary HTTP/1.1',
+        'Content-Length: 4',
+        'Connection: close',
+    )
+
+    async def ask() -> bytes:
+        ends_at = time.monotonic() + _ALL_TRIES_S
+        answer = b''
+        while time.monotonic() < ends_at:
+            answer = await exchange(
+                context.site.address, request + b'body', _TRY_S
+            )
+            if answer.startswith(b'HTTP/1.1 200 '):
+                break
+            await asyncio.sleep(_BETWEEN_S)
+        return answer
+
+    answer = run(context, ask())
+    assert answer.startswith(b'HTTP/1.1 200 '), (answer, context.site.log)
+    assert context.site.is_running, context.site.log
+    peak_mb = context.site.read_peak_bytes() / _BYTES_PER_MB
+    assert peak_mb < context.most_mb, peak_mb
