Bound what callers can make a gateway hold

Cause: nothing counted the bodies of all callers together. 120 callers that stop one byte short of 1.5 MB each held 260 to 780 MB, whole answers of 120 callers that do not read 154 MB, and connections were not bounded.

Change: the section "limits" of the settings (memory_mb, max_fds) gives a budget for bodies, one for answers, and a bound on connections. Bodies are counted until their runs end. Above the budget reading stops, the most advanced uploads continue as room is found, and stalled ones, then the least advanced ones, are refused with 503, Retry-After and Connection: close. An upload of which nothing arrives for 10 s gets 408; there is no bound on the total time any more. A body over the limit gets 413 at its head or at the first byte over it (400 before). Answers wait at their runners, and callers that take nothing for 1 s are cut while other answers wait. Surplus connections replace those that have been silent for longest. Bodies are no longer parsed as forms, which tornado did and nobody used, nor copied to be sent; the kernel's buffers of a caller are 64 kB each way.

--- a/damaskpoint/errors.py
+++ b/damaskpoint/errors.py
@@ -30,6 +30,7 @@
     # Invalid input from a caller.
     BODY_TOO_LARGE = 'body_too_large'
     BODY_MALFORMED = 'body_malformed'
+    BODY_STALLED = 'body_stalled'
     HEADER_MALFORMED = 'header_malformed'
     UNKNOWN_PIPELINE = 'unknown_pipeline'
     UNKNOWN_SERVICE = 'unknown_service'
@@ -42,6 +43,7 @@
     # Refusals decided by the system itself.
     ACCOUNT_LIMIT = 'account_limit'
     QUEUE_FULL = 'queue_full'
+    MEMORY_SHORT = 'memory_short'
     DEADLINE_TOO_SHORT = 'deadline_too_short'
     DEADLINE_PASSED = 'deadline_passed'
     NO_UPSTREAM = 'no_upstream'
@@ -102,6 +104,9 @@
 KINDS: dict[Code, Kind] = {
     Code.BODY_TOO_LARGE: Kind(_TOO_LARGE, False, 'The body is too large.'),
     Code.BODY_MALFORMED: Kind(_BAD_REQUEST, False, 'The body is malformed.'),
+    Code.BODY_STALLED: Kind(
+        http.HTTPStatus.REQUEST_TIMEOUT, True, 'The body did not arrive.'
+    ),
     Code.HEADER_MALFORMED: Kind(_BAD_REQUEST, False, 'A header is malformed.'),
     Code.UNKNOWN_PIPELINE: Kind(_NOT_FOUND, False, 'No such pipeline.'),
     Code.UNKNOWN_SERVICE: Kind(_NOT_FOUND, False, 'No such service.'),
@@ -125,6 +130,9 @@
         _TOO_MANY, True, 'The client account is at its limit.'
     ),
     Code.QUEUE_FULL: Kind(_UNAVAILABLE, True, 'Too many requests wait.'),
+    Code.MEMORY_SHORT: Kind(
+        _UNAVAILABLE, True, 'Too many bodies arrive at once.'
+    ),
     Code.DEADLINE_TOO_SHORT: Kind(
         _UNAVAILABLE, True, 'The deadline cannot be met now.'
     ),
--- a/damaskpoint/forwarding/connecting.py
+++ b/damaskpoint/forwarding/connecting.py
@@ -15,6 +15,8 @@
     from damaskpoint.forwarding.exchange import SocketAddress
 
 _MS: Final = 1000
+# Bytes that are read at once; bounds what is read ahead of a slow caller.
+_READ_BYTES: Final = 32_768
 
 
 async def open_stream(
@@ -31,7 +33,7 @@
     sock = socket.socket(family, socket.SOCK_STREAM)
     if ack_timeout_s is not None:
         limit_unacknowledged_time(sock, ack_timeout_s)
-    stream = iostream.IOStream(sock)
+    stream = iostream.IOStream(sock, read_chunk_size=_READ_BYTES)
     loop = asyncio.get_running_loop()
     timer = loop.call_later(timeout_s, stream.close)
     try:
--- a/damaskpoint/forwarding/exchange.py
+++ b/damaskpoint/forwarding/exchange.py
@@ -21,9 +21,13 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from damaskpoint.forwarding.answer_budget import AnswerHold
+
     SocketAddress = tuple[str, int]
 
 _CHUNK_BYTES: Final = 65_536
+# Bodies from this size on are written apart from their heads.
+_MIN_UNCOPIED_BYTES: Final = 65_536
 _MAX_CHUNK_LINE_BYTES: Final = 1_024
 # Maximum number of 1xx answers before the final one.
 _MAX_INTERIM_ANSWERS: Final = 10
@@ -91,16 +95,15 @@
     headers: Iterable[tuple[str, str]]
     body: bytes
 
-    def encode(self) -> bytes:
-        """Return the bytes of the whole request."""
+    def encode_head(self) -> bytes:
+        """Return the bytes of the request before its body."""
         lines = [f'{self.method} {self.target} HTTP/1.1']
         for name, value in self.headers:
             lines.append(f'{name}: {value}')
         if self.body or self.method in _METHODS_WITH_BODY:
             lines.append(f'Content-Length: {len(self.body)}')
         lines.append('Connection: close')
-        head = '\r\n'.join(lines).encode('latin-1')
-        return b''.join((head, _HEAD_END, self.body))
+        return '\r\n'.join(lines).encode('latin-1') + _HEAD_END
 
 
 @final
@@ -150,11 +153,11 @@
         """Send a request; errors are raised when the answer is read."""
         self._method = request.method
         try:
-            written = self._stream.write(request.encode())
+            written = self._write(request)
         except iostream.StreamClosedError:
             return
         # A runner may answer before it has read the whole body.
-        written.add_done_callback(_ignore_write_error)
+        _ignore_write_error_of(written)
 
     async def read_head(self) -> AnswerHead:
         """Return the head of the final answer, skipping 1xx answers.
@@ -186,10 +189,16 @@
         self._unyielded_bytes += len(chunk) + _READ_COST_BYTES
         return chunk
 
-    async def read_body(self) -> bytes:
-        """Return the complete body; raises ``BrokenAnswerError``."""
+    async def read_body(self, hold: AnswerHold | None = None) -> bytes:
+        """Return the complete body; raises ``BrokenAnswerError``.
+
+        Its bytes are counted in ``hold``, which may delay the reading. A body
+        of known length is counted at once, so that answers that are read in
+        part do not wait for each other.
+        """
         chunks: list[bytes] = []
         size = 0
+        counted = await self._count_length(hold)
         while True:
             chunk = await self.read_chunk()
             if not chunk:
@@ -197,12 +206,33 @@
             size += len(chunk)
             if size > defaults.MAX_ANSWER_BYTES:
                 raise BrokenAnswerError('body: too large')
+            if hold is not None and size > counted:
+                await hold.grow(size - counted)
+                counted = size
             chunks.append(chunk)
 
     def close(self) -> None:
         """Close the connection; the runner then stops its work."""
         self._stream.close()
 
+    def _write(self, request: RunnerRequest) -> asyncio.Future[None]:
+        head = request.encode_head()
+        if len(request.body) < _MIN_UNCOPIED_BYTES:
+            return self._stream.write(head + request.body)
+        # The stream takes a large body as it is, without a copy.
+        _ignore_write_error_of(self._stream.write(head))
+        return self._stream.write(request.body)
+
+    async def _count_length(self, hold: AnswerHold | None) -> int:
+        """Count a body of known length; return the bytes counted."""
+        if hold is None or self.framing is not Framing.LENGTH:
+            return 0
+        length = self._body_remaining
+        if length > defaults.MAX_ANSWER_BYTES:
+            raise BrokenAnswerError('body: too large')
+        await hold.grow(length)
+        return length
+
     def _break_off(self, part: str, error: Exception) -> BrokenAnswerError:
         """Record why the answer ended early; return the error to raise."""
         self.ending = _classify(error)
@@ -330,6 +360,10 @@
     return Failure(Code.UPSTREAM_BROKEN, str(error), Ran.UNKNOWN)
 
 
+def _ignore_write_error_of(written: asyncio.Future[None]) -> None:
+    written.add_done_callback(_ignore_write_error)
+
+
 def _ignore_write_error(written: object) -> None:
     """Retrieve the exception of a write; reading reports the failure."""
     # A future; the callback's parameter has no common type in typeshed.
--- a/damaskpoint/forwarding/relay.py
+++ b/damaskpoint/forwarding/relay.py
@@ -75,7 +75,8 @@
         Raises ``BrokenAnswerError``. Fails if a stream was already started.
         """
         head = open_answer.head
-        body = await open_answer.exchange.read_body()
+        hold = self._answer.hold
+        body = await open_answer.exchange.read_body(hold)
         self._notify_begun()
         if self.is_started:
             return Failure(Code.UPSTREAM_FAILED, f'HTTP {head.status}', Ran.YES)
--- a/damaskpoint/gateway/handler.py
+++ b/damaskpoint/gateway/handler.py
@@ -21,6 +21,7 @@
 
     from damaskpoint.catalog.model import ClientAccount, Configuration, Route
     from damaskpoint.entry.shutdown import ShutdownState
+    from damaskpoint.forwarding.answer_budget import AnswerBudget
     from damaskpoint.forwarding.context import ForwardingContext
     from damaskpoint.forwarding.metadata import RequestMetadata
 
@@ -38,9 +39,16 @@
     """Serves each request in its own task."""
 
     def __init__(
-        self, context: ForwardingContext, shutdown: ShutdownState
+        self,
+        context: ForwardingContext,
+        shutdown: ShutdownState,
+        answers: AnswerBudget,
     ) -> None:
-        """Serve in this context; in a shutdown, answers close connections."""
+        """Serve in this context; in a shutdown, answers close connections.
+
+        ``answers`` bounds what is held of answers.
+        """
+        self._answers = answers
         self._context = context
         self._shutdown = shutdown
         self._tasks: set[asyncio.Task[None]] = set()
@@ -90,6 +98,7 @@
         answer = CallerAnswer(
             connection,
             lambda: self._shutdown.is_shutting_down,
+            self._answers,
             accepts_chunks=received.version != _VERSION_WITHOUT_CHUNKS,
         )
         checked = self._validate(received, arrived_at)
@@ -108,6 +117,7 @@
             _LOG.exception('request failed', extra={'error': repr(error)})
             answer.abort()
         finally:
+            answer.hold.release()
             self._record(
                 received, route, outcome, time.monotonic() - arrived_at
             )
--- a/damaskpoint/gateway/runtime.py
+++ b/damaskpoint/gateway/runtime.py
@@ -4,17 +4,19 @@
 
 import asyncio
 import logging
+import socket
 import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, final
 
-from tornado import httpserver
+from tornado import httpserver, netutil
 
 from damaskpoint import defaults
 from damaskpoint.catalog import metrics as catalog_metrics
 from damaskpoint.entry.periodic import run_periodically
 from damaskpoint.entry.shutdown import PendingWork, Phase, ShutdownState
 from damaskpoint.errors import Code, Failure
+from damaskpoint.gateway import intake_metrics
 from damaskpoint.gateway.caller_server import CallerServer
 from damaskpoint.gateway.options import parse_address
 from damaskpoint.membership import facts
@@ -29,8 +31,10 @@
     from damaskpoint.catalog.catalog import Catalog
     from damaskpoint.catalog.follower import TableFollower
     from damaskpoint.catalog.model import CallerLimits
+    from damaskpoint.forwarding.answer_budget import AnswerBudget
     from damaskpoint.forwarding.context import ForwardingContext
     from damaskpoint.gateway.handler import RequestHandler
+    from damaskpoint.gateway.intake import Intake
     from damaskpoint.gateway.options import GatewayOptions
     from damaskpoint.gateway.peers import Discovery
     from damaskpoint.membership.service import Membership
@@ -43,6 +47,12 @@
 _IDLE_TIMEOUT_MARGIN_S: Final = 1.0
 # Body limit until a configuration is known.
 _INITIAL_MAX_BODY_BYTES: Final = 16_777_216
+# Bytes that are read at once from a caller; bounds what a connection buffers.
+_READ_BYTES: Final = 32_768
+# Buffers of the kernel for one caller (bytes; the kernel doubles them).
+_SOCKET_BUFFER_BYTES: Final = 65_536
+# Interval at which stalled callers are looked for (seconds).
+_INTAKE_INTERVAL_S: Final = 0.1
 # Interval of the housekeeping (seconds).
 _HOUSEKEEPING_INTERVAL_S: Final = 0.25
 # Interval at which quarantines are compared with the store's (seconds).
@@ -79,6 +89,8 @@
     forwarding: ForwardingContext
     handler: RequestHandler
     shutdown: ShutdownState
+    intake: Intake
+    answers: AnswerBudget
     followers: tuple[TableFollower, ...]
     quarantine_writer: QuarantineWriter
     membership: Membership
@@ -99,10 +111,11 @@
         )
         self._caller_server = CallerServer(
             components.handler,
+            intake=components.intake,
+            chunk_size=_READ_BYTES,
             max_header_size=defaults.MAX_HEADER_BYTES,
-            max_body_size=_INITIAL_MAX_BODY_BYTES,
+            find_max_body_bytes=self._find_max_body_bytes,
             idle_connection_timeout=defaults.CALLER_IDLE_TIMEOUT_S,
-            body_timeout=defaults.BODY_TIMEOUT_S,
         )
         self._ready_server = httpserver.HTTPServer(
             create_readiness_app(names.PATH_READY, readiness, time.monotonic)
@@ -180,7 +193,7 @@
         components = self._components
         listen = components.options.listen
         host = components.options.instance.host
-        self._listen(self._caller_server, listen.callers)
+        self._listen_bounded(self._caller_server, listen.callers)
         self._listen(self._ready_server, listen.readiness)
         self._operator_server.listen(listen.operator_port, host)
         components.order_server.listen(listen.peer_port, host)
@@ -190,6 +203,7 @@
             *(follower.run() for follower in components.followers),
             components.discovery.run(),
             run_periodically(_QUARANTINE_INTERVAL_S, self._store_quarantines),
+            run_periodically(_INTAKE_INTERVAL_S, self._advance_intake),
             run_periodically(_HOUSEKEEPING_INTERVAL_S, self._run_housekeeping),
         ):
             self._tasks.append(asyncio.ensure_future(coroutine))
@@ -222,6 +236,29 @@
         host, port = parse_address(address)
         server.listen(port, host)
 
+    def _listen_bounded(
+        self, server: httpserver.HTTPServer, address: str
+    ) -> None:
+        """Listen with bounded socket buffers, which connections inherit."""
+        host, port = parse_address(address)
+        sockets = netutil.bind_sockets(port, host)
+        for sock in sockets:
+            for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+                sock.setsockopt(socket.SOL_SOCKET, option, _SOCKET_BUFFER_BYTES)
+        server.add_sockets(sockets)
+
+    async def _advance_intake(self) -> None:
+        now = time.monotonic()
+        self._caller_server.advance_intake(now)
+        self._components.answers.advance(now)
+        intake_metrics.HELD_BYTES.set(
+            {'of': 'requests'}, self._components.intake.held_bytes
+        )
+        intake_metrics.HELD_BYTES.set(
+            {'of': 'answers'}, self._components.answers.held_bytes
+        )
+        intake_metrics.CONNECTIONS.set({}, self._components.intake.connections)
+
     async def _run_housekeeping(self) -> None:
         catalog = self._components.forwarding.catalog
         now = time.monotonic()
@@ -237,10 +274,15 @@
     async def _store_quarantines(self) -> None:
         await self._components.quarantine_writer.advance(time.monotonic())
 
+    def _find_max_body_bytes(self) -> int:
+        configuration = self.catalog.configuration
+        if configuration is None:
+            return _INITIAL_MAX_BODY_BYTES
+        return configuration.limits.max_body_bytes
+
     def _apply_limits(self, limits: CallerLimits) -> None:
         params = self._caller_server.conn_params
         params.max_header_size = limits.max_header_bytes
-        params.max_body_size = limits.max_body_bytes
         params.header_timeout = limits.idle_timeout_s + _IDLE_TIMEOUT_MARGIN_S
 
     async def _stop(self) -> None:
--- a/damaskpoint/gateway/wiring.py
+++ b/damaskpoint/gateway/wiring.py
@@ -25,6 +25,7 @@
 )
 from damaskpoint.entry.shutdown import ShutdownState
 from damaskpoint.errors import Failure, FailureError
+from damaskpoint.forwarding.answer_budget import AnswerBudget
 from damaskpoint.forwarding.budgets import ServiceBudgets
 from damaskpoint.forwarding.completion import CompletionCheck
 from damaskpoint.forwarding.context import ForwardingContext, ForwardingOptions
@@ -32,6 +33,7 @@
 from damaskpoint.forwarding.sizes import RequestSizes
 from damaskpoint.forwarding.usual_deadlines import UsualDeadlines
 from damaskpoint.gateway.handler import RequestHandler
+from damaskpoint.gateway.intake import Intake, create_limits
 from damaskpoint.gateway.peers import (
     Discovery,
     GatewayListener,
@@ -88,18 +90,17 @@
     membership.add_listener(GatewayListener(membership, forwarding))
     registry.register('shutdown', shutdown)
     registry.register('membership', membership)
-    handler = RequestHandler(forwarding, shutdown)
+    intake, answers = _create_intake(options, registry)
     instance = options.instance
     quarantine_sink = QuarantineSink(forwarding.prompts)
-    own = create_listed_instance(
-        instance.name, instance.zone, instance.host, options.listen.peer_port
-    )
     return GatewayRuntime(
         GatewayComponents(
             options=options,
             forwarding=forwarding,
-            handler=handler,
+            handler=RequestHandler(forwarding, shutdown, answers),
             shutdown=shutdown,
+            intake=intake,
+            answers=answers,
             followers=_create_followers(
                 store, forwarding.catalog, quarantine_sink, registry
             ),
@@ -111,7 +112,7 @@
                 forwarding.peers,
             ),
             membership=membership,
-            discovery=Discovery(StoreInstances(store), own, membership),
+            discovery=_create_discovery(options, store, membership),
             order_server=create_order_server(
                 forwarding.pool, membership.is_peer_host
             ),
@@ -120,6 +121,27 @@
     )
 
 
+def _create_intake(
+    options: GatewayOptions, registry: StateRegistry
+) -> tuple[Intake, AnswerBudget]:
+    limits = create_limits(options.limits.memory_mb, options.limits.max_fds)
+    intake = Intake(limits)
+    answers = AnswerBudget(limits.answer_bytes)
+    registry.register('intake', intake)
+    registry.register('answers', answers)
+    return intake, answers
+
+
+def _create_discovery(
+    options: GatewayOptions, store: PlatformStore, membership: Membership
+) -> Discovery:
+    instance = options.instance
+    own = create_listed_instance(
+        instance.name, instance.zone, instance.host, options.listen.peer_port
+    )
+    return Discovery(StoreInstances(store), own, membership)
+
+
 def _create_membership(options: GatewayOptions) -> Membership:
     instance = options.instance
     membership = create_membership(
--- /dev/null
+++ b/features/intake.feature
@@ -0,0 +1,58 @@
+Feature: Callers that send too much are refused before they exhaust the memory
+  The decisions need no network; the answers are those of a gateway.
+
+  # Guards against many bodies that stop short of their end: they would hold
+  # the budget, and nobody else would get in.
+  Scenario: Bodies that stop short make room for one that arrives
+    Given a budget of 10 MB for bodies
+    When 12 uploads of 1000000 bytes stop one byte short
+    And another upload of 500000 bytes arrives 2 s later
+    Then the other one is complete within 2 s
+    And at most 11 MB were held
+
+  # Guards against refusing callers that go on sending.
+  Scenario: An upload that progresses is not refused while others have stalled
+    Given a budget of 10 MB for bodies
+    When 7 uploads of 1000000 bytes stop one byte short
+    And another upload of 900000 bytes sends 10000 bytes every 0.1 s
+    Then the other one is complete
+
+  Scenario: A slow upload without pressure is not refused
+    Given a budget of 10 MB for bodies
+    When another upload of 20000 bytes sends 1000 bytes every 8 s
+    Then the other one is complete
+
+  Scenario: An upload of which single bytes arrive is refused
+    Given a budget of 10 MB for bodies
+    When another upload of 20000 bytes sends 1 bytes every 8 s
+    Then the other one is refused with body_stalled
+
+  # Guards against a deadlock of large uploads that wait for each other.
+  Scenario: Uploads that do not fit together end one after another
+    Given a budget of 10 MB for bodies
+    When 30 uploads of 4000000 bytes arrive in turns
+    Then at least 2 of them are complete and the others are refused
+    And at most 12 MB were held
+
+  Scenario: Surplus connections replace those without a request
+    Given a budget of 10 MB for bodies
+    When 40 connections are opened, the first with a body in progress
+    Then the oldest silent ones are closed and the first is kept
+
+  Scenario Outline: A refusal states that nothing has run: <case>
+    Given a site with a runner of each service
+    When a caller sends a body that <case>
+    Then the refusal is <status> and no runner has the request
+
+    Examples:
+      | case                             | status |
+      | is announced over the limit      | 413    |
+      | goes over the limit in chunks    | 413    |
+      | announces a chunk over the limit | 413    |
+      | stops short of its end           | 408    |
+
+  # Guards against a body that is read to its end although it is refused.
+  Scenario: A body whose end arrives after its refusal does not run
+    Given a site with a runner of each service
+    When a caller sends the rest of a body after its refusal
+    Then the refusal is 408 and no runner has the request
