--- a/damaskpoint/forwarding/connecting.py
+++ b/damaskpoint/forwarding/connecting.py
@@ -17,6 +17,8 @@
 
 _LOG: Final = logging.getLogger(__name__)
 _MS: Final = 1000
+# Bytes that are read at once; bounds what is read ahead of a slow caller.
+_READ_BYTES: Final = 32_768
 
 
 @final
@@ -54,7 +56,7 @@
     sock = socket.socket(family, socket.SOCK_STREAM)
     if ack_timeout_s is not None:
         limit_unacknowledged_time(sock, ack_timeout_s)
-    stream = ClientStream(sock)
+    stream = ClientStream(sock, read_chunk_size=_READ_BYTES)
     loop = asyncio.get_running_loop()
     timer = loop.call_later(timeout_s, stream.close)
     try:
