Tell noise from slow runners, and add up what instances measure

The usual time is that of an idle runner, as the growth with load is added.

Instances with few requests each took too long to learn that a silent runner is slow.

--- a/damaskpoint/balancing/capacities.py
+++ b/damaskpoint/balancing/capacities.py
@@ -18,6 +18,7 @@
     ServicePaces,
 )
 from damaskpoint.balancing.load_reports import ReportTable
+from damaskpoint.membership.facts import CapacityFact
 from damaskpoint.observe.state import StateSource
 
 if TYPE_CHECKING:
@@ -27,7 +28,6 @@
     from damaskpoint.balancing.loads import RunnerLoads
     from damaskpoint.catalog.model import Runner
     from damaskpoint.forwarding.metadata import LoadReport
-    from damaskpoint.membership.facts import CapacityFact
 
 # Weight of one request in the mean duration of a service's requests.
 _RUN_WEIGHT: Final = 0.05
@@ -52,7 +52,8 @@
     """What the cost of a request depends on at all runners of a service."""
 
     paces: ServicePaces
-    # Usual time of a request, for a stream until the first event (seconds).
+    # Time of a request at an idle runner, for a stream until the first event
+    # (seconds).
     usual_s: float
     # Added share of it at a full runner.
     growth: float
@@ -106,7 +107,12 @@
         self._reports.record(runner, report, own, now)
 
     def apply_fact(self, runner: Runner, fact: CapacityFact) -> None:
-        """Apply a peer's report unless a newer one is known."""
+        """Apply a peer's report or what it has measured."""
+        if fact.samples:
+            self._latencies.apply_peer(
+                runner.service, runner.name, fact.pace, fact.samples
+            )
+            return
         own = self._loads.find_own(runner.name)
         self._reports.apply_fact(runner, fact, own)
 
@@ -124,7 +130,7 @@
                 runner=runner.name,
                 utilization=self._utilization(runner, report, terms, now),
                 took_s=now - began_at,
-                reported_pace=report.discount_pace(now) if report else 1,
+                reported_pace=report.discount_pace(now) if report else None,
             ),
             now,
         )
@@ -161,6 +167,20 @@
                 self._measured_by_name.pop(name)
                 self._logged_limit_by_runner.pop(name, None)
 
+    def take_news(self, now: float, limit: int) -> list[CapacityFact]:
+        """Return what peers should know: reports, then measured paces.
+
+        What was measured is returned once.
+        """
+        news = self._reports.list_news(now, limit)
+        for measured in self._latencies.take_unsent(limit - len(news)):
+            news.append(
+                CapacityFact(
+                    measured.runner, 0, 0, measured.pace, now, measured.samples
+                )
+            )
+        return news
+
     # Queries.
 
     def is_informed(self, service: str, now: float) -> bool:
@@ -176,10 +196,6 @@
             self._differences_by_service[service] = known
         return known[0]
 
-    def list_news(self, now: float, limit: int) -> list[CapacityFact]:
-        """Return the newest reports that peers should know."""
-        return self._reports.list_news(now, limit)
-
     def cost_runners(
         self, runners: Sequence[Runner], avoided: frozenset[str], now: float
     ) -> CostedRunners:
@@ -242,7 +258,7 @@
 
     def _find_terms(self, service: str) -> _Terms:
         paces = self._latencies.find_service(service)
-        usual_s = paces.usual_s or _DEFAULT_RUN_S
+        usual_s = paces.idle_s or _DEFAULT_RUN_S
         run_s = self._run_s_by_service.get(service, usual_s)
         return _Terms(
             paces=paces,
--- a/damaskpoint/balancing/latency_paces.py
+++ b/damaskpoint/balancing/latency_paces.py
@@ -31,14 +31,23 @@
 # Bounds of one measured ratio: a stall says little about the pace.
 _MIN_RATIO: Final = 0.2
 _MAX_RATIO: Final = 5.0
+# Bound on what one peer may add at once.
+_MAX_PEER_SAMPLES: Final = 20
+# Standard error of a pace as a share of the deviation of one request, by the
+# weight of the moving average; paces within so many errors of 1 count as 1.
+_PACE_ERROR_SHARE: Final = 0.23
+_LIKELY_ERRORS: Final = 2.5
+_INITIAL_VARIANCE: Final = 1.0
 # Factor between paces from which runners of a service count as different.
 _DIFFERENT_FACTOR: Final = 1.4
-# A ratio this many deviations above the usual one is an episode of slowness.
-# Each sample counts for a bounded deviation, so that episodes hardly widen
-# the range themselves.
-_EPISODE_DEVIATIONS: Final = 4.0
-_MIN_DEVIATION: Final = 0.08
-_MAX_DEVIATION_SAMPLE: Final = 0.3
+# A ratio beyond this multiple of the range that holds four of five requests
+# (both logarithmic) is an episode of slowness; step of the range per request,
+# and its bounds. A range of most requests is not widened by the episodes.
+_EPISODE_RANGES: Final = 3.0
+_RANGE_SHARE: Final = 0.8
+_RANGE_STEP: Final = 0.03
+_MIN_RANGE: Final = 0.12
+_INITIAL_RANGE: Final = 0.5
 # Time constant in which an episode of slowness is assumed to end (seconds).
 EPISODE_S: Final = 0.6
 _DECIMALS: Final = 3
@@ -55,13 +64,13 @@
     # Requests at the runner, per slot, when the request was sent.
     utilization: float
     took_s: float
-    # Pace that the runner reported for that time; 1 without a report.
-    reported_pace: float = 1
+    # Pace that the runner reported for that time; None without a report.
+    reported_pace: float | None = None
 
 
 @final
 @dataclass(slots=True)
-class _RunnerPace:
+class RunnerPace:
     """What is known of one runner."""
 
     samples: int = 0
@@ -69,14 +78,54 @@
     episode_pace: float = 1
     episode_at: float = float('-inf')
 
+    def add(self, ratio: float, count: int) -> None:
+        """Add requests with this mean ratio to the moving average."""
+        self.samples += count
+        weight = 1 - math.pow(1 - _PACE_WEIGHT, count)
+        self.pace += max(weight, count / self.samples) * (ratio - self.pace)
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class MeasuredPace:
+    """The mean pace of requests at one runner."""
+
+    runner: str
+    pace: float
+    samples: int
+
+
+@final
+class UnsentPaces:
+    """Requests measured at silent runners of which no peer knows yet."""
+
+    def __init__(self) -> None:
+        """Start without requests."""
+        # Number and sum of the ratios.
+        self._sums_by_runner: dict[str, tuple[int, float]] = {}
+
+    def add(self, runner: str, ratio: float) -> None:
+        """Add one request."""
+        samples, total = self._sums_by_runner.get(runner, (0, float(0)))
+        self._sums_by_runner[runner] = (samples + 1, total + ratio)
+
+    def take(self, limit: int) -> list[MeasuredPace]:
+        """Return and forget some runners, those longest unsent first."""
+        taken = []
+        for runner in tuple(self._sums_by_runner)[:limit]:
+            samples, total = self._sums_by_runner.pop(runner)
+            taken.append(MeasuredPace(runner, total / samples, samples))
+        return taken
+
 
 @final
 @dataclass(slots=True)
 class ServicePaces:
     """The paces of a service's runners, and how its times grow with load."""
 
-    usual_s_by_route: dict[str, float] = field(default_factory=dict)
-    paces_by_runner: dict[str, _RunnerPace] = field(default_factory=dict)
+    # Usual time (seconds) and number of requests.
+    usual_by_route: dict[str, tuple[float, int]] = field(default_factory=dict)
+    paces_by_runner: dict[str, RunnerPace] = field(default_factory=dict)
     usual_s: float = 0
     samples: int = 0
     weight: float = 0
@@ -84,7 +133,16 @@
     mean_ratio: float = 1
     load_variance: float = 0
     covariance: float = 0
-    deviation: float = _MAX_DEVIATION_SAMPLE
+    usual_range: float = _INITIAL_RANGE
+    # Mean squared deviation of a request's ratio from its runner's pace, and
+    # the standard error of a pace that follows from it.
+    variance: float = _INITIAL_VARIANCE
+    error: float = _INITIAL_VARIANCE
+
+    @property
+    def idle_s(self) -> float:
+        """Return the usual time of a request at an idle runner (seconds)."""
+        return self.usual_s / (1 + self.growth * self.mean_load)
 
     @property
     def growth(self) -> float:
@@ -102,17 +160,18 @@
         known = self.paces_by_runner.get(runner)
         if known is None or known.samples < _MIN_SAMPLES:
             return 1
+        pace = self._discard_noise(known.pace)
         if known.episode_pace <= 1:
-            return known.pace
+            return pace
         left = math.exp((known.episode_at - now) / EPISODE_S)
-        return known.pace * (1 + (known.episode_pace - 1) * left)
+        return pace * (1 + (known.episode_pace - 1) * left)
 
     def find_lasting(self, runner: str) -> float | None:
         """Return the pace without episodes; None before it is known."""
         known = self.paces_by_runner.get(runner)
         if known is None or known.samples < _MIN_SAMPLES:
             return None
-        return known.pace
+        return self._discard_noise(known.pace)
 
     def record_relation(self, load: float, ratio: float) -> None:
         """Update how the time of a request depends on the load."""
@@ -131,6 +190,33 @@
             self.covariance + share * load_change * ratio_change
         )
 
+    def record_usual(self, route: str, took_s: float) -> float:
+        """Update the usual time of a route and return the one before."""
+        usual_s, count = self.usual_by_route.get(route, (took_s, 0))
+        weight = max(_USUAL_WEIGHT, 1 / (count + 1))
+        self.usual_by_route[route] = (
+            usual_s + weight * (took_s - usual_s),
+            count + 1,
+        )
+        return usual_s
+
+    def find_or_create(self, runner: str) -> RunnerPace:
+        """Return the figures of a runner."""
+        return self.paces_by_runner.setdefault(runner, RunnerPace())
+
+    def record_spread(self, change: float) -> None:
+        """Update how much the times of requests at one runner vary."""
+        weight = max(_USUAL_WEIGHT, 1 / (self.samples + 1))
+        self.variance += weight * (change * change - self.variance)
+        self.error = math.sqrt(self.variance) * _PACE_ERROR_SHARE
+
+    def _discard_noise(self, pace: float) -> float:
+        """Return a pace nearer to 1 by its likely error."""
+        noise = _LIKELY_ERRORS * self.error
+        if pace > 1:
+            return max(float(1), pace - noise)
+        return min(float(1), pace + noise)
+
 
 @final
 class LatencyPaces:
@@ -139,6 +225,7 @@
     def __init__(self) -> None:
         """Start without measurements."""
         self._times_by_service: dict[str, ServicePaces] = {}
+        self._unsent = UnsentPaces()
 
     # Commands.
 
@@ -147,11 +234,8 @@
         times = self._times_by_service.setdefault(
             sample.service, ServicePaces()
         )
-        usual_s = times.usual_s_by_route.get(sample.route, sample.took_s)
-        took_s = sample.took_s / sample.reported_pace
-        times.usual_s_by_route[sample.route] = usual_s + _USUAL_WEIGHT * (
-            took_s - usual_s
-        )
+        took_s = sample.took_s / (sample.reported_pace or 1)
+        usual_s = times.record_usual(sample.route, took_s)
         weight = _USUAL_WEIGHT if times.samples else 1
         times.usual_s += weight * (took_s - times.usual_s)
         if usual_s <= 0:
@@ -161,6 +245,21 @@
         expected /= 1 + times.growth * times.mean_load
         times.record_relation(sample.utilization, ratio)
         _record_pace(times, sample.runner, ratio / expected, now)
+        if sample.reported_pace is None:
+            self._unsent.add(sample.runner, ratio / expected)
+
+    def apply_peer(
+        self, service: str, runner: str, pace: float, samples: int
+    ) -> None:
+        """Add the requests that a peer has measured at a runner."""
+        count = min(samples, _MAX_PEER_SAMPLES)
+        pace = min(_MAX_RATIO, max(_MIN_RATIO, pace))
+        times = self._times_by_service.setdefault(service, ServicePaces())
+        times.find_or_create(runner).add(pace, count)
+
+    def take_unsent(self, limit: int) -> list[MeasuredPace]:
+        """Return what was measured at silent runners, each request once."""
+        return self._unsent.take(limit)
 
     def forget_except(self, runners: frozenset[str]) -> None:
         """Drop the figures of all other runners."""
@@ -185,7 +284,8 @@
         ]
         if not paces:
             return False
-        return max(paces) >= min(paces) * _DIFFERENT_FACTOR
+        least = min(paces)
+        return max(paces) >= least * _DIFFERENT_FACTOR + 3 * times.error
 
     def dump(self) -> dict[str, object]:
         """Return what is known of each service and its runners."""
@@ -206,18 +306,14 @@
 def _record_pace(
     times: ServicePaces, runner: str, ratio: float, now: float
 ) -> None:
-    known = times.paces_by_runner.setdefault(runner, _RunnerPace())
-    known.samples += 1
+    known = times.find_or_create(runner)
     relative = ratio / known.pace
-    if relative > math.exp(_EPISODE_DEVIATIONS * times.deviation):
+    deviation = math.log(relative)
+    known.episode_pace = float(1)
+    if deviation > _EPISODE_RANGES * times.usual_range:
         known.episode_pace = relative
         known.episode_at = now
-    else:
-        known.episode_pace = float(1)
-    weight = max(_PACE_WEIGHT, 1 / known.samples)
-    known.pace += weight * (ratio - known.pace)
-    deviation = min(_MAX_DEVIATION_SAMPLE, abs(math.log(relative)))
-    times.deviation = max(
-        _MIN_DEVIATION,
-        times.deviation + _USUAL_WEIGHT * (deviation - times.deviation),
-    )
+    times.record_spread(ratio - known.pace)
+    step = _RANGE_SHARE - int(abs(deviation) <= times.usual_range)
+    times.usual_range = max(_MIN_RANGE, times.usual_range + _RANGE_STEP * step)
+    known.add(ratio, 1)
--- a/damaskpoint/gateway/peers.py
+++ b/damaskpoint/gateway/peers.py
@@ -159,7 +159,7 @@
         context = self._context
         context.loads.set_peer_counts(self._membership.view.work.sum_shares())
         self._membership.publish_capacities(
-            context.capacities.list_news(now, defaults.MAX_CAPACITIES)
+            context.capacities.take_news(now, defaults.MAX_CAPACITIES)
         )
         for change in context.capacities.take_limit_changes(now):
             metrics.RUNNER_LIMIT.set({'runner': change.runner}, change.limit)
--- a/damaskpoint/membership/facts.py
+++ b/damaskpoint/membership/facts.py
@@ -195,7 +195,10 @@
 @final
 @dataclass(frozen=True, slots=True)
 class CapacityFact:
-    """A runner's own report of its load and its pace."""
+    """A runner's own report of its load, or its pace measured by the sender.
+
+    A measured pace has neither busy requests nor slots.
+    """
 
     runner: str
     # Requests that run or wait, of all callers.
@@ -204,6 +207,8 @@
     # How long work takes on its machine, 1 is usual.
     pace: float
     measured_at: float
+    # Requests measured since they were last sent; 0 in a report.
+    samples: int = 0
 
 
 @final
--- a/damaskpoint/membership/sizes.py
+++ b/damaskpoint/membership/sizes.py
@@ -134,6 +134,7 @@
         measure_number(fact.slots),
         measure_number(round(fact.pace * _MS)),
         _measure_age(fact.measured_at, now),
+        measure_number(fact.samples),
     )
     return _sum_fields(fields) + _RARE_LIST_BYTES
 
--- a/damaskpoint/wire/gossip_codec.py
+++ b/damaskpoint/wire/gossip_codec.py
@@ -158,6 +158,7 @@
         slots=fact.slots,
         pace_permille=round(fact.pace * _MILLI_PER_UNIT),
         age_ms=_age_ms(fact.measured_at, now),
+        samples=fact.samples or None,
     )
 
 
@@ -316,6 +317,7 @@
         slots=_check_number(fact.slots),
         pace=_check_number(fact.pace_permille) / _MILLI_PER_UNIT,
         measured_at=_decode_time(fact.age_ms, now),
+        samples=_check_number(fact.samples or 0),
     )
 
 
--- a/damaskpoint/wire/peer.thrift
+++ b/damaskpoint/wire/peer.thrift
@@ -112,7 +112,8 @@
   2: required i64 begun
 }
 
-// A runner's report of its load and its pace, relayed by peers.
+// A runner's report of its load and its pace, relayed by peers; or the pace that
+// the sender has measured at a runner that reports nothing.
 struct CapacityFact {
   1: required string runner
   // Requests that run or wait, of all callers.
@@ -121,6 +122,8 @@
   // How long work takes on its machine, relative to usual, times 1000.
   4: required i32 pace_permille
   5: required i32 age_ms
+  // Requests measured since they were last sent; absent in a report.
+  6: optional i32 samples
 }
 
 struct Gossip {
--- a/features/learned_capacity.feature
+++ b/features/learned_capacity.feature
@@ -16,6 +16,7 @@
       | the same, each instance sees few of the answers      | 86        | noisy        | 100  | 20      | 0.25      | 0.08 | 0.05      |
       | demand of three zones swings out of phase            | 40        | zones        | 60   | 34      | 2         | 0.15 | 0.3       |
       | a silent runner is three times slower for good       | 6         | silent slow  | 90   | 20      | 0.25      | 0.03 | 0.07      |
+      | the same, each instance has few requests there       | 24        | silent slow  | 90   | 20      | 0.25      | 0.07 | 0.1       |
       | a runner that is three times slower claims otherwise | 6         | slow claims  | 90   | 20      | 0.25      | 0.03 | 0.07      |
       | all requests share one prompt                        | 40        | one prompt   | 20   | 20      | 2         | 0.03 | 0.25      |
 
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -258,7 +258,7 @@
 )
 def check_news(context: Any, now: float, count: int, slow: int) -> None:
     """Compare the reports that a datagram may carry."""
-    context.news = context.capacities.list_news(now, count)
+    context.news = context.capacities.take_news(now, count)
     assert len(context.news) == count
     assert context.news[0].runner == f'r{slow}'
 
@@ -266,7 +266,7 @@
 @then('at {now:g} there are none')
 def check_no_news(context: Any, now: float) -> None:
     """Check that old reports are not sent."""
-    assert not context.capacities.list_news(now, 5)
+    assert not context.capacities.take_news(now, 5)
 
 
 @then(
@@ -279,8 +279,8 @@
     by_name = {runner.name: runner for runner in context.runners}
     for fact in context.news:
         peer.apply_fact(by_name[fact.runner], fact)
-    assert len(peer.list_news(received, 5)) == len(context.news)
-    assert not peer.list_news(now, 5)
+    assert len(peer.take_news(received, 5)) == len(context.news)
+    assert not peer.take_news(now, 5)
 
 
 @then('the header "{text}" is read as "{load}"')
--- a/features/support/capacity_fleet.py
+++ b/features/support/capacity_fleet.py
@@ -294,7 +294,7 @@
         sender = self.instances[at]
         others = [place for place in range(len(self.instances)) if place != at]
         count = min(len(others), _PEERS_PER_ROUND)
-        news = sender.capacities.list_news(now, _NEWS)
+        news = sender.capacities.take_news(now, _NEWS)
         shares = dict(sender.loads.own_by_runner)
         for place in self.random.sample(others, count):
             peer = self.instances[place]
