--- a/damaskpoint/batching/queue.py
+++ b/damaskpoint/batching/queue.py
@@ -161,12 +161,9 @@
         taken: list[Ticket] = []
         remaining: list[Ticket] = []
         eligible = 0
-        # With enough pieces for a full call, small calls for the pieces of one
-        # zone would take the runners' time from all.
-        may_wait = len(self._tickets) < self.limits.max_pieces
         for ticket in self._list_by_urgency(runner, now):
-            if len(taken) == self.limits.max_pieces or (
-                may_wait and _waits_for_own_zone(ticket, runner, now)
+            if len(taken) == self.limits.max_pieces or _waits_for_own_zone(
+                ticket, runner, now
             ):
                 remaining.append(ticket)
                 continue
--- a/features/piece_queue.feature
+++ b/features/piece_queue.feature
@@ -213,13 +213,3 @@
       | one full batch in all    | 1       | 8     | 1    | 0     | 0.45 |
       | five full batches in all | 1       | 48    | 1    | 0     | 1.5  |
       | shared by five runners   | 5       | 48    | 1    | 0     | 0.33 |
-
-  Scenario: A burst is not split into small calls by zone
-    Given a queue for batches of 2 pieces
-    And these pieces wait
-      | name | priority | needed | ends | lead | bytes   | zone |
-      | a    | 0        | 1      | 9    | 0    | 1500000 | y    |
-      | b    | 0        | 2      | 9    | 0    | 1500000 | z    |
-      | c    | 0        | 3      | 9    | 0    | 1500000 | y    |
-    When a runner of zone z with 9000000 bytes free takes a batch at 0.1
-    Then the batch has the pieces a b
