Give the runner stand-in versions with bad responses

Rollouts need runners whose version is bad in a declared way: status 500 or failed pieces, closed connections, or responses several times slower; for a share of the responses, from a time on, from a load of the runner on, or on one route. The version counts requests and bad responses with their times.

--- a/standins/runner.py
+++ b/standins/runner.py
@@ -12,6 +12,8 @@
 
 from tornado import httpserver, iostream, web
 
+from standins.versions import FaultKind, ServiceVersion
+
 _ID = 'Damaskpoint-Request-Id'
 _EXPECT = 'Damaskpoint-Expect-Instance'
 _SEAL = 'Damaskpoint-Response-Seal'
@@ -55,6 +57,7 @@
     # Time of the last release (monotonic seconds).
     released_at: float = 0
     handles: itertools.count[int] = field(default_factory=itertools.count)
+    version: ServiceVersion = field(default_factory=ServiceVersion)
 
 
 def create_runner_server(state: RunnerState) -> httpserver.HTTPServer:
@@ -100,6 +103,11 @@
             self.set_status(http.HTTPStatus.SERVICE_UNAVAILABLE)
             self.finish()
 
+    def cut(self) -> None:
+        """Close the connection without the rest of the response."""
+        # tornado declares the interface, which has no stream.
+        self.request.connection.stream.close()  # type: ignore[union-attr]
+
 
 class _RunHandler(_RunnerHandler):
     """Runs requests that aren't split into stages."""
@@ -123,14 +131,31 @@
             return
         headers = dict(self.request.headers.get_all())
         state.requests.append((headers, self.request.body))
+        fault = state.version.begin(state.name, [headers[_ID]])
+        try:
+            await self._answer(headers, fault)
+        finally:
+            state.version.end([headers[_ID]], fault)
+
+    async def _answer(
+        self, headers: dict[str, str], fault: FaultKind | None
+    ) -> None:
+        state = self.state
         self.set_status(state.status)
         self.set_header(_ID, headers[_ID])
         self.set_header(_SEAL, f'seal-of-{state.name}')
-        if not state.events:
-            await asyncio.sleep(state.service_time_s)
-            self.finish(f'{self.request.method} {self.request.uri}')
+        if state.events and fault is not FaultKind.FAILS:
+            first = int(headers.get('Last-Event-Id', '0')) + 1
+            await self._stream(first, fault)
             return
-        await self._stream(int(headers.get('Last-Event-Id', '0')) + 1)
+        time_s = state.version.slow_down(state.service_time_s, fault)
+        await asyncio.sleep(time_s)
+        if fault is FaultKind.CUTS:
+            self.cut()
+            return
+        if fault is FaultKind.FAILS:
+            self.set_status(http.HTTPStatus.INTERNAL_SERVER_ERROR)
+        self.finish(f'{self.request.method} {self.request.uri}')
 
     def _refuse_without_inputs(self) -> None:
         self.state.inputs_to_lose -= 1
@@ -138,19 +163,19 @@
         self.set_status(http.HTTPStatus.CONFLICT)
         self.finish()
 
-    async def _stream(self, first: int) -> None:
+    async def _stream(self, first: int, fault: FaultKind | None) -> None:
         state = self.state
         self.set_header('Content-Type', 'text/event-stream')
         for number in range(first, state.events + 1):
-            await asyncio.sleep(state.service_time_s)
+            time_s = state.version.slow_down(state.service_time_s, fault)
+            await asyncio.sleep(time_s)
             try:
                 self.write(f'id: {number}\ndata: piece\n\n')
                 await self.flush()
             except iostream.StreamClosedError:
                 return
-            if number == state.cut_after_events:
-                # tornado declares the interface, which has no stream.
-                self.request.connection.stream.close()  # type: ignore[union-attr]
+            if number == state.cut_after_events or fault is FaultKind.CUTS:
+                self.cut()
                 return
         self.finish()
 
@@ -163,7 +188,16 @@
         state = self.state
         entries = json.loads(self.request.body)['Entries']
         state.batches.append(entries)
-        await asyncio.sleep(state.service_time_s)
+        ids = [entry['Id'] for entry in entries]
+        fault = state.version.begin(state.name, ids)
+        time_s = state.version.slow_down(state.service_time_s, fault)
+        await asyncio.sleep(time_s)
+        state.version.end(ids, fault)
+        if fault is FaultKind.CUTS:
+            self.cut()
+            return
+        if fault is FaultKind.FAILS:
+            state.pieces_to_fail = len(entries)
         made = []
         for _ in entries:
             if state.pieces_to_fail:
