Refuse writes to the operator's tables in the store stand-in

The platform lets only the operator write op and servers; the stand-in took such writes, so that a test could not see them. They now get 403, and nothing of the transaction is applied.

--- a/standins/row_store.py
+++ b/standins/row_store.py
@@ -13,6 +13,8 @@
 from tornado import httpserver, web
 
 _MS_PER_S = 1000
+# Tables that only the operator and the runners may write.
+_READ_ONLY_TABLES = frozenset(('op', 'servers'))
 
 
 @dataclass(frozen=True, slots=True)
@@ -230,7 +232,13 @@
     async def post(self) -> None:
         """Apply the transaction, or send the conflicting rows with a 412."""
         await asyncio.sleep(self.store.write_delay_s)
-        conflicting = self.store.transact(json.loads(self.request.body))
+        transaction = json.loads(self.request.body)
+        changed = transaction['Writes'] + transaction['Remove']
+        if any(row['Table'] in _READ_ONLY_TABLES for row in changed):
+            self.set_status(http.HTTPStatus.FORBIDDEN)
+            self.finish()
+            return
+        conflicting = self.store.transact(transaction)
         if conflicting is not None:
             self.set_status(http.HTTPStatus.PRECONDITION_FAILED)
         self.write_rows(conflicting or [])
