--- a/features/support/gateway_site.py
+++ b/features/support/gateway_site.py
@@ -95,12 +95,14 @@
         """Start the stand-in of the store."""
         self.store_port = self._listen(create_row_store_server(self.store))
 
-    def start_runner(self, state: RunnerState, service: str) -> None:
+    def start_runner(
+        self, state: RunnerState, service: str, **changes: object
+    ) -> None:
         """Start a stand-in of a runner and register it in the store."""
         port = self._listen(create_runner_server(state))
         self.runners_by_name[state.name] = state
         self.ports_by_name[state.name] = port
-        self.register(state.name, service)
+        self.register(state.name, service, **changes)
 
     async def replace_runner(
         self, name: str, service: str, serve: Serve
