--- a/features/rollout_trials.feature
+++ b/features/rollout_trials.feature
@@ -24,10 +24,10 @@
     Given a store for rollouts
     And a platform with runners of "v1", "v2" and "v3"
     When the status is "rolled_back" to "v3"
-    Then "v1, v2" have runners, and those of "v3" drain
-    And in the end "v1, v2" have runners
+    Then the runners become "v1 ready, v2 ready, v3 draining"
+    And the runners become "v1 ready, v2 ready"
     When the status is "completed" to "v2"
-    Then in the end "v2" have runners
+    Then the runners become "v2 ready"
 
   # Guards against checks that find nothing.
   Scenario: The checks find a bad version that is not rolled back
--- a/features/steps/rollout_trial_steps.py
+++ b/features/steps/rollout_trial_steps.py
@@ -138,25 +138,17 @@
     context.site.store.put('status', 'rollout/plain', status)
 
 
-@then('"{versions}" have runners, and those of "{draining}" drain')
-def check_draining(context: Any, versions: str, draining: str) -> None:
-    """Wait until only the runners of a version drain."""
-    ready = [(version, 'ready') for version in versions.split(', ')]
-    wanted = {*ready, (draining, 'draining')}
+@then('the runners become "{states}"')
+def check_runners(context: Any, states: str) -> None:
+    """Wait until the rows have these versions and states."""
+    wanted = set(states.split(', '))
     run(context, until(lambda: _list_states(context.site) == wanted))
 
 
-@then('in the end "{versions}" have runners')
-def check_runners(context: Any, versions: str) -> None:
-    """Wait until only these versions have runners."""
-    wanted = {(version, 'ready') for version in versions.split(', ')}
-    run(context, until(lambda: _list_states(context.site) == wanted))
-
-
-def _list_states(site: Site) -> set[tuple[str, str]]:
+def _list_states(site: Site) -> set[str]:
     rows = site.store.read('servers')
     entries = [json.loads(site.store.decode(row)) for row in rows]
-    return {(entry['Version'], entry['State']) for entry in entries}
+    return {f'{entry["Version"]} {entry["State"]}' for entry in entries}
 
 
 @given('gateways without the settings of rollouts')
--- a/features/support/rollout_plan.py
+++ b/features/support/rollout_plan.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, NamedTuple
 
-from standins.versions import LOAD_WINDOW_S, FaultKind
+from standins.versions import LOAD_WINDOW_S, FaultKind, VersionFault
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -68,11 +68,8 @@
     # Time to the withdrawal, or from the order that is replaced.
     change_s: float
     drain_delay_s: float
-    bad_share: float
-    bad_after_s: float
-    bad_route: str
-    bad_min_load: float
-    bad_kind: FaultKind | None
+    # How the version is bad; its start is in seconds after the order.
+    bad: VersionFault | None
 
     @property
     def is_bad(self) -> bool:
@@ -109,8 +106,13 @@
     route = rng.choice(sorted(traffic.shares_by_route))
     old_load = rate / RUNNERS * LOAD_WINDOW_S
     bad_kind = rng.choice((FaultKind.FAILS, FaultKind.CUTS))
-    if 'slow' in kind:
-        bad_kind = FaultKind.SLOW
+    bad = VersionFault(
+        FaultKind.SLOW if 'slow' in kind else bad_kind,
+        share=rng.uniform(0.3, 1),
+        starts_at=later_s if 'later' in kind else 0,
+        min_load=old_load * _LOADED_SHARE if 'load' in kind else 0,
+        route=route if 'route' in kind else '',
+    )
     return RolloutPlan(
         seed=seed,
         kind=kind,
@@ -122,9 +124,5 @@
         start_s=rng.choice((-2, rng.uniform(0, 0.2) * duration_s)),
         change_s=rng.uniform(0.2, 0.5) * duration_s,
         drain_delay_s=rng.uniform(2, 5),
-        bad_share=rng.uniform(0.3, 1),
-        bad_after_s=later_s if 'later' in kind else 0,
-        bad_route=route if 'route' in kind else '',
-        bad_min_load=old_load * _LOADED_SHARE if 'load' in kind else 0,
-        bad_kind=None if kind in GOOD_KINDS else bad_kind,
+        bad=None if kind in GOOD_KINDS else bad,
     )
--- a/features/support/rollout_site.py
+++ b/features/support/rollout_site.py
@@ -8,6 +8,7 @@
 import random
 import signal
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final
 
 from features.support.gateway_site import (
@@ -21,7 +22,7 @@
 from features.support.relay import Relay
 from features.support.rollout_plan import RUNNERS
 from features.support.rollout_platform import RolloutPlatform
-from standins.versions import ServiceVersion, VersionFault
+from standins.versions import ServiceVersion
 
 if TYPE_CHECKING:
     from features.support.rollout_plan import RolloutPlan
@@ -138,17 +139,12 @@
         await asyncio.sleep(self.plan.change_s)
 
     def _order(self) -> None:
-        plan = self.plan
         self.ordered_at = time.monotonic()
-        if plan.bad_kind is not None:
-            self.new.fault = VersionFault(
-                plan.bad_kind,
-                plan.bad_share,
-                starts_at=self.ordered_at + plan.bad_after_s,
-                min_load=plan.bad_min_load,
-                route=plan.bad_route,
-            )
-        self.platform.order(self.new.name, plan.duration_s)
+        bad = self.plan.bad
+        if bad is not None:
+            starts_at = self.ordered_at + bad.starts_at
+            self.new.fault = replace(bad, starts_at=starts_at)
+        self.platform.order(self.new.name, self.plan.duration_s)
 
     def _withdraw(self) -> None:
         self.withdrawn_at = time.monotonic()
