Roll a service out to a new version of its runners

An order in table op moves a service to runners of a new version. Each instance samples canaries from credits of its own requests, so the exposure is bounded whichever instances see each other; evidence is gossiped as cumulative counts and tested by a CUSUM against the old version's rate in the same zone and the same seconds. Any instance advances the state in table rollouts by compare-and-set, in one transaction with the status row. Without the settings section rollouts nothing changes.

--- a/damaskpoint/batching/pool.py
+++ b/damaskpoint/batching/pool.py
@@ -20,6 +20,7 @@
 from damaskpoint.balancing import rendezvous
 from damaskpoint.batching.group import RunnerGroup
 from damaskpoint.batching.model import PieceOutcome, PieceReason
+from damaskpoint.batching.paces import PaceTable
 from damaskpoint.errors import Code, Failure
 from damaskpoint.membership.facts import PaceFact
 from damaskpoint.observe.state import StateSource
@@ -30,11 +31,11 @@
     from damaskpoint.balancing.health import RunnerHealth
     from damaskpoint.batching.base import Peers, PieceCaller
     from damaskpoint.batching.model import Piece
-    from damaskpoint.batching.paces import PaceTable
     from damaskpoint.batching.peer_orders import PieceOrderClient
     from damaskpoint.catalog.catalog import Catalog
     from damaskpoint.catalog.model import Runner
     from damaskpoint.membership.facts import Address
+    from damaskpoint.rollout.gate import VersionGate
 
 _LOG: Final = logging.getLogger(__name__)
 # Interval at which the peer that holds an order is checked to be live
@@ -55,16 +56,17 @@
         own_name: str,
         catalog: Catalog,
         peers: Peers,
-        paces: PaceTable,
         health: RunnerHealth,
         caller: PieceCaller,
         client: PieceOrderClient,
+        versions: VersionGate,
     ) -> None:
         """Start without groups."""
+        self._versions = versions
         self._own_name = own_name
         self._catalog = catalog
         self.peers = peers
-        self.paces = paces
+        self.paces = PaceTable()
         self._health = health
         self._caller = caller
         self._client = client
@@ -78,6 +80,7 @@
     ) -> tuple[PieceOutcome, ...]:
         """Run pieces of one stage of one request and return the outcomes."""
         now = time.monotonic()
+        self._record_order(group, len(pieces))
         batcher = self.find_batcher(group, now)
         address = self.peers.find_address(batcher, now)
         if batcher == self._own_name or address is None:
@@ -143,7 +146,9 @@
     def choose_group(self, service: str, request_id: str) -> str:
         """Return a group for a request, weighted by the groups' sizes."""
         sizes_by_group: dict[str, float] = {}
-        for runner in self._catalog.runners.usable(service):
+        for runner in self._versions.select_stage(
+            service, self._catalog.runners.usable(service), time.monotonic()
+        ):
             name = self.find_group_name(runner)
             sizes_by_group[name] = sizes_by_group.get(name, 0) + 1
         if not sizes_by_group:
@@ -152,19 +157,24 @@
 
     def find_group_name(self, runner: Runner) -> str:
         """Return the name of a runner's group."""
-        count = len(self._catalog.runners.usable(runner.service))
+        prefix = self._versions.group_prefix(runner.version)
+        count = sum(
+            not prefix or other.version == runner.version
+            for other in self._catalog.runners.usable(runner.service)
+        )
         groups = max(1, math.ceil(count / _RUNNERS_PER_GROUP))
         number = xxhash.xxh32_intdigest(runner.name.encode()) % groups
-        return f'{runner.service}{_GROUP_SEPARATOR}{number}'
+        return f'{runner.service}{_GROUP_SEPARATOR}{prefix}{number}'
 
     def find_runners(self, group: str) -> list[Runner]:
         """Return the usable runners of a group."""
         service, _, _ = group.rpartition(_GROUP_SEPARATOR)
         found = []
-        for runner in self._catalog.runners.usable(service):
+        usable = self._catalog.runners.usable(service)
+        for runner in usable:
             if self.find_group_name(runner) == group:
                 found.append(runner)
-        return found
+        return self._versions.filter_group(found, usable, time.monotonic())
 
     def find_zone(self, runner_name: str) -> str:
         """Return the zone of a runner, or an empty string."""
@@ -204,6 +214,18 @@
 
     # Steps.
 
+    def _record_order(self, group: str, pieces: int) -> None:
+        """Count pieces for the share of a version under test."""
+        runners = self.find_runners(group)
+        if not runners:
+            return
+        service = self._catalog.find_service(runners[0].service)
+        if service is not None and service.batches is not None:
+            calls = pieces / service.batches.max_pieces
+            self._versions.record_stage_pieces(
+                runners[0], calls, time.monotonic()
+            )
+
     def _find_or_create_group(self, name: str) -> RunnerGroup | None:
         group = self._groups_by_name.get(name)
         if group is not None:
--- a/damaskpoint/catalog/follower.py
+++ b/damaskpoint/catalog/follower.py
@@ -27,6 +27,7 @@
     from damaskpoint.catalog.catalog import Catalog
     from damaskpoint.catalog.model import Configuration, Runner
     from damaskpoint.platform.store import PlatformStore, Rows, StoredRow
+    from damaskpoint.rollout.orders import OrderBook
 
     _ApplyConfiguration = Callable[[Configuration, int, float], bool]
 
@@ -231,23 +232,32 @@
 class OperatorSink(TableSink):
     """Applies the configuration and the evacuated zones to the catalog."""
 
-    def __init__(self, catalog: Catalog) -> None:
-        """Apply rows to this catalog."""
+    def __init__(
+        self, catalog: Catalog, orders: OrderBook | None = None
+    ) -> None:
+        """Apply rows to this catalog, and orders of rollouts to ``orders``."""
         self._catalog = catalog
+        self._orders = orders
         self._zones: frozenset[str] = frozenset()
 
     def replace(self, read: Rows, now: float) -> None:
         """Replace all rows by those of the whole table."""
+        if self._orders is not None:
+            self._orders.replace(read, now)
         self._set_zones(_collect_zones(read.rows), now)
         self._apply_configurations(read, self._catalog.apply, now)
 
     def restore(self, read: Rows, now: float) -> None:
         """Keep evacuations and a newer configuration that the copy lacks."""
+        if self._orders is not None:
+            self._orders.restore(read, now)
         self._set_zones(self._zones | _collect_zones(read.rows), now)
         self._apply_configurations(read, self._catalog.apply_restored, now)
 
     def update(self, read: Rows, now: float) -> None:
         """Apply the rows that changed."""
+        if self._orders is not None:
+            self._orders.update(read, now)
         zones = set(self._zones)
         for row in read.rows:
             zone = _find_zone(row)
@@ -316,9 +326,9 @@
     def replace(self, read: Rows, now: float) -> None:
         """Replace all rows by those of the whole table."""
         present = {row.key for row in read.rows}
-        for name in self._runners.names():
-            if name not in present:
-                self._remove(name, now)
+        for runner in self._runners.known():
+            if runner.name not in present:
+                self._remove(runner.name, now)
         self.update(read, now)
 
     def restore(self, read: Rows, now: float) -> None:
--- a/damaskpoint/catalog/model.py
+++ b/damaskpoint/catalog/model.py
@@ -242,6 +242,8 @@
     cold_left_s: float
     # Start time (Unix milliseconds); distinguishes starts of one name.
     started_ms: int = 0
+    # Version of the software; empty if the entry has none.
+    version: str = ''
 
     @property
     def address(self) -> tuple[str, int]:
--- a/damaskpoint/catalog/runners.py
+++ b/damaskpoint/catalog/runners.py
@@ -184,9 +184,9 @@
             return None
         return state.runner
 
-    def names(self) -> tuple[str, ...]:
-        """Return the names of all known runners."""
-        return tuple(self._states_by_name)
+    def known(self) -> tuple[Runner, ...]:
+        """Return all known runners, also those not usable."""
+        return tuple(state.runner for state in self._states_by_name.values())
 
     def is_cold(self, name: str, now: float) -> bool:
         """Return whether a runner counts as cold."""
@@ -209,6 +209,7 @@
                 'service': state.runner.service,
                 'zone': state.runner.zone,
                 'started_ms': state.runner.started_ms,
+                'version': state.runner.version,
                 'draining': state.runner.is_draining,
                 'leaving': self._leaving.covers(state.runner),
                 'cold_s': round(max(float(0), state.cold_until - now), 3),
--- a/damaskpoint/entry/gossip_listener.py
+++ b/damaskpoint/entry/gossip_listener.py
@@ -143,6 +143,14 @@
     ) -> None:
         """Do nothing: entries do not look for prompts that crash engines."""
 
+    def on_rollouts(
+        self,
+        peer: facts.PeerFact,
+        rollouts: tuple[facts.RolloutFact, ...],
+        now: float,
+    ) -> None:
+        """Do nothing: versions are those of the configuration here."""
+
     # Helpers.
 
     def _publish_configuration(self, now: float) -> None:
--- a/damaskpoint/forwarding/attempts.py
+++ b/damaskpoint/forwarding/attempts.py
@@ -32,6 +32,7 @@
     from damaskpoint.forwarding.request import CallerRequest
     from damaskpoint.forwarding.sender import OpenAnswer
     from damaskpoint.quarantine.guard import PromptRun
+    from damaskpoint.rollout.visits import Visit
 
 _LOG: Final = logging.getLogger(__name__)
 _MS: Final = 1000
@@ -65,7 +66,9 @@
         self._request = request
         self._route = request.route
         self._service = service
-        self._chooser = RunnerChooser(context, service, request.metadata, None)
+        self._chooser = RunnerChooser(
+            context, service, request.metadata, None, request.route.name
+        )
         self._relay = relay
         self._failed: set[str] = set()
         self._sends = 0
@@ -79,6 +82,7 @@
         # Fields of the last answer for the log; empty if it had no head.
         self._answer_fields: dict[str, object] = {}
         self._progress = Progress.NONE
+        self._visit: Visit | None = None
         # Whether a runner may have run the request; set before each send.
         self.ran = Ran.NO
 
@@ -93,7 +97,11 @@
         with ``RESULT_LOST`` and continues in another run with new results.
         """
         self._chooser = RunnerChooser(
-            self._context, self._service, self._request.metadata, zone
+            self._context,
+            self._service,
+            self._request.metadata,
+            zone,
+            self._route.name,
         )
         had_started = self._relay.is_started
         last_failure = Failure(Code.NO_UPSTREAM, self._service)
@@ -184,10 +192,14 @@
                 began_at,
             )
         self._context.loads.begin(runner.name)
+        visit = self._context.versions.begin(runner, self._route, began_at)
+        self._visit = visit
         try:
             failure = await self._exchange(runner, results, began_at)
         finally:
             self._context.loads.end(runner.name)
+            visit.end(time.monotonic(), self._request.ends_at)
+        visit.record_answer(failure, time.monotonic())
         if failure is None:
             took_s = time.monotonic() - began_at
             self._context.completion.record_run(self._request, took_s)
@@ -233,6 +245,8 @@
             return None
         is_failed = head.status >= http.HTTPStatus.INTERNAL_SERVER_ERROR
         if is_failed:
+            if self._visit is not None:
+                self._visit.record_failed_status()
             self._context.health.record_failure(
                 open_answer.runner.name, time.monotonic()
             )
@@ -278,6 +292,8 @@
         )
 
     def _record_begun(self) -> None:
+        if self._visit is not None:
+            self._visit.record_begun(time.monotonic())
         if self._prompt_run is not None:
             self._context.prompts.record_begun(
                 self._prompt_run, time.monotonic()
--- a/damaskpoint/forwarding/choosing.py
+++ b/damaskpoint/forwarding/choosing.py
@@ -28,8 +28,10 @@
         service: str,
         metadata: RequestMetadata,
         zone: str | None,
+        route: str = '',
     ) -> None:
         """Prefer runners of ``zone``, if it is given."""
+        self._route = route
         self._context = context
         self._service = service
         self._metadata = metadata
@@ -40,9 +42,15 @@
 
         A send to a returned cold runner counts against its rate limit.
         """
-        for runner in self._order(excluded, now):
+        for runner in self._order(excluded, now, is_retry=bool(excluded)):
             if self._may_send(runner, now):
                 return runner
+        if excluded:
+            return None
+        # The runners of a canary may be cold; the others are as good.
+        for other in self._order(excluded, now, is_retry=True):
+            if self._may_send(other, now):
+                return other
         return None
 
     def has_other(self, excluded: Container[str], now: float) -> bool:
@@ -69,14 +77,19 @@
         context.cold.record_sent(runner.name, now)
         return True
 
-    def _order(self, excluded: Container[str], now: float) -> list[Runner]:
+    def _order(
+        self, excluded: Container[str], now: float, *, is_retry: bool
+    ) -> list[Runner]:
         context = self._context
-        usable = [
+        available = [
             runner
             for runner in context.catalog.runners.usable(self._service)
             if runner.name not in excluded
             and not context.health.is_paused(runner.name, now)
         ]
+        usable = context.versions.select(
+            self._service, self._route, available, now, is_retry=is_retry
+        )
         candidates = Candidates(
             usable,
             {runner.name: context.loads.find(runner.name) for runner in usable},
--- a/damaskpoint/forwarding/context.py
+++ b/damaskpoint/forwarding/context.py
@@ -20,6 +20,7 @@
     from damaskpoint.forwarding.sizes import RequestSizes
     from damaskpoint.forwarding.usual_deadlines import UsualDeadlines
     from damaskpoint.quarantine.guard import PromptGuard
+    from damaskpoint.rollout.gate import VersionGate
 
 
 @final
@@ -54,3 +55,4 @@
     pool: StagePool
     peers: Peers
     prompts: PromptGuard
+    versions: VersionGate
--- a/damaskpoint/gateway/options.py
+++ b/damaskpoint/gateway/options.py
@@ -90,6 +90,18 @@
     """Requests to a cold runner allowed beyond that rate, in any second."""
 
 
+@final
+class RolloutsSection(Section):
+    """Bounds on rollouts of a new version of a service."""
+
+    exposure_share: float = pydantic.Field(gt=0, le=1)
+    """Share of a service's requests that an unproven version may receive."""
+    exposure_slack: float = pydantic.Field(ge=0)
+    """Requests to it allowed beyond that share."""
+    rollback_s: float = pydantic.Field(gt=0)
+    """Time in which a bad version must not be used any more (seconds)."""
+
+
 @final
 class RunnersSection(Section):
     """Timeouts of calls to runners."""
@@ -128,6 +140,9 @@
     """Timeouts of calls to runners."""
     gossip: GossipSection = GossipSection()
     """Gossip between instances."""
+    rollouts: RolloutsSection | None = None
+    """Rollouts of service versions. Without this section, versions of runners
+    are ignored."""
     log: LogOptions = LogOptions()
     """Level and format of the log."""
 
--- a/damaskpoint/gateway/peers.py
+++ b/damaskpoint/gateway/peers.py
@@ -19,6 +19,7 @@
     from damaskpoint.forwarding.context import ForwardingContext
     from damaskpoint.membership.service import Membership
     from damaskpoint.platform.store_instances import StoreInstances
+    from damaskpoint.rollout.coordinator import RolloutCoordinator
 
 _LOG: Final = logging.getLogger(__name__)
 # Intervals between reads of the table of peers (seconds): short at first, as
@@ -66,9 +67,13 @@
     """Exchanges paces, pledges, loads and marks with peers by gossip."""
 
     def __init__(
-        self, membership: Membership, context: ForwardingContext
+        self,
+        membership: Membership,
+        context: ForwardingContext,
+        rollouts: RolloutCoordinator | None,
     ) -> None:
         """Connect the gossip of a membership with this context."""
+        self._rollouts = rollouts
         self._membership = membership
         self._context = context
 
@@ -83,7 +88,10 @@
         self._membership.publish_shares(context.loads.own_by_runner)
         self._membership.publish_paces(context.pool.own_paces(now))
         self._membership.publish_pledges(pledges.list_own())
-        self._membership.publish_run_counts(context.prompts.list_run_counts())
+        self._membership.publish_counts(
+            context.prompts.list_run_counts(),
+            self._rollouts.list_facts(now) if self._rollouts else (),
+        )
         context.loads.set_peer_counts(self._membership.view.work.sum_shares())
         self._expire(now)
         context.budgets.update(self._count_instances(), now)
@@ -132,6 +140,16 @@
         for count in counts:
             self._context.prompts.record_peer_runs(peer, count, now)
 
+    def on_rollouts(
+        self,
+        peer: facts.PeerFact,
+        rollouts: tuple[facts.RolloutFact, ...],
+        now: float,
+    ) -> None:
+        """Record what a peer has counted of rollouts."""
+        if self._rollouts is not None:
+            self._rollouts.apply_facts(peer, rollouts)
+
     def _count_instances(self) -> int | None:
         """Return the most instances that may be running, this one included.
 
--- a/damaskpoint/gateway/runtime.py
+++ b/damaskpoint/gateway/runtime.py
@@ -36,6 +36,7 @@
     from damaskpoint.membership.service import Membership
     from damaskpoint.observe.state import StateRegistry
     from damaskpoint.quarantine.stored import QuarantineWriter
+    from damaskpoint.rollout.coordinator import RolloutComponents
 
 _LOG: Final = logging.getLogger(__name__)
 # How much longer than the timeout known to callers an idle connection stays
@@ -47,6 +48,8 @@
 _HOUSEKEEPING_INTERVAL_S: Final = 0.25
 # Interval at which quarantines are compared with the store's (seconds).
 _QUARANTINE_INTERVAL_S: Final = 0.1
+# Interval at which the evidence on versions is evaluated (seconds).
+_ROLLOUT_INTERVAL_S: Final = 0.1
 
 
 @final
@@ -85,6 +88,7 @@
     discovery: Discovery
     order_server: httpserver.HTTPServer
     registry: StateRegistry
+    rollouts: RolloutComponents | None = None
 
 
 @final
@@ -193,6 +197,8 @@
             run_periodically(_HOUSEKEEPING_INTERVAL_S, self._run_housekeeping),
         ):
             self._tasks.append(asyncio.ensure_future(coroutine))
+        if components.rollouts is not None:
+            self._start_rollouts(components.rollouts)
         _LOG.info(
             'started',
             extra={
@@ -202,6 +208,13 @@
             },
         )
 
+    def _start_rollouts(self, rollouts: RolloutComponents) -> None:
+        for coroutine in (
+            run_periodically(0, rollouts.follow),
+            run_periodically(_ROLLOUT_INTERVAL_S, rollouts.advance),
+        ):
+            self._tasks.append(asyncio.ensure_future(coroutine))
+
     async def _drain(self) -> None:
         """Serve until no request is left, or until the limit."""
         shutdown = self._components.shutdown
--- a/damaskpoint/gateway/wiring.py
+++ b/damaskpoint/gateway/wiring.py
@@ -9,7 +9,6 @@
 from damaskpoint.balancing.health import RunnerHealth
 from damaskpoint.balancing.loads import RunnerLoads
 from damaskpoint.balancing.signals import RunnerSignals
-from damaskpoint.batching.paces import PaceTable
 from damaskpoint.batching.peer_orders import (
     PieceOrderClient,
     create_order_server,
@@ -47,6 +46,11 @@
 from damaskpoint.platform.store_instances import StoreInstances
 from damaskpoint.quarantine.guard import PromptGuard
 from damaskpoint.quarantine.stored import QuarantineSink, QuarantineWriter
+from damaskpoint.rollout.coordinator import create_rollouts
+from damaskpoint.rollout.fleet import GatewayFleet
+from damaskpoint.rollout.gate import VersionGate
+from damaskpoint.rollout.model import RolloutBounds
+from damaskpoint.rollout.piece_caller import RecordingPieceCaller
 from damaskpoint.settings_base import (
     InstanceOptions,
     MembershipOptions,
@@ -54,9 +58,11 @@
 )
 
 if TYPE_CHECKING:
+    from damaskpoint.batching.base import PieceCaller
     from damaskpoint.gateway.options import GatewayOptions
     from damaskpoint.membership.service import Membership
     from damaskpoint.platform.store import PlatformStore
+    from damaskpoint.rollout.coordinator import RolloutComponents
 
 # Share of the platform's grace period in which a shutdown drains requests; the
 # rest is for closing connections.
@@ -85,15 +91,19 @@
         )
     )
     forwarding = _create_forwarding(options, membership, shutdown, registry)
-    membership.add_listener(GatewayListener(membership, forwarding))
+    rollouts = _create_rollouts(options, store, forwarding, membership)
+    membership.add_listener(
+        GatewayListener(
+            membership, forwarding, rollouts.coordinator if rollouts else None
+        )
+    )
+    if rollouts is not None:
+        registry.register('rollouts', rollouts.coordinator)
     registry.register('shutdown', shutdown)
     registry.register('membership', membership)
     handler = RequestHandler(forwarding, shutdown)
     instance = options.instance
     quarantine_sink = QuarantineSink(forwarding.prompts)
-    own = create_listed_instance(
-        instance.name, instance.zone, instance.host, options.listen.peer_port
-    )
     return GatewayRuntime(
         GatewayComponents(
             options=options,
@@ -101,8 +111,15 @@
             handler=handler,
             shutdown=shutdown,
             followers=_create_followers(
-                store, forwarding.catalog, quarantine_sink, registry
+                store,
+                OperatorSink(
+                    forwarding.catalog, rollouts.orders if rollouts else None
+                ),
+                forwarding.catalog,
+                quarantine_sink,
+                registry,
             ),
+            rollouts=rollouts,
             quarantine_writer=QuarantineWriter(
                 store,
                 quarantine_sink,
@@ -111,7 +128,16 @@
                 forwarding.peers,
             ),
             membership=membership,
-            discovery=Discovery(StoreInstances(store), own, membership),
+            discovery=Discovery(
+                StoreInstances(store),
+                create_listed_instance(
+                    instance.name,
+                    instance.zone,
+                    instance.host,
+                    options.listen.peer_port,
+                ),
+                membership,
+            ),
             order_server=create_order_server(
                 forwarding.pool, membership.is_peer_host
             ),
@@ -155,16 +181,17 @@
     health = RunnerHealth()
     signals = RunnerSignals(catalog.runners, health)
     loads = RunnerLoads()
+    versions = VersionGate(
+        own_name, _create_rollout_bounds(options), catalog.runners.is_cold
+    )
     pool = StagePool(
         own_name,
         catalog,
         GatewayPeers(own_name, membership),
-        PaceTable(),
         health,
-        HttpPieceCaller(
-            options.runners.connect_s, options.runners.silence_s, signals
-        ),
+        _create_piece_caller(options, signals, versions, catalog),
         PieceOrderClient(),
+        versions,
     )
     prompts = PromptGuard(membership.publish_mark)
     registry.register('catalog', catalog)
@@ -199,16 +226,58 @@
         pool=pool,
         peers=pool.peers,
         prompts=prompts,
+        versions=versions,
+    )
+
+
+def _create_piece_caller(
+    options: GatewayOptions,
+    signals: RunnerSignals,
+    versions: VersionGate,
+    catalog: Catalog,
+) -> PieceCaller:
+    caller = HttpPieceCaller(
+        options.runners.connect_s, options.runners.silence_s, signals
+    )
+    if options.rollouts is None:
+        return caller
+    return RecordingPieceCaller(caller, versions, catalog)
+
+
+def _create_rollout_bounds(options: GatewayOptions) -> RolloutBounds | None:
+    section = options.rollouts
+    if section is None:
+        return None
+    return RolloutBounds(
+        section.exposure_share, section.exposure_slack, section.rollback_s
+    )
+
+
+def _create_rollouts(
+    options: GatewayOptions,
+    store: PlatformStore,
+    forwarding: ForwardingContext,
+    membership: Membership,
+) -> RolloutComponents | None:
+    if options.rollouts is None:
+        return None
+    fleet = GatewayFleet(
+        options.instance.name,
+        membership,
+        forwarding.peers,
+        forwarding.catalog,
     )
+    return create_rollouts(store, forwarding.versions, fleet, time.monotonic())
 
 
 def _create_followers(
     store: PlatformStore,
+    operator_sink: OperatorSink,
     catalog: Catalog,
     quarantine_sink: QuarantineSink,
     registry: StateRegistry,
 ) -> tuple[TableFollower, ...]:
-    operator = TableFollower(store, names.TABLE_OPERATOR, OperatorSink(catalog))
+    operator = TableFollower(store, names.TABLE_OPERATOR, operator_sink)
     followers = (
         operator,
         TableFollower(store, names.TABLE_RUNNERS, RunnerSink(catalog)),
--- a/damaskpoint/membership/facts.py
+++ b/damaskpoint/membership/facts.py
@@ -192,6 +192,36 @@
     begun: int
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class RolloutFact:
+    """What the sender has counted of one rollout since its start.
+
+    Responses of one route and zone by the old and the new version; in a report,
+    which has no key, its requests at old runners and those of them that must
+    not be repeated.
+    """
+
+    service: str
+    # Start of the rollout by the store's clock; identifies it.
+    started_ms: int
+    key: str = ''
+    old: int = 0
+    old_bad: int = 0
+    new: int = 0
+    new_bad: int = 0
+    new_broken: int = 0
+    # In a report, whether the sender sends all requests to the new version.
+    is_switched: bool = False
+    # In a report, whether the sender knows the new version to be bad.
+    is_blocked: bool = False
+
+    @property
+    def is_report(self) -> bool:
+        """Return whether this is the report of the sender's requests."""
+        return not self.key
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class HeartbeatFact:
@@ -217,6 +247,7 @@
     paces: tuple[PaceFact, ...] = ()
     pledges: tuple[PledgeFact, ...] = ()
     run_counts: tuple[RunCountFact, ...] = ()
+    rollouts: tuple[RolloutFact, ...] = ()
 
 
 @final
--- a/damaskpoint/membership/gossip.py
+++ b/damaskpoint/membership/gossip.py
@@ -78,6 +78,15 @@
     ) -> None:
         """Handle how many runs a peer has begun since its start."""
 
+    @abc.abstractmethod
+    def on_rollouts(
+        self,
+        peer: facts.PeerFact,
+        rollouts: tuple[facts.RolloutFact, ...],
+        now: float,
+    ) -> None:
+        """Handle what a peer has counted of rollouts."""
+
 
 @final
 class GossipLoop:
@@ -178,6 +187,8 @@
             # Counts first: they say how many runs preceded a mark.
             if merged.run_counts:
                 listener.on_run_counts(merged.sender, merged.run_counts, now)
+            if merged.rollouts:
+                listener.on_rollouts(merged.sender, merged.rollouts, now)
             for mark in merged.marks:
                 listener.on_mark(mark, now)
             for load in merged.loads:
--- a/damaskpoint/membership/packing.py
+++ b/damaskpoint/membership/packing.py
@@ -1,10 +1,10 @@
 """Chooses the content of datagrams and limits the bytes sent per second.
 
 Marks are packed first, then the sender's paces, pledges and run counts, peers,
-their heartbeats, the rest of the sender's own work and load reports; new marks
-and peers come before old ones. Each kind may use a fraction of the bytes that
-remain at that point; bytes that it does not use are available to the kinds
-after it.
+their heartbeats, counts of rollouts, the rest of the sender's own work and load
+reports; new marks and peers come before old ones. Each kind may use a fraction
+of the bytes that remain at that point; bytes that it does not use are available
+to the kinds after it.
 """
 
 from __future__ import annotations
@@ -20,6 +20,7 @@
     LoadFact,
     Mark,
     PeerFact,
+    RolloutFact,
 )
 from damaskpoint.membership.peers import compute_beat_id
 
@@ -94,6 +95,9 @@
         sender=view.own,
         configuration=view.configuration,
         marks=marks,
+        rollouts=budget.take(
+            _rollouts(view), sizes.measure_rollout, _WORK_FRACTION
+        ),
         demands=budget.take(
             view.own_demands.iterate(), sizes.measure_demand, _WORK_FRACTION
         ),
@@ -133,6 +137,16 @@
     """Record that a message was sent to ``copies`` peers."""
     for mark in message.marks:
         view.marks.rotation.record_sent(mark.identity, copies)
+    _record_work_sent(view, message, copies)
+    for peer in message.peers:
+        view.peers.rotation.record_sent(peer.name, copies)
+    for beat in message.beats:
+        view.peers.record_heartbeat_sent(beat.beat_id, copies)
+    for load in message.loads:
+        view.loads.rotation.record_sent(load.upstream, copies)
+
+
+def _record_work_sent(view: View, message: GossipMessage, copies: int) -> None:
     for demand in message.demands:
         view.own_demands.rotation.record_sent(demand.account, copies)
     for share in message.shares:
@@ -141,12 +155,10 @@
         view.own_paces.rotation.record_sent(pace.group, copies)
     for pledge in message.pledges:
         view.own_pledges.rotation.record_sent(pledge.group, copies)
-    for peer in message.peers:
-        view.peers.rotation.record_sent(peer.name, copies)
-    for beat in message.beats:
-        view.peers.record_heartbeat_sent(beat.beat_id, copies)
-    for load in message.loads:
-        view.loads.rotation.record_sent(load.upstream, copies)
+    for fact in message.rollouts:
+        view.own_rollouts.rotation.record_sent(
+            f'{fact.service}/{fact.key}', copies
+        )
 
 
 @final
@@ -230,6 +242,16 @@
         yield HeartbeatFact(compute_beat_id(name, peer.start), peer.heartbeat)
 
 
+def _rollouts(view: View) -> Iterator[RolloutFact]:
+    """Yield the reports, then the counts, the least recently sent first."""
+    for report in view.own_rollouts.iterate():
+        if report.is_report:
+            yield report
+    for counted in view.own_rollouts.iterate():
+        if not counted.is_report:
+            yield counted
+
+
 def _loads(view: View) -> Iterator[LoadFact]:
     for upstream in view.loads.rotation.iterate_others():
         load = view.loads.find(upstream)
--- a/damaskpoint/membership/service.py
+++ b/damaskpoint/membership/service.py
@@ -147,9 +147,18 @@
         """Publish the pieces that this process's requests still need."""
         self._gossiper.view.publish_pledges(pledges)
 
-    def publish_run_counts(self, counts: Iterable[facts.RunCountFact]) -> None:
-        """Publish how many runs of this process have begun their answers."""
-        self._gossiper.view.publish_run_counts(counts)
+    def publish_counts(
+        self,
+        run_counts: Iterable[facts.RunCountFact],
+        rollouts: Iterable[facts.RolloutFact],
+    ) -> None:
+        """Publish what this process has counted since its start.
+
+        Those are the runs that have begun their answers, and the responses
+        during rollouts.
+        """
+        self._gossiper.view.publish_run_counts(run_counts)
+        self._gossiper.view.publish_rollouts(rollouts)
 
     def apply_instances(self, instances: Sequence[ListedInstance]) -> None:
         """Apply the platform's list of instances, read just now."""
--- a/damaskpoint/membership/sizes.py
+++ b/damaskpoint/membership/sizes.py
@@ -126,6 +126,24 @@
     return _sum_fields(fields) + _RARE_LIST_BYTES
 
 
+def measure_rollout(fact: facts.RolloutFact) -> int:
+    """Return the size of the counts of a rollout."""
+    fields = (
+        measure_text(fact.service),
+        measure_number(fact.started_ms),
+        measure_text(fact.key),
+        measure_number(fact.old),
+        measure_number(fact.old_bad),
+        measure_number(fact.new),
+        measure_number(fact.new_bad),
+        measure_number(fact.new_broken),
+        # Two booleans, in the headers of their fields.
+        0,
+        0,
+    )
+    return _sum_fields(fields) + _RARE_LIST_BYTES
+
+
 def measure_heartbeat(fact: facts.HeartbeatFact) -> int:
     """Return the size of a heartbeat."""
     return _BEAT_ID_BYTES + measure_number(fact.heartbeat)
--- a/damaskpoint/membership/view.py
+++ b/damaskpoint/membership/view.py
@@ -32,7 +32,12 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from damaskpoint.membership.facts import DemandFact, PaceFact, PledgeFact
+    from damaskpoint.membership.facts import (
+        DemandFact,
+        PaceFact,
+        PledgeFact,
+        RolloutFact,
+    )
 
 # Transmissions of a new fact among many peers, as a multiple of log2 of their
 # number: the chance that a peer misses the fact is then negligible.
@@ -61,6 +66,8 @@
     changed_peers: tuple[PeerFact, ...]
     # The sender's own; they only grow until its next start.
     run_counts: tuple[RunCountFact, ...]
+    # The sender's own; counts only grow until its next start.
+    rollouts: tuple[RolloutFact, ...]
 
 
 @final
@@ -84,6 +91,7 @@
         self.own_paces: OwnWork[PaceFact] = OwnWork()
         self.own_pledges: OwnWork[PledgeFact] = OwnWork()
         self.own_run_counts: tuple[RunCountFact, ...] = ()
+        self.own_rollouts: OwnWork[RolloutFact] = OwnWork()
 
     # Commands: facts of this process.
 
@@ -171,6 +179,12 @@
         """Publish how many runs of this process have begun their answers."""
         self.own_run_counts = tuple(counts)[: defaults.MAX_RUN_COUNTS]
 
+    def publish_rollouts(self, rollouts: Iterable[RolloutFact]) -> None:
+        """Publish what this process has counted of rollouts."""
+        self.own_rollouts.replace(
+            {f'{fact.service}/{fact.key}': fact for fact in rollouts}
+        )
+
     # Commands: facts of other processes.
 
     def merge(self, message: GossipMessage, now: float) -> MergeResult:
@@ -202,6 +216,7 @@
             message.pledges if is_in_order else (),
             tuple(changed),
             message.run_counts,
+            message.rollouts,
         )
 
     # Queries.
--- a/damaskpoint/platform/names.py
+++ b/damaskpoint/platform/names.py
@@ -78,6 +78,12 @@
 TABLE_RUNNERS: Final = 'servers'
 KEY_CONFIGURATION: Final = 'config'
 KEY_PREFIX_EVACUATED: Final = 'evacuate/'
+# Orders to move a service to a version of its runners, by service.
+KEY_PREFIX_ROLLOUT: Final = 'rollout/'
+# Table in which the system reports to the platform, with the same keys.
+TABLE_STATUS: Final = 'status'
+# The system's own table, with the states of the rollouts by service.
+TABLE_ROLLOUTS: Final = 'rollouts'
 # The system's own table, with the addresses of its instances.
 TABLE_PEERS: Final = 'peers'
 # The system's own table, with the prompt parts whose requests are refused.
--- a/damaskpoint/platform/rows.py
+++ b/damaskpoint/platform/rows.py
@@ -124,6 +124,7 @@
     ColdLeftMs: _Number = 0
     # Start of the runner, in Unix milliseconds.
     born: _Count = 0
+    Version: str = ''
 
 
 def read_configuration(raw: object) -> model.Configuration | Failure:
@@ -168,6 +169,7 @@
         is_draining=parsed.State == 'draining',
         cold_left_s=parsed.ColdLeftMs / _MS_PER_S,
         started_ms=parsed.born,
+        version=parsed.Version,
     )
 
 
--- a/damaskpoint/settings_doc.py
+++ b/damaskpoint/settings_doc.py
@@ -53,7 +53,7 @@
     lines = [f'## {title}\n']
     sections = _read_descriptions(model)
     for name, field in model.model_fields.items():
-        section: Any = field.annotation
+        section = _find_section(field.annotation)
         lines.append(f'### {name}\n')
         lines.append(f'{sections[name]}\n')
         lines.append('| option | type | default | meaning |')
@@ -65,6 +65,11 @@
     return lines
 
 
+def _find_section(annotation: Any) -> Any:
+    """Return the model of a section, which may be optional."""
+    return next(iter(get_args(annotation)), annotation)
+
+
 def _read_descriptions(model: type[BaseModel]) -> dict[str, str]:
     """Return the docstring below each field, by the name of the field.
 
--- a/damaskpoint/wire/gossip_codec.py
+++ b/damaskpoint/wire/gossip_codec.py
@@ -53,6 +53,7 @@
             for fact in message.run_counts
         ]
         or None,
+        rollouts=[_encode_rollout(fact) for fact in message.rollouts] or None,
     )
     return codec.encode(gossip)
 
@@ -147,6 +148,21 @@
     return ttypes.PledgeFact(fact.group, fact.urgent, fact.deferred)
 
 
+def _encode_rollout(fact: facts.RolloutFact) -> ttypes.RolloutFact:
+    return ttypes.RolloutFact(
+        service_name=fact.service,
+        started_ms=fact.started_ms,
+        evidence_key=fact.key,
+        old_count=fact.old,
+        old_bad=fact.old_bad,
+        new_count=fact.new,
+        new_bad=fact.new_bad,
+        new_broken=fact.new_broken,
+        is_switched=fact.is_switched,
+        is_blocked=fact.is_blocked,
+    )
+
+
 def _age_ms(happened_at: float, now: float) -> int:
     # Rounded up, so that no hop makes a fact appear newer than it is.
     return min(
@@ -178,6 +194,7 @@
         run_counts=tuple(
             _decode_run_count(fact) for fact in gossip.run_counts or ()
         ),
+        rollouts=tuple(_decode_rollout(fact) for fact in gossip.rollouts or ()),
     )
 
 
@@ -289,6 +306,24 @@
     )
 
 
+def _decode_rollout(fact: ttypes.RolloutFact) -> facts.RolloutFact:
+    fact.validate()
+    if len(fact.evidence_key) > 2 * defaults.MAX_NAME_CHARACTERS + 1:
+        raise ValueError('key out of range')
+    return facts.RolloutFact(
+        service=_check_name(fact.service_name),
+        started_ms=_check_number(fact.started_ms),
+        key=fact.evidence_key,
+        old=_check_number(fact.old_count),
+        old_bad=_check_number(fact.old_bad),
+        new=_check_number(fact.new_count),
+        new_bad=_check_number(fact.new_bad),
+        new_broken=_check_number(fact.new_broken),
+        is_switched=fact.is_switched,
+        is_blocked=fact.is_blocked,
+    )
+
+
 def _decode_time(age_ms: int, now: float) -> float:
     return now - min(_check_number(age_ms), _MAX_AGE_MS) / _MILLI_PER_UNIT
 
--- a/damaskpoint/wire/peer.thrift
+++ b/damaskpoint/wire/peer.thrift
@@ -112,6 +112,25 @@
   2: required i64 begun
 }
 
+// Of one rollout, identified by its start (store's clock), what the sender has
+// counted: responses of one route and zone by the old and the new version, or
+// in a report (an empty key) its requests at old runners.
+struct RolloutFact {
+  1: required string service_name
+  2: required i64 started_ms
+  3: required string evidence_key
+  // In a report all requests, and those that must not be repeated.
+  4: required i64 old_count
+  5: required i64 old_bad
+  6: required i64 new_count
+  7: required i64 new_bad
+  8: required i64 new_broken
+  // In a report, whether the sender sends all requests to the new version.
+  9: required bool is_switched
+  // In a report, whether the sender knows the new version to be bad.
+  10: required bool is_blocked
+}
+
 struct Gossip {
   1: required PeerFact sender
   2: optional ConfigurationFact configuration
@@ -131,6 +150,7 @@
   // versions reject a message with marks of a kind that they do not know.
   14: optional list<MarkFact> part_marks
   15: optional list<RunCountFact> run_counts
+  16: optional list<RolloutFact> rollouts
 }
 
 // Pieces of one stage of one request, sent to the instance that batches for
