--- a/features/support/gateway_site.py
+++ b/features/support/gateway_site.py
@@ -90,6 +90,8 @@
     ready_port: int = 0
     operator_ports_by_name: dict[str, int] = field(default_factory=dict)
     store_port: int = 0
+    # Sections of the gateways' settings beside those of all sites.
+    settings: dict[str, Any] = field(default_factory=dict)
 
     def start_store(self) -> None:
         """Start the stand-in of the store."""
@@ -182,6 +184,7 @@
                     'cold_overshoot': 1.5,
                     'cold_slack': 5,
                 },
+                **self.settings,
             }
         )
         return create_gateway(options)
