--- a/damaskpoint/batching/grouping.py
+++ b/damaskpoint/batching/grouping.py
@@ -15,6 +15,7 @@
 
     from damaskpoint.catalog.catalog import Catalog
     from damaskpoint.catalog.model import Runner
+    from damaskpoint.rollout.gate import VersionGate
 
     # The usable runners of a service, and the same by the name of their group.
     _Grouping = tuple[tuple[Runner, ...], Mapping[str, Sequence[Runner]]]
@@ -31,34 +32,52 @@
 class RunnerGroups:
     """The groups of the usable runners of all services."""
 
-    def __init__(self, catalog: Catalog) -> None:
-        """Group the runners of this catalog."""
+    def __init__(self, catalog: Catalog, versions: VersionGate) -> None:
+        """Group the runners of this catalog; a group has one version."""
         self._catalog = catalog
+        self._versions = versions
         self._groupings_by_service: dict[str, _Grouping] = {}
 
-    def choose(self, service: str, request_id: str) -> str:
+    def choose(self, service: str, request_id: str, now: float) -> str:
         """Return a group for a request, weighted by the groups' sizes."""
-        runners_by_group = self._list_groups(service)
-        if not runners_by_group:
+        usable = self._catalog.runners.usable(service)
+        selected = self._versions.select_stage(service, usable, now)
+        sizes_by_group = self._count_sizes(service, selected)
+        if not sizes_by_group:
             return f'{service}{_GROUP_SEPARATOR}0'
-        if len(runners_by_group) == 1:
-            return next(iter(runners_by_group))
-        sizes_by_group = {
-            group: float(len(runners))
-            for group, runners in runners_by_group.items()
-        }
+        if len(sizes_by_group) == 1:
+            return next(iter(sizes_by_group))
         return rendezvous.order_weighted(sizes_by_group, request_id)[0]
 
     def find_name(self, runner: Runner) -> str:
         """Return the name of a runner's group."""
-        count = len(self._catalog.runners.usable(runner.service))
+        prefix = self._versions.group_prefix(runner.version)
+        count = sum(
+            not prefix or other.version == runner.version
+            for other in self._catalog.runners.usable(runner.service)
+        )
         groups = max(1, math.ceil(count / _RUNNERS_PER_GROUP))
         number = xxhash.xxh32_intdigest(runner.name.encode()) % groups
-        return f'{runner.service}{_GROUP_SEPARATOR}{number}'
+        return f'{runner.service}{_GROUP_SEPARATOR}{prefix}{number}'
 
-    def find_runners(self, group: str) -> Sequence[Runner]:
+    def find_runners(self, group: str, now: float) -> Sequence[Runner]:
         """Return the usable runners of a group."""
-        return self._list_groups(find_service_name(group)).get(group, ())
+        service = find_service_name(group)
+        found = self._list_groups(service).get(group, ())
+        usable = self._catalog.runners.usable(service)
+        return self._versions.filter_group(found, usable, now)
+
+    def _count_sizes(
+        self, service: str, selected: Sequence[Runner]
+    ) -> dict[str, float]:
+        """Return the number of the selected runners in each group."""
+        names = frozenset(runner.name for runner in selected)
+        sizes_by_group: dict[str, float] = {}
+        for group, runners in self._list_groups(service).items():
+            size = sum(runner.name in names for runner in runners)
+            if size:
+                sizes_by_group[group] = float(size)
+        return sizes_by_group
 
     def _list_groups(self, service: str) -> Mapping[str, Sequence[Runner]]:
         """Return the runners of each group of a service.
--- a/damaskpoint/batching/pool.py
+++ b/damaskpoint/batching/pool.py
@@ -20,6 +20,7 @@
 from damaskpoint.batching.grouping import RunnerGroups
 from damaskpoint.batching.holdings import HoldingTable
 from damaskpoint.batching.model import OrderAnswer, PieceOutcome, PieceReason
+from damaskpoint.batching.paces import PaceTable
 from damaskpoint.batching.placement import (
     LocalBatching,
     OrderPlacer,
@@ -36,11 +37,11 @@
     from damaskpoint.balancing.health import RunnerHealth
     from damaskpoint.batching.base import Peers, PieceCaller
     from damaskpoint.batching.model import CallHolding, Piece
-    from damaskpoint.batching.paces import PaceTable
     from damaskpoint.batching.peer_orders import PieceOrderClient
     from damaskpoint.catalog.catalog import Catalog
     from damaskpoint.catalog.model import Runner
     from damaskpoint.membership.facts import Address
+    from damaskpoint.rollout.gate import VersionGate
 
 _LOG: Final = logging.getLogger(__name__)
 
@@ -54,16 +55,17 @@
         own_name: str,
         catalog: Catalog,
         peers: Peers,
-        paces: PaceTable,
         health: RunnerHealth,
         caller: PieceCaller,
         client: PieceOrderClient,
+        versions: VersionGate,
     ) -> None:
         """Start without groups."""
+        self._versions = versions
         self._own_name = own_name
         self._catalog = catalog
         self.peers = peers
-        self.paces = paces
+        self.paces = PaceTable()
         self._health = health
         self._caller = caller
         self._client = client
@@ -73,7 +75,7 @@
             own_name, peers, self._batchers, client, self
         )
         self._groups_by_name: dict[str, RunnerGroup] = {}
-        self.groups = RunnerGroups(catalog)
+        self.groups = RunnerGroups(catalog, versions)
         self._release_tasks: set[asyncio.Task[None]] = set()
 
     # Commands.
@@ -82,6 +84,7 @@
         self, group: str, pieces: Sequence[Piece]
     ) -> tuple[PieceOutcome, ...]:
         """Run pieces of one stage of one request and return the outcomes."""
+        self._record_order(group, len(pieces))
         return await self._placer.place(group, pieces)
 
     async def run_for_peer(
@@ -180,11 +183,11 @@
 
     def choose_group(self, service: str, request_id: str) -> str:
         """Return a group for a request, weighted by the groups' sizes."""
-        return self.groups.choose(service, request_id)
+        return self.groups.choose(service, request_id, time.monotonic())
 
     def find_runners(self, group: str) -> Sequence[Runner]:
         """Return the usable runners of a group."""
-        return self.groups.find_runners(group)
+        return self.groups.find_runners(group, time.monotonic())
 
     def find_zone(self, runner_name: str) -> str:
         """Return the zone of a runner, or an empty string."""
@@ -234,6 +237,18 @@
 
     # Steps.
 
+    def _record_order(self, group: str, pieces: int) -> None:
+        """Count pieces for the share of a version under test."""
+        runners = self.find_runners(group)
+        if not runners:
+            return
+        service = self._catalog.find_service(runners[0].service)
+        if service is not None and service.batches is not None:
+            calls = pieces / service.batches.max_pieces
+            self._versions.record_stage_pieces(
+                runners[0], calls, time.monotonic()
+            )
+
     def _find_or_create_group(self, name: str) -> RunnerGroup | None:
         group = self._groups_by_name.get(name)
         if group is not None:
--- a/damaskpoint/gateway/peers.py
+++ b/damaskpoint/gateway/peers.py
@@ -25,6 +25,7 @@
     from damaskpoint.forwarding.context import ForwardingContext
     from damaskpoint.membership.service import Membership
     from damaskpoint.platform.store_instances import StoreInstances
+    from damaskpoint.rollout.coordinator import RolloutCoordinator
 
 _LOG: Final = logging.getLogger(__name__)
 # Intervals between reads of the table of peers (seconds): short at first, as
@@ -102,9 +103,13 @@
     """Exchanges paces, pledges, loads and marks with peers by gossip."""
 
     def __init__(
-        self, membership: Membership, context: ForwardingContext
+        self,
+        membership: Membership,
+        context: ForwardingContext,
+        rollouts: RolloutCoordinator | None,
     ) -> None:
         """Connect the gossip of a membership with this context."""
+        self._rollouts = rollouts
         self._membership = membership
         self._context = context
         # When the platform's list was first known.
@@ -121,7 +126,10 @@
         self._membership.publish_shares(context.loads.own_by_runner)
         self._membership.publish_paces(context.pool.own_paces(now))
         self._membership.publish_pledges(pledges.list_own())
-        self._membership.publish_run_counts(context.prompts.list_run_counts())
+        self._membership.publish_counts(
+            context.prompts.list_run_counts(),
+            self._rollouts.list_facts(now) if self._rollouts else (),
+        )
         self._share_capacities(now)
         self._advance(now)
         context.budgets.update(self._count_instances(), now)
@@ -180,6 +188,16 @@
             if runner is not None:
                 context.capacities.apply_fact(runner, fact)
 
+    def on_rollouts(
+        self,
+        peer: facts.PeerFact,
+        rollouts: tuple[facts.RolloutFact, ...],
+        now: float,
+    ) -> None:
+        """Record what a peer has counted of rollouts."""
+        if self._rollouts is not None:
+            self._rollouts.apply_facts(peer, rollouts)
+
     def _end_start(self, now: float) -> None:
         """Announce that this instance batches, once it knows its peers."""
         introduction = self._describe_start(now)
@@ -253,7 +271,8 @@
         self._context.planner.pledges.expire(now, max_age_s)
         self._context.prompts.expire(now)
         self._context.capacities.expire(
-            self._context.catalog.runners.names(), now
+            (runner.name for runner in self._context.catalog.runners.known()),
+            now,
         )
 
 
--- a/damaskpoint/gateway/wiring.py
+++ b/damaskpoint/gateway/wiring.py
@@ -11,7 +11,6 @@
 from damaskpoint.balancing.health import RunnerHealth
 from damaskpoint.balancing.loads import RunnerLoads
 from damaskpoint.balancing.signals import RunnerSignals
-from damaskpoint.batching.paces import PaceTable
 from damaskpoint.batching.peer_orders import (
     PieceOrderClient,
     create_order_server,
@@ -42,11 +41,15 @@
     GatewayPeers,
     create_listed_instance,
 )
+from damaskpoint.gateway.rollout_wiring import (
+    create_gateway_rollouts,
+    create_piece_caller,
+    create_version_gate,
+)
 from damaskpoint.gateway.runtime import GatewayComponents, GatewayRuntime
 from damaskpoint.membership.service import create_membership
 from damaskpoint.observe.state import StateRegistry
 from damaskpoint.platform import names
-from damaskpoint.platform.piece_caller import HttpPieceCaller
 from damaskpoint.platform.store import create_store
 from damaskpoint.platform.store_instances import StoreInstances
 from damaskpoint.quarantine.guard import PromptGuard
@@ -91,11 +94,17 @@
         )
     )
     forwarding = _create_forwarding(options, membership, shutdown, registry)
-    membership.add_listener(GatewayListener(membership, forwarding))
+    rollouts = create_gateway_rollouts(options, store, forwarding, membership)
+    membership.add_listener(
+        GatewayListener(
+            membership, forwarding, rollouts.coordinator if rollouts else None
+        )
+    )
+    if rollouts is not None:
+        registry.register('rollouts', rollouts.coordinator)
     registry.register('shutdown', shutdown)
     registry.register('membership', membership)
     intake, answers = _create_intake(options, registry)
-    instance = options.instance
     quarantine_sink = QuarantineSink(forwarding.prompts)
     return GatewayRuntime(
         GatewayComponents(
@@ -107,16 +116,20 @@
             answers=answers,
             followers=_create_followers(
                 store,
+                OperatorSink(
+                    forwarding.catalog, rollouts.orders if rollouts else None
+                ),
                 forwarding.catalog,
                 quarantine_sink,
                 registry,
                 partial(_count_known, membership),
             ),
+            rollouts=rollouts,
             quarantine_writer=QuarantineWriter(
                 store,
                 quarantine_sink,
                 forwarding.prompts,
-                instance.name,
+                options.instance.name,
                 forwarding.peers,
             ),
             membership=membership,
@@ -180,22 +193,20 @@
     registry: StateRegistry,
 ) -> ForwardingContext:
     bounds = options.bounds
-    own_name = options.instance.name
     catalog = Catalog()
     health = RunnerHealth()
     loads = RunnerLoads()
     capacities = RunnerCapacities(loads)
     signals = RunnerSignals(catalog.runners, health, capacities)
+    versions = create_version_gate(options, catalog)
     pool = StagePool(
-        own_name,
+        options.instance.name,
         catalog,
-        GatewayPeers(own_name, membership),
-        PaceTable(),
+        GatewayPeers(options.instance.name, membership),
         health,
-        HttpPieceCaller(
-            options.runners.connect_s, options.runners.silence_s, signals
-        ),
+        create_piece_caller(options, signals, versions, catalog),
         PieceOrderClient(options.instance.host),
+        versions,
     )
     prompts = PromptGuard(membership.publish_mark)
     registry.register('catalog', catalog)
@@ -205,7 +216,7 @@
     registry.register('prompts', prompts)
     return ForwardingContext(
         options=ForwardingOptions(
-            own_name=own_name,
+            own_name=options.instance.name,
             zone=options.instance.zone,
             connect_s=options.runners.connect_s,
             ack_timeout_s=options.runners.silence_s,
@@ -216,7 +227,8 @@
         capacities=capacities,
         signals=signals,
         cold=ColdLimiter(
-            own_name, ColdBound(bounds.cold_overshoot, bounds.cold_slack)
+            options.instance.name,
+            ColdBound(bounds.cold_overshoot, bounds.cold_slack),
         ),
         budgets=ServiceBudgets(
             bounds.retry_ratio,
@@ -232,11 +244,13 @@
         pool=pool,
         peers=pool.peers,
         prompts=prompts,
+        versions=versions,
     )
 
 
 def _create_followers(
     store: PlatformStore,
+    operator_sink: OperatorSink,
     catalog: Catalog,
     quarantine_sink: QuarantineSink,
     registry: StateRegistry,
@@ -245,7 +259,7 @@
     operator = TableFollower(
         store,
         names.TABLE_OPERATOR,
-        OperatorSink(catalog),
+        operator_sink,
         count_instances=count_instances,
     )
     followers = (
--- a/damaskpoint/membership/facts.py
+++ b/damaskpoint/membership/facts.py
@@ -213,6 +213,36 @@
     samples: int = 0
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class RolloutFact:
+    """What the sender has counted of one rollout since its start.
+
+    Responses of one route and zone by the old and the new version; in a report,
+    which has no key, its requests at old runners and those of them that must
+    not be repeated.
+    """
+
+    service: str
+    # Start of the rollout by the store's clock; identifies it.
+    started_ms: int
+    key: str = ''
+    old: int = 0
+    old_bad: int = 0
+    new: int = 0
+    new_bad: int = 0
+    new_broken: int = 0
+    # In a report, whether the sender sends all requests to the new version.
+    is_switched: bool = False
+    # In a report, whether the sender knows the new version to be bad.
+    is_blocked: bool = False
+
+    @property
+    def is_report(self) -> bool:
+        """Return whether this is the report of the sender's requests."""
+        return not self.key
+
+
 @final
 @dataclass(frozen=True, slots=True)
 class HeartbeatFact:
@@ -239,6 +269,7 @@
     pledges: tuple[PledgeFact, ...] = ()
     run_counts: tuple[RunCountFact, ...] = ()
     capacities: tuple[CapacityFact, ...] = ()
+    rollouts: tuple[RolloutFact, ...] = ()
 
 
 @final
--- a/damaskpoint/membership/gossip.py
+++ b/damaskpoint/membership/gossip.py
@@ -83,6 +83,15 @@
     ) -> None:
         """Handle reports of runners that a peer knows; none by default."""
 
+    @abc.abstractmethod
+    def on_rollouts(
+        self,
+        peer: facts.PeerFact,
+        rollouts: tuple[facts.RolloutFact, ...],
+        now: float,
+    ) -> None:
+        """Handle what a peer has counted of rollouts."""
+
 
 @final
 class GossipLoop:
@@ -183,6 +192,8 @@
             # Counts first: they say how many runs preceded a mark.
             if merged.run_counts:
                 listener.on_run_counts(merged.sender, merged.run_counts, now)
+            if merged.rollouts:
+                listener.on_rollouts(merged.sender, merged.rollouts, now)
             for mark in merged.marks:
                 listener.on_mark(mark, now)
             for load in merged.loads:
--- a/damaskpoint/membership/view.py
+++ b/damaskpoint/membership/view.py
@@ -33,7 +33,12 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-    from damaskpoint.membership.facts import DemandFact, PaceFact, PledgeFact
+    from damaskpoint.membership.facts import (
+        DemandFact,
+        PaceFact,
+        PledgeFact,
+        RolloutFact,
+    )
 
 # Transmissions of a new fact among many peers, as a multiple of log2 of their
 # number: the chance that a peer misses the fact is then negligible.
@@ -64,6 +69,8 @@
     run_counts: tuple[RunCountFact, ...]
     # New or not.
     capacities: tuple[CapacityFact, ...]
+    # The sender's own; counts only grow until its next start.
+    rollouts: tuple[RolloutFact, ...]
 
 
 @final
@@ -88,6 +95,7 @@
         self.own_pledges: OwnWork[PledgeFact] = OwnWork()
         self.own_run_counts: tuple[RunCountFact, ...] = ()
         self.own_capacities: tuple[CapacityFact, ...] = ()
+        self.own_rollouts: OwnWork[RolloutFact] = OwnWork()
 
     # Commands: facts of this process.
 
@@ -179,6 +187,12 @@
         """Publish or relay reports of runners, the most important first."""
         self.own_capacities = tuple(capacities)[: defaults.MAX_CAPACITIES]
 
+    def publish_rollouts(self, rollouts: Iterable[RolloutFact]) -> None:
+        """Publish what this process has counted of rollouts."""
+        self.own_rollouts.replace(
+            {f'{fact.service}/{fact.key}': fact for fact in rollouts}
+        )
+
     # Commands: facts of other processes.
 
     def merge(self, message: GossipMessage, now: float) -> MergeResult:
@@ -211,6 +225,7 @@
             tuple(changed),
             message.run_counts,
             message.capacities,
+            message.rollouts,
         )
 
     # Queries.
--- a/damaskpoint/settings_doc.py
+++ b/damaskpoint/settings_doc.py
@@ -49,6 +49,11 @@
     return '\n'.join(lines)
 
 
+def _find_section(annotation: Any) -> Any:
+    """Return the model of a section, which may be optional."""
+    return next(iter(get_args(annotation)), annotation)
+
+
 def read_descriptions(model: type[BaseModel]) -> dict[str, str]:
     """Return the docstring below each field, by the name of the field.
 
--- a/damaskpoint/wire/gossip_codec.py
+++ b/damaskpoint/wire/gossip_codec.py
@@ -55,6 +55,7 @@
         or None,
         capacities=[_encode_capacity(fact, now) for fact in message.capacities]
         or None,
+        rollouts=[_encode_rollout(fact) for fact in message.rollouts] or None,
     )
     return codec.encode(gossip)
 
@@ -164,6 +165,21 @@
     )
 
 
+def _encode_rollout(fact: facts.RolloutFact) -> ttypes.RolloutFact:
+    return ttypes.RolloutFact(
+        service_name=fact.service,
+        started_ms=fact.started_ms,
+        evidence_key=fact.key,
+        old_count=fact.old,
+        old_bad=fact.old_bad,
+        new_count=fact.new,
+        new_bad=fact.new_bad,
+        new_broken=fact.new_broken,
+        is_switched=fact.is_switched,
+        is_blocked=fact.is_blocked,
+    )
+
+
 def _age_ms(happened_at: float, now: float) -> int:
     # Rounded up, so that no hop makes a fact appear newer than it is.
     return min(
@@ -172,15 +188,11 @@
 
 
 def _decode_message(gossip: ttypes.Gossip, now: float) -> facts.GossipMessage:
-    beat_ids = gossip.beat_ids or ()
-    heartbeats = gossip.beats or ()
-    if len(beat_ids) != len(heartbeats):
-        raise ValueError('beats and beat ids differ in number')
     return facts.GossipMessage(
         sender=_decode_peer(gossip.sender),
         configuration=_decode_configuration(gossip.configuration, now),
         peers=tuple(_decode_peer(peer) for peer in gossip.peers or ()),
-        beats=_decode_beats(beat_ids, heartbeats),
+        beats=_decode_beats(gossip.beat_ids or (), gossip.beats or ()),
         marks=tuple(
             _decode_mark(mark, now)
             for mark in (*(gossip.marks or ()), *(gossip.part_marks or ()))
@@ -198,6 +210,7 @@
         capacities=tuple(
             _decode_capacity(fact, now) for fact in gossip.capacities or ()
         ),
+        rollouts=tuple(_decode_rollout(fact) for fact in gossip.rollouts or ()),
     )
 
 
@@ -324,6 +337,24 @@
     )
 
 
+def _decode_rollout(fact: ttypes.RolloutFact) -> facts.RolloutFact:
+    fact.validate()
+    if len(fact.evidence_key) > 2 * defaults.MAX_NAME_CHARACTERS + 1:
+        raise ValueError('key out of range')
+    return facts.RolloutFact(
+        service=_check_name(fact.service_name),
+        started_ms=_check_number(fact.started_ms),
+        key=fact.evidence_key,
+        old=_check_number(fact.old_count),
+        old_bad=_check_number(fact.old_bad),
+        new=_check_number(fact.new_count),
+        new_bad=_check_number(fact.new_bad),
+        new_broken=_check_number(fact.new_broken),
+        is_switched=fact.is_switched,
+        is_blocked=fact.is_blocked,
+    )
+
+
 def _decode_time(age_ms: int, now: float) -> float:
     return now - min(_check_number(age_ms), _MAX_AGE_MS) / _MILLI_PER_UNIT
 
--- a/features/support/batching_fleet.py
+++ b/features/support/batching_fleet.py
@@ -22,7 +22,6 @@
     PieceOutcome,
     RunnerLoad,
 )
-from damaskpoint.batching.paces import PaceTable
 from damaskpoint.batching.pool import StagePool
 from damaskpoint.catalog.catalog import Catalog
 from damaskpoint.catalog.model import (
@@ -34,6 +33,7 @@
 )
 from damaskpoint.errors import Code, Failure
 from damaskpoint.membership.facts import Address, Phase
+from damaskpoint.rollout.gate import VersionGate
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -192,10 +192,10 @@
             name,
             catalog,
             _SimulatedPeers(self, name),
-            PaceTable(),
             RunnerHealth(),
             _SimulatedCaller(self, name),
             _SimulatedClient(self, name),  # type: ignore[arg-type]
+            VersionGate(name, None, catalog.runners.is_cold),
         )
         instance = SimulatedInstance(name, pool, catalog)
         self.by_name[name] = instance
