--- a/damaskpoint/settings_doc.py
+++ b/damaskpoint/settings_doc.py
@@ -49,7 +49,7 @@
     return '\n'.join(lines)
 
 
-def _find_section(annotation: Any) -> Any:
+def find_section(annotation: Any) -> Any:
     """Return the model of a section, which may be optional."""
     return next(iter(get_args(annotation)), annotation)
 
@@ -79,7 +79,7 @@
     lines = [f'## {title}\n']
     sections = read_descriptions(model)
     for name, field in model.model_fields.items():
-        section: Any = field.annotation
+        section = find_section(field.annotation)
         lines.append(f'### {name}\n')
         lines.append(f'{sections[name]}\n')
         lines.append('| option | type | default | meaning |')
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -14,7 +14,11 @@
 from damaskpoint.errors import Code, Failure
 from damaskpoint.gateway.options import GatewayOptions
 from damaskpoint.settings import Options, load_options
-from damaskpoint.settings_doc import read_descriptions, write_page
+from damaskpoint.settings_doc import (
+    find_section,
+    read_descriptions,
+    write_page,
+)
 
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
 _SAMPLE = _ROOT / 'samples' / 'entry.json5'
@@ -53,7 +57,7 @@
     for model in (Options, GatewayOptions):
         sections = read_descriptions(model)
         for name, section_field in model.model_fields.items():
-            section: Any = section_field.annotation
+            section = find_section(section_field.annotation)
             assert section
             assert sections[name], name
             described = read_descriptions(section)
