Share what can be in time between client accounts

Cause: of equally urgent requests those that were queued first were served, so that an account with a burst took the places of all others at a group.

Change: where not all can be in time, requests of the account with the most pieces (in time, or taken before) give way to those of an account with fewer, as long as it keeps as many as the other one gets: max-min fairness, in which a share that is not used is lent. More urgent requests and those with results do not give way. Orders carry the account (PieceOrder.account). The batching instance sees all orders of its group, so nothing is agreed upon.

admission/fair_queue.py is not used: it serves by virtual time alone, keeps its heap clean only in its own pop, and knows no due times. Its rule for accounts that were idle is kept (batching/account_service.py).

--- a/damaskpoint/batching/model.py
+++ b/damaskpoint/batching/model.py
@@ -53,6 +53,8 @@
     has_cost: bool
     # Whether its request yields to those that can meet their objective.
     is_deferred: bool
+    # Client account of the request; empty without one.
+    account: str = ''
 
 
 @final
--- a/damaskpoint/batching/peer_orders.py
+++ b/damaskpoint/batching/peer_orders.py
@@ -255,6 +255,7 @@
         lead_ms=round(first.lead_s * _MS),
         has_cost=first.has_cost,
         is_deferred=first.is_deferred,
+        account=first.account or None,
     )
 
 
@@ -279,6 +280,7 @@
                 ends_at=now + order.ends_ms / _MS,
                 needed_at=now + order.needed_ms / _MS,
                 result_bytes=order.result_bytes,
+                account=order.account or '',
             )
         )
     if not pieces:
--- a/damaskpoint/batching/queue.py
+++ b/damaskpoint/batching/queue.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final, final
 
+from damaskpoint.batching.account_service import AccountService
 from damaskpoint.batching.urgency import (
     GroupRate,
     WaitingPieces,
@@ -102,6 +103,7 @@
         self._last_number = 0
         # Requests of which pieces have been taken while others wait.
         self._begun: frozenset[_RequestStage] = frozenset()
+        self._service = AccountService()
 
     # Commands.
 
@@ -112,17 +114,19 @@
         virtual_deadline = piece.needed_at - piece.lead_s + lag_s
         ticket = Ticket(virtual_deadline, self._last_number, piece, now)
         bisect.insort(self._tickets, ticket)
+        self._service.add(piece.account)
         return ticket
 
     def put_back(self, tickets: Iterable[Ticket]) -> None:
         """Requeue pieces that were not run, at their old positions."""
         for ticket in tickets:
             bisect.insort(self._tickets, ticket)
+            self._service.put_back(ticket.piece.account)
 
     def take_all(self) -> tuple[Ticket, ...]:
         """Remove and return all pieces."""
         tickets = tuple(self._tickets)
-        self._tickets = []
+        self._remove(tickets, [])
         return tickets
 
     def cancel(self, ticket: Ticket) -> None:
@@ -130,6 +134,7 @@
         position = bisect.bisect_left(self._tickets, ticket)
         if position < len(self._tickets) and self._tickets[position] == ticket:
             self._tickets.pop(position)
+            self._service.remove(ticket.piece.account)
 
     def take_late(self, pace: float, now: float) -> tuple[Ticket, ...]:
         """Remove and return the pieces that are no longer worth running.
@@ -149,7 +154,7 @@
                 late.append(ticket)
             else:
                 remaining.append(ticket)
-        self._tickets = remaining
+        self._remove(late, remaining)
         return tuple(late)
 
     def take_batch(self, runner: IdleRunner, now: float) -> tuple[Ticket, ...]:
@@ -181,6 +186,8 @@
         self._tickets = sorted(remaining)
         begun = self._begun.union(map(_identify, taken))
         self._begun = begun.intersection(map(_identify, remaining))
+        for ticket in taken:
+            self._service.take(ticket.piece.account)
         return tuple(taken)
 
     # Queries.
@@ -195,6 +202,13 @@
 
     # Steps.
 
+    def _remove(
+        self, removed: Iterable[Ticket], remaining: list[Ticket]
+    ) -> None:
+        self._tickets = remaining
+        for ticket in removed:
+            self._service.remove(ticket.piece.account)
+
     def _list_by_urgency(self, runner: IdleRunner, now: float) -> list[Ticket]:
         """Return the tickets in the order in which they should run.
 
@@ -233,14 +247,18 @@
                 priority=tickets[0].piece.priority,
                 has_cost=self._has_cost(tickets[0]),
                 left_s=tickets[0].piece.needed_at - now,
+                account=tickets[0].piece.account,
             )
             for tickets in tickets_by_request.values()
         ]
         rate = GroupRate(self.limits, runner.group_slots, runner.group_pace)
         requests = tuple(tickets_by_request)
-        return frozenset(
-            requests[index] for index in find_yielding(waiting, rate)
-        )
+        taken_by_account = {
+            request.account: self._service.count_taken(request.account)
+            for request in waiting
+        }
+        yielding = find_yielding(waiting, rate, taken_by_account)
+        return frozenset(requests[index] for index in yielding)
 
     def _has_cost(self, ticket: Ticket) -> bool:
         """Return whether work for the request of a piece was begun."""
--- a/damaskpoint/batching/stages.py
+++ b/damaskpoint/batching/stages.py
@@ -32,6 +32,8 @@
     metadata: RequestMetadata
     plan: Plan
     priority: int
+    # Client account of the request; empty without one.
+    account: str
     # When the stages must end at the latest, and when they should end for the
     # request to meet its objective (monotonic seconds).
     ends_at: float
@@ -204,6 +206,7 @@
                 zone=zone,
                 moved_bytes=moved_bytes,
                 priority=work.priority,
+                account=work.account,
                 ends_at=work.ends_at - remaining_s,
                 needed_at=work.due_at - remaining_s,
                 lead_s=work.lead_s,
--- a/damaskpoint/forwarding/request.py
+++ b/damaskpoint/forwarding/request.py
@@ -33,6 +33,11 @@
         """Return the id that the caller gave this request."""
         return self.metadata.request_id
 
+    @property
+    def account_name(self) -> str:
+        """Return the name of the client account, empty without one."""
+        return '' if self.account is None else self.account.name
+
     @property
     def ends_at(self) -> float:
         """Return the earlier of the caller's deadline and the route's limit."""
--- a/damaskpoint/forwarding/session.py
+++ b/damaskpoint/forwarding/session.py
@@ -275,6 +275,7 @@
             metadata=request.metadata,
             plan=plan,
             priority=request.route.priority,
+            account=request.account_name,
             ends_at=min(starts_by, due_at + overtime_s) - first_s,
             due_at=due_at - first_s,
             lead_s=self._lead_s,
--- a/damaskpoint/wire/peer.thrift
+++ b/damaskpoint/wire/peer.thrift
@@ -176,6 +176,8 @@
   // Calls at the runners of the group that the receiver may not know of: the
   // sender's own, and those of instances that handed pieces back to it.
   16: optional list<CallHolding> held
+  // The client account of the request; absent without one.
+  17: optional string account
 }
 
 // For each index of the order, a handle, or an empty string and a reason.
--- a/features/piece_queue.feature
+++ b/features/piece_queue.feature
@@ -124,6 +124,27 @@
       | requests with results come first         | 1    | 0      | 0.30 | 1         | 0.4  | 1     | x    | b         |
       | urgent ones do not give way              | 1    | 0      | 0.30 | 1         | 0.4  | 1     |      | a         |
 
+  # Guards against one client account that takes the places of all others.
+  Scenario Outline: Accounts share what can be in time: <case>
+    Given a queue for batches of 1 pieces
+    And these requests wait
+      | name | priority | needed | pieces | cost     | account |
+      | a    | <a prio> | 0.88   | <a>    | <a cost> | x       |
+      | b    | 1        | 0.89   | <b>    |          | y       |
+      | c    | 1        | 0.89   | <c>    |          | z       |
+    When a runner takes one batch after the other
+    Then the requests <complete> are complete in time
+
+    # Four pieces can be in time.
+    Examples:
+      | case                             | a prio | a           | a cost | b       | c | complete |
+      | a burst of one account           | 1      | 1,1,1,1,1,1 |        | 1       | - | a a a b  |
+      | two bursts                       | 1      | 1,1,1,1,1,1 |        | 1,1,1,1 | - | a a b b  |
+      | three accounts                   | 1      | 1,1,1,1,1,1 |        | 1,1,1   | 1 | a a b c  |
+      | a share that is not used is lent | 1      | 1,1,1,1,1,1 |        | -       | - | a a a a  |
+      | more urgent ones do not share    | 0      | 1,1,1,1,1,1 |        | 1       | - | a a a a  |
+      | results that are made are kept   | 1      | 1,1,1,1,1,1 | x      | 1       | - | a a a a  |
+
   Scenario: A request of which pieces were made is not dropped
     Given a queue for batches of 2 pieces
     And these requests wait
--- a/features/steps/piece_queue_steps.py
+++ b/features/steps/piece_queue_steps.py
@@ -99,7 +99,8 @@
     """Add the pieces of each request at time 0, a number for each request."""
     context.sizes = {}
     for row in context.table:
-        for number, size in enumerate(row['pieces'].split(',')):
+        sizes = row['pieces'].replace(_NONE, '').split(',')
+        for number, size in enumerate(filter(None, sizes)):
             name = f'{row["name"]}{number}'
             context.sizes[name] = int(size)
             for index in range(int(size)):
@@ -151,6 +152,7 @@
         result_bytes=1,
         has_cost=bool(row['cost']),
         is_deferred=False,
+        account=row['account'] if 'account' in row.headings else '',
     )
 
 
