Count the work of an account against itself, and spread retries

Cause: the admission took the pledged pieces of all accounts as ahead of each new request, so an account that sends much, or returns at once and often, got the requests of all others refused. The Retry-After of a refusal was the same for all callers of a burst, who returned together.

Change: of the pieces ahead the share counts that a fair queue would serve before: of each other account at most as many as the request's own account needs (batching/account_demand.py). Instances gossip the pieces that their accounts need as DemandFact, which gateways did not send. Without accounts nothing changes. Retry-After differs by request between 0.75 and 1.25 times the usual one (forwarding/retry_after.py).

--- a/damaskpoint/batching/planner.py
+++ b/damaskpoint/batching/planner.py
@@ -7,7 +7,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import math
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, final
 
 from damaskpoint.balancing import rendezvous
@@ -54,6 +55,7 @@
     start_s: float
     is_deferred: bool
     priority: int
+    account: str
 
 
 @final
@@ -81,10 +83,12 @@
         now: float,
         *,
         is_deferred: bool,
+        account: str = '',
     ) -> Plan:
         """Return a plan; ``stages_s`` is infinite if a group has no runner."""
         end_s_by_stage: dict[int, float] = {}
         groups_by_stage: dict[int, str] = {}
+        demands_by_group: list[tuple[str, _StageDemand]] = []
         for stage in route.stages:
             start_s = max(
                 (end_s_by_stage.get(index, 0) for index in stage.after),
@@ -97,8 +101,9 @@
             groups_by_stage[stage.index] = group
             pieces = metadata.count_pieces(stage.index)
             demand = _StageDemand(
-                stage, pieces, start_s, is_deferred, route.priority
+                stage, pieces, start_s, is_deferred, route.priority, account
             )
+            demands_by_group.append((group, demand))
             end_s_by_stage[stage.index] = self._estimate_end_s(
                 demand, group, now
             )
@@ -107,8 +112,8 @@
             max(end_s_by_stage.values(), default=float(0)),
             groups_by_stage,
             any(
-                self._is_contended(group, route.priority)
-                for group in groups_by_stage.values()
+                self._is_contended(group, demand)
+                for group, demand in demands_by_group
             ),
             is_deferred,
         )
@@ -126,17 +131,29 @@
                 remaining_s_by_stage[index] = max(longest_s, total_s)
         return remaining_s_by_stage
 
-    def _is_contended(self, group: str, priority: int) -> bool:
+    def _is_contended(self, group: str, demand: _StageDemand) -> bool:
         runners = self._pool.find_runners(group)
         limits = self._find_limits(runners[0].service) if runners else None
         if limits is None:
             return False
         call_slots = len(runners) * limits.max_concurrent_calls
-        pieces_ahead = self.pledges.count_ahead(
-            group, is_deferred=False, priority=priority
+        pieces_ahead = self._count_ahead(
+            group, replace(demand, is_deferred=False)
         )
         return pieces_ahead > call_slots * limits.max_pieces
 
+    def _count_ahead(self, group: str, demand: _StageDemand) -> int:
+        """Return the pieces that run before a request's, rounded up."""
+        pieces_ahead = self.pledges.count_ahead(
+            group, is_deferred=demand.is_deferred, priority=demand.priority
+        )
+        if demand.is_deferred:
+            return pieces_ahead
+        share = self.pledges.demand.find_share_ahead(
+            demand.account, demand.pieces
+        )
+        return math.ceil(pieces_ahead * share)
+
     def _min_stage_s(self, stage: Stage, metadata: RequestMetadata) -> float:
         """Return the duration of a stage on idle runners (seconds)."""
         pieces = metadata.count_pieces(stage.index)
@@ -157,11 +174,7 @@
         load = GroupLoad(
             limits,
             runners=len(ready),
-            pieces_ahead=self.pledges.count_ahead(
-                group,
-                is_deferred=demand.is_deferred,
-                priority=demand.priority,
-            ),
+            pieces_ahead=self._count_ahead(group, demand),
             pace=self._pool.find_pace(group, now),
         )
         return estimate_end_s(load, demand.pieces, demand.start_s)
--- a/damaskpoint/batching/pledges.py
+++ b/damaskpoint/batching/pledges.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final, final
 
+from damaskpoint.batching.account_demand import AccountDemand
 from damaskpoint.membership.facts import PledgeFact
 
 if TYPE_CHECKING:
@@ -49,6 +50,7 @@
 
     def __init__(self) -> None:
         """Start without pledges."""
+        self.demand = AccountDemand()
         self._own_by_group: dict[str, _OwnPledge] = {}
         # By group, then by peer.
         self._peer_pledges: dict[str, dict[str, _PeerPledge]] = {}
@@ -56,9 +58,16 @@
     # Commands.
 
     def add(
-        self, group: str, pieces: int, *, is_deferred: bool, priority: int = 0
+        self,
+        group: str,
+        pieces: int,
+        *,
+        is_deferred: bool,
+        priority: int = 0,
+        account: str = '',
     ) -> None:
         """Pledge pieces, or withdraw a pledge with a negative number."""
+        self.demand.add(account, pieces)
         own = self._own_by_group.setdefault(group, _OwnPledge())
         if is_deferred:
             own.deferred += pieces
@@ -80,6 +89,7 @@
         An own pledge without pieces is listed for as long, so that peers hear
         that none are left.
         """
+        self.demand.expire(now, max_age_s)
         self._expire_own(now - max_age_s, now)
         for group, by_peer in tuple(self._peer_pledges.items()):
             for peer, peer_pledge in tuple(by_peer.items()):
--- a/damaskpoint/batching/stages.py
+++ b/damaskpoint/batching/stages.py
@@ -181,6 +181,7 @@
             pieces,
             is_deferred=self._work.plan.is_deferred,
             priority=self._work.priority,
+            account=self._work.account,
         )
 
     def _collect_handles(self, stages: Iterable[int]) -> tuple[str, ...]:
--- a/damaskpoint/forwarding/session.py
+++ b/damaskpoint/forwarding/session.py
@@ -10,7 +10,7 @@
 
 from damaskpoint.batching.stages import StageRun, StageWork
 from damaskpoint.errors import Code, Failure, Ran
-from damaskpoint.forwarding import metrics
+from damaskpoint.forwarding import metrics, retry_after
 from damaskpoint.forwarding.attempts import Attempts
 from damaskpoint.forwarding.relay import Relay
 from damaskpoint.platform import requests
@@ -25,11 +25,6 @@
 _MS: Final = 1000
 # Default ``Retry-After`` (seconds).
 _RETRY_AFTER_S: Final = 0.2
-# Shortest ``Retry-After`` when the stages are busy (seconds), as a burst of
-# requests lasts at least that long, and its upper bound as a share of the
-# time left.
-_MIN_BUSY_RETRY_AFTER_S: Final = 1.0
-_MAX_RETRY_AFTER_SHARE: Final = 0.33
 # Share of the objective that a plan must leave unused if other work is ahead:
 # estimates are only right on average, so half of the requests would be late
 # without this margin.
@@ -207,9 +202,8 @@
         return Failure(
             Code.DEADLINE_TOO_SHORT,
             'the stages are busy',
-            retry_after_s=min(
-                (request.ends_at - now) * _MAX_RETRY_AFTER_SHARE,
-                max(_MIN_BUSY_RETRY_AFTER_S, 2 * late_s),
+            retry_after_s=retry_after.compute_busy_s(
+                request.request_id, late_s, request.ends_at - now
             ),
         )
 
@@ -220,6 +214,7 @@
             self._request.metadata,
             now,
             is_deferred=is_deferred,
+            account=self._request.account_name,
         )
 
     def _estimate_lateness_s(self, plan: Plan, now: float) -> float:
--- a/damaskpoint/gateway/peers.py
+++ b/damaskpoint/gateway/peers.py
@@ -121,7 +121,7 @@
         self._membership.publish_paces(context.pool.own_paces(now))
         self._membership.publish_pledges(pledges.list_own())
         self._membership.publish_run_counts(context.prompts.list_run_counts())
-        context.loads.set_peer_counts(self._membership.view.work.sum_shares())
+        self._apply_work()
         self._advance(now)
         context.budgets.update(self._count_instances(), now)
 
@@ -169,6 +169,14 @@
         for count in counts:
             self._context.prompts.record_peer_runs(peer, count, now)
 
+    def _apply_work(self) -> None:
+        """Publish the demand of accounts, and apply the work of peers."""
+        work = self._membership.view.work
+        self._context.loads.set_peer_counts(work.sum_shares())
+        demand = self._context.planner.pledges.demand
+        demand.set_peers(work.sum_outstanding())
+        self._membership.publish_demands(demand.list_own())
+
     def _end_start(self, now: float) -> None:
         """Announce that this instance batches, once it knows its peers."""
         introduction = self._describe_start(now)
--- a/damaskpoint/membership/facts.py
+++ b/damaskpoint/membership/facts.py
@@ -157,7 +157,7 @@
 
     account: str
     offered_per_s: float
-    # Requests running or waiting.
+    # Requests running or waiting; at a gateway pieces that they still need.
     in_flight: int
 
 
--- a/damaskpoint/membership/reports.py
+++ b/damaskpoint/membership/reports.py
@@ -168,6 +168,15 @@
                 demands_by_peer[peer] = received[0]
         return demands_by_peer
 
+    def sum_outstanding(self) -> dict[str, int]:
+        """Return the sum of what runs or waits at peers, by account."""
+        sums: dict[str, int] = {}
+        for work in self._work_by_peer.values():
+            for account, (demand, _) in work.demands_by_account.items():
+                if demand.in_flight:
+                    sums[account] = sums.get(account, 0) + demand.in_flight
+        return sums
+
     def outstanding_by_peer(self) -> dict[str, int]:
         """Return the requests that run or wait, by reporting peer."""
         outstanding_by_peer: dict[str, int] = {}
--- a/features/piece_queue.feature
+++ b/features/piece_queue.feature
@@ -193,6 +193,35 @@
       | 0        | 0.20     | not contended |
       | 1        | 3.61     | contended     |
 
+  # Guards against an account with many requests that gets those of all others
+  # refused. Accounts x, y and z need 100, 10 and 10 pieces, half of them at a
+  # peer.
+  Scenario Outline: A burst of one account is ahead of its own requests: <account>
+    Given the accounts need pieces
+      | account | here | peer |
+      | x       | 50   | 50   |
+      | y       | 10   | 0    |
+      | z       | 0    | 10   |
+    Then <percent> percent of the pieces are ahead of 2 new ones of account "<account>"
+
+    Examples:
+      | account | percent |
+      | x       | 100     |
+      | y       | 26.7    |
+      | new     | 5       |
+      |         | 100     |
+
+  Scenario: An account without pieces is reported until peers have heard it
+    Given the accounts need pieces
+      | account | here | peer |
+      | y       | 10   | 0    |
+    When the account "y" needs 10 pieces less
+    Then it reports 0 pieces of "y" for 1 s, and then nothing
+
+  # Guards against callers that are refused in a burst and return together.
+  Scenario: Refused callers are told to return at different times
+    Then the Retry-After of 100 requests that are 0.2 s late are spread over 0.4 s and more, 1 s on average
+
   Scenario Outline: The pace of a group follows from its runners: <case>
     Given a group whose runners have the paces <paces>
     Then the group has the pace <pace>
--- a/features/steps/piece_queue_steps.py
+++ b/features/steps/piece_queue_steps.py
@@ -10,6 +10,7 @@
 from behave import given, then, when
 
 from damaskpoint.balancing.health import RunnerHealth
+from damaskpoint.batching.account_demand import AccountDemand
 from damaskpoint.batching.base import PieceCaller
 from damaskpoint.batching.capacity import RunnerCapacity
 from damaskpoint.batching.estimate import GroupLoad, estimate_end_s
@@ -27,7 +28,9 @@
 )
 from damaskpoint.errors import Code, Failure
 from damaskpoint.forwarding.metadata import RequestMetadata
+from damaskpoint.forwarding.retry_after import compute_busy_s
 from damaskpoint.membership.facts import (
+    DemandFact,
     GossipMessage,
     PeerFact,
     Phase,
@@ -397,6 +400,65 @@
     assert plan.is_contended == (contended == 'contended'), plan
 
 
+@given('the accounts need pieces')
+def need_pieces(context: Any) -> None:
+    """Count the pieces here, and apply the reports of a peer."""
+    context.demand = AccountDemand()
+    context.demand.set_peers(
+        {row['account']: int(row['peer']) for row in context.table}
+    )
+    for row in context.table:
+        context.demand.add(row['account'], int(row['here']))
+
+
+@then(
+    '{percent:g} percent of the pieces are ahead of {pieces:d} new ones of'
+    ' account "{account}"'
+)
+@then(
+    '{percent:g} percent of the pieces are ahead of {pieces:d} new ones of'
+    ' account ""'
+)
+def check_share_ahead(
+    context: Any, percent: float, pieces: int, account: str = ''
+) -> None:
+    """Compare the share."""
+    found = 100 * context.demand.find_share_ahead(account, pieces)
+    assert round(found, 1) == percent, found
+
+
+@when('the account "{account}" needs {pieces:d} pieces less')
+def withdraw_pieces(context: Any, account: str, pieces: int) -> None:
+    """Withdraw the pieces."""
+    context.demand.add(account, -pieces)
+
+
+@then('it reports 0 pieces of "{account}" for {keep_s:g} s, and then nothing')
+def check_reports(context: Any, account: str, keep_s: float) -> None:
+    """Expire at three times."""
+    for now in (0, keep_s):
+        context.demand.expire(now, keep_s)
+        assert context.demand.list_own() == [DemandFact(account, 0, 0)]
+    context.demand.expire(keep_s + 0.1, keep_s)
+    assert not context.demand.list_own()
+
+
+@then(
+    'the Retry-After of {count:d} requests that are {late_s:g} s late are spread'
+    ' over {spread_s:g} s and more, {mean_s:g} s on average'
+)
+def check_retry_after(
+    context: Any, count: int, late_s: float, spread_s: float, mean_s: float
+) -> None:
+    """Compare the range and the mean."""
+    delays = [
+        compute_busy_s(f'request-{number}', late_s, 9)
+        for number in range(count)
+    ]
+    assert max(delays) - min(delays) >= spread_s, (min(delays), max(delays))
+    assert round(sum(delays) / count, 1) == mean_s, sum(delays) / count
+
+
 @given('a group whose runners have the paces {paces}')
 def create_group(context: Any, paces: str) -> None:
     """Create a group whose runners have these measured paces."""
