Keep a slow batching instance that is heard of when its orders time out

Cause: an order that timed out made its sender avoid the batching instance for a second and more, also when the instance was only slow, so that another one batched beside it under load.

Change: a timeout counts as a loss only if nothing was heard of the instance since the order was sent; the log line says whether it is avoided. A frozen one is avoided from the first timeout on.

--- a/damaskpoint/batching/peer_orders.py
+++ b/damaskpoint/batching/peer_orders.py
@@ -58,8 +58,9 @@
 
     Each call has its own connection, which closes if the call is cancelled,
     so that the peer can drop the pieces at once; tornado's client would keep
-    it open. Failures: ``PEER_UNREACHABLE``, ``MESSAGE_MALFORMED``, and
-    ``PEER_UNKNOWN`` if the peer has not heard of this instance yet.
+    it open. Failures: ``PEER_UNREACHABLE``, ``UPSTREAM_TIMEOUT``,
+    ``MESSAGE_MALFORMED``, and ``PEER_UNKNOWN`` if the peer has not heard of
+    this instance yet.
     """
 
     def __init__(self, own_host: str) -> None:
@@ -127,7 +128,7 @@
                 head = await exchange.read_head()
                 answer = await exchange.read_body()
         except TimeoutError:
-            return Failure(Code.PEER_UNREACHABLE, f'{address.host}: timed out')
+            return Failure(Code.UPSTREAM_TIMEOUT, f'{address.host}: timed out')
         except BrokenAnswerError as error:
             return Failure(Code.PEER_UNREACHABLE, f'{address.host}: {error}')
         finally:
--- a/damaskpoint/batching/placement.py
+++ b/damaskpoint/batching/placement.py
@@ -109,12 +109,13 @@
         address = self._peers.find_address(batcher, time.monotonic())
         if address is None:
             return hand_back(pieces)
+        sent_at = time.monotonic()
         answer = await self._order(batcher, address, group, pieces)
         if not isinstance(answer, Failure):
             self._local.record_held(group, answer.held)
             return answer.outcomes
-        # A peer that does not know this instance yet serves others.
-        if answer.code is not Code.PEER_UNKNOWN:
+        is_lost = self._is_lost(batcher, answer, sent_at)
+        if is_lost:
             self._batchers.record_lost(batcher, time.monotonic())
         _LOG.info(
             'batching instance lost, ordering from the next one',
@@ -122,11 +123,24 @@
                 'request': pieces[0].request_id,
                 'group': group,
                 'instance': batcher,
+                'is_avoided': is_lost,
                 'reason': answer.detail,
             },
         )
         return hand_back(pieces)
 
+    def _is_lost(self, batcher: str, failure: Failure, sent_at: float) -> bool:
+        """Return whether further orders should go to another instance.
+
+        A peer that does not know this instance yet serves others. One that
+        answers late, but was heard of since, is slow, and a second batching
+        instance would not make it faster.
+        """
+        if failure.code is Code.UPSTREAM_TIMEOUT:
+            seen_at = self._peers.find_last_seen(batcher)
+            return seen_at is None or seen_at < sent_at
+        return failure.code is not Code.PEER_UNKNOWN
+
     async def _order(
         self,
         batcher: str,
--- a/features/batching.feature
+++ b/features/batching.feature
@@ -36,6 +36,19 @@
     Then all pieces of the others are made
     And 1 other instance has called runners
 
+  # Guards against orders that all wait for an instance that is frozen, and
+  # against a second batching instance beside one that is only slow.
+  Scenario Outline: An order times out at an instance that is <state>
+    Given 6 instances that batch for 5 runners
+    When the batching instance of the group stage#0 answers no order and is <state>
+    And another instance orders 2 pieces for 0.3 s, and then 2 more for 3 s
+    Then the later pieces are <outcome>
+
+    Examples:
+      | state  | outcome                     |
+      | silent | made by the next instance   |
+      | heard  | ordered there again         |
+
   # Guards against a refused call that is repeated while the call ahead of it
   # takes 0.2 s and more.
   Scenario: A full runner is not called again before its call can have ended
--- a/features/steps/batching_steps.py
+++ b/features/steps/batching_steps.py
@@ -94,6 +94,45 @@
     return await asyncio.gather(*orders)
 
 
+@when(
+    'the batching instance of the group {group} answers no order and is {state}'
+)
+def freeze(context: Any, group: str, state: str) -> None:
+    """Let it answer nothing; its heartbeats may still arrive."""
+    fleet = context.fleet
+    context.subject = fleet.find_batcher(group)
+    instance = fleet.by_name[context.subject]
+    instance.is_frozen = True
+    instance.is_heard = state == 'heard'
+
+
+@when(
+    'another instance orders {count:d} pieces for {first_s:g} s, and then'
+    ' {more:d} more for {then_s:g} s'
+)
+def order_twice(
+    context: Any, count: int, first_s: float, more: int, then_s: float
+) -> None:
+    """Order from an instance that is not the batching one."""
+    fleet = context.fleet
+    name = next(name for name in fleet.by_name if name != context.subject)
+    _run(context, fleet.order(name, _GROUP, count, first_s))
+    orders_before = fleet.by_name[context.subject].orders
+    context.outcomes = _run(context, fleet.order(name, _GROUP, more, then_s))
+    instance = fleet.by_name[context.subject]
+    context.is_ordered_again = instance.orders > orders_before
+
+
+@then('the later pieces are {outcome}')
+def check_later(context: Any, outcome: str) -> None:
+    """Compare where the later order went, and that it was made."""
+    assert context.is_ordered_again == (outcome == 'ordered there again')
+    if context.is_ordered_again:
+        return
+    check_made(context)
+    assert len(set(context.fleet.callers)) == 1, context.fleet.callers
+
+
 @when('others occupy the runner with {count:d} calls')
 def occupy(context: Any, count: int) -> None:
     """Start calls of instances that are not in the fleet."""
--- a/features/support/batching_fleet.py
+++ b/features/support/batching_fleet.py
@@ -106,6 +106,10 @@
     killed: asyncio.Event = field(default_factory=asyncio.Event)
     # Whether its process answers nothing, though its connections stay open.
     is_frozen: bool = False
+    # Whether its heartbeats arrive.
+    is_heard: bool = False
+    # Orders of peers.
+    orders: int = 0
 
 
 class BatchingFleet:
@@ -242,7 +246,7 @@
         )
 
     def find_last_seen(self, name: str) -> float | None:
-        return 0
+        return time.monotonic() if self._fleet.by_name[name].is_heard else 0
 
     def find_address(self, name: str, now: float) -> Address | None:
         return Address(name, 1) if name in self._fleet.by_name else None
@@ -284,8 +288,12 @@
         held: Sequence[CallHolding],
     ) -> OrderAnswer | Failure:
         target = self._fleet.by_name[address.host]
+        target.orders += 1
         if target.killed.is_set():
             return Failure(Code.PEER_UNREACHABLE, 'refused')
+        if target.is_frozen:
+            await asyncio.sleep(pieces[0].ends_at - time.monotonic())
+            return Failure(Code.UPSTREAM_TIMEOUT, 'timed out')
         work = asyncio.ensure_future(
             target.pool.run_for_peer(group, pieces, held)
         )
