Hash the candidates of a group only when they change

Cause: each request and each round of gossip asks several times who batches for a group, and each time all candidates were hashed. An order that went to a second instance was logged as a change of the batching instance, there and back.

Change: the batching instances are kept as long as the candidates are the same; only the first place of an order counts as a change.

--- a/damaskpoint/batching/batchers.py
+++ b/damaskpoint/batching/batchers.py
@@ -30,6 +30,10 @@
         self._peers = peers
         self._lost = LostInstances(peers.find_last_seen)
         self._used_by_group: dict[str, str] = {}
+        # The batching instances by group while the candidates stay the same.
+        # Each request asks for several groups, and hashing all is slow.
+        self._candidates: frozenset[str] = frozenset()
+        self._first_by_group: dict[str, str] = {}
 
     # Commands.
 
@@ -47,6 +51,7 @@
     def forget(self, group: str) -> None:
         """Drop what is known of a group."""
         self._used_by_group.pop(group, None)
+        self._first_by_group.pop(group, None)
 
     # Queries.
 
@@ -59,7 +64,18 @@
         """
         candidates = list_candidates(self._peers.find_view(now))
         remaining = candidates - self._lost.select(now) - declined
-        return find_first(remaining, group) if remaining else None
+        if not remaining:
+            return None
+        if declined:
+            return find_first(remaining, group)
+        if remaining != self._candidates:
+            self._candidates = remaining
+            self._first_by_group.clear()
+        first = self._first_by_group.get(group)
+        if first is None:
+            first = find_first(remaining, group)
+            self._first_by_group[group] = first
+        return first
 
     def is_replaced(self, now: float) -> bool:
         """Return whether this instance leaves, and another one batches."""
--- a/damaskpoint/batching/placement.py
+++ b/damaskpoint/batching/placement.py
@@ -84,6 +84,8 @@
             batcher = self._batchers.find(group, time.monotonic(), declined)
             if batcher is None:
                 break
+            if not declined:
+                self._log_change(group, batcher)
             waiting = list_handed_back(outcomes)
             ran = await self._run_at(
                 batcher, group, [pieces[index] for index in waiting]
@@ -103,7 +105,6 @@
         self, batcher: str, group: str, pieces: Sequence[Piece]
     ) -> Outcomes:
         """Run pieces at an instance; they are handed back if it is lost."""
-        self._log_change(group, batcher)
         if batcher == self._own_name:
             return await self._local.run_locally(group, pieces)
         address = self._peers.find_address(batcher, time.monotonic())
