--- a/damaskpoint/batching/peer_orders.py
+++ b/damaskpoint/batching/peer_orders.py
@@ -50,7 +50,8 @@
     """Orders pieces from peers.
 
     The connection of a call closes if the call is cancelled, so that the peer
-    can drop the pieces at once; tornado's client would keep it open. Failures: ``PEER_UNREACHABLE``, ``MESSAGE_MALFORMED``, and
+    can drop the pieces at once; tornado's client would keep it open. Failures:
+    ``PEER_UNREACHABLE``, ``UPSTREAM_TIMEOUT``, ``MESSAGE_MALFORMED``, and
     ``PEER_UNKNOWN`` if the peer has not heard of this instance yet.
     """
 
@@ -112,7 +113,7 @@
             async with asyncio.timeout(timeout_s):
                 answered = await self._connections.call(address, request)
         except TimeoutError:
-            return Failure(Code.PEER_UNREACHABLE, f'{address.host}: timed out')
+            return Failure(Code.UPSTREAM_TIMEOUT, f'{address.host}: timed out')
         except BrokenAnswerError as error:
             return Failure(Code.PEER_UNREACHABLE, f'{address.host}: {error}')
         if isinstance(answered, Failure):
@@ -243,6 +244,7 @@
         lead_ms=round(first.lead_s * _MS),
         has_cost=first.has_cost,
         is_deferred=first.is_deferred,
+        account=first.account or None,
     )
 
 
@@ -267,6 +269,7 @@
                 ends_at=now + order.ends_ms / _MS,
                 needed_at=now + order.needed_ms / _MS,
                 result_bytes=order.result_bytes,
+                account=order.account or '',
             )
         )
     if not pieces:
--- a/damaskpoint/gateway/peers.py
+++ b/damaskpoint/gateway/peers.py
@@ -130,6 +130,7 @@
             context.prompts.list_run_counts(),
             self._rollouts.list_facts(now) if self._rollouts else (),
         )
+        self._apply_work()
         self._share_capacities(now)
         self._advance(now)
         context.budgets.update(self._count_instances(), now)
@@ -198,6 +199,14 @@
         if self._rollouts is not None:
             self._rollouts.apply_facts(peer, rollouts)
 
+    def _apply_work(self) -> None:
+        """Publish the demand of accounts, and apply the work of peers."""
+        work = self._membership.view.work
+        self._context.loads.set_peer_counts(work.sum_shares())
+        demand = self._context.planner.pledges.demand
+        demand.set_peers(work.sum_outstanding())
+        self._membership.publish_demands(demand.list_own())
+
     def _end_start(self, now: float) -> None:
         """Announce that this instance batches, once it knows its peers."""
         introduction = self._describe_start(now)
@@ -245,7 +254,6 @@
     def _share_capacities(self, now: float) -> None:
         """Exchange the load of runners, and log the limits learned."""
         context = self._context
-        context.loads.set_peer_counts(self._membership.view.work.sum_shares())
         self._membership.publish_capacities(
             context.capacities.take_news(now, defaults.MAX_CAPACITIES)
         )
--- a/features/piece_queue.feature
+++ b/features/piece_queue.feature
@@ -124,6 +124,27 @@
       | requests with results come first         | 1    | 0      | 0.30 | 1         | 0.4  | 1     | x    | b         |
       | urgent ones do not give way              | 1    | 0      | 0.30 | 1         | 0.4  | 1     |      | a         |
 
+  # Guards against one client account that takes the places of all others.
+  Scenario Outline: Accounts share what can be in time: <case>
+    Given a queue for batches of 1 pieces
+    And these requests wait
+      | name | priority | needed | pieces | cost     | account |
+      | a    | <a prio> | 0.88   | <a>    | <a cost> | x       |
+      | b    | 1        | 0.89   | <b>    |          | y       |
+      | c    | 1        | 0.89   | <c>    |          | z       |
+    When a runner takes one batch after the other
+    Then the requests <complete> are complete in time
+
+    # Four pieces can be in time.
+    Examples:
+      | case                             | a prio | a           | a cost | b       | c | complete |
+      | a burst of one account           | 1      | 1,1,1,1,1,1 |        | 1       | - | a a a b  |
+      | two bursts                       | 1      | 1,1,1,1,1,1 |        | 1,1,1,1 | - | a a b b  |
+      | three accounts                   | 1      | 1,1,1,1,1,1 |        | 1,1,1   | 1 | a a b c  |
+      | a share that is not used is lent | 1      | 1,1,1,1,1,1 |        | -       | - | a a a a  |
+      | more urgent ones do not share    | 0      | 1,1,1,1,1,1 |        | 1       | - | a a a a  |
+      | results that are made are kept   | 1      | 1,1,1,1,1,1 | x      | 1       | - | a a a a  |
+
   Scenario: A request of which pieces were made is not dropped
     Given a queue for batches of 2 pieces
     And these requests wait
@@ -172,6 +193,35 @@
       | 0        | 0.20     | not contended |
       | 1        | 3.61     | contended     |
 
+  # Guards against an account with many requests that gets those of all others
+  # refused. Accounts x, y and z need 100, 10 and 10 pieces, half of them at a
+  # peer.
+  Scenario Outline: A burst of one account is ahead of its own requests: <account>
+    Given the accounts need pieces
+      | account | here | peer |
+      | x       | 50   | 50   |
+      | y       | 10   | 0    |
+      | z       | 0    | 10   |
+    Then <percent> percent of the pieces are ahead of 2 new ones of account "<account>"
+
+    Examples:
+      | account | percent |
+      | x       | 100     |
+      | y       | 26.7    |
+      | new     | 5       |
+      |         | 100     |
+
+  Scenario: An account without pieces is reported until peers have heard it
+    Given the accounts need pieces
+      | account | here | peer |
+      | y       | 10   | 0    |
+    When the account "y" needs 10 pieces less
+    Then it reports 0 pieces of "y" for 1 s, and then nothing
+
+  # Guards against callers that are refused in a burst and return together.
+  Scenario: Refused callers are told to return at different times
+    Then the Retry-After of 100 requests that are 0.2 s late are spread over 0.4 s and more, 1 s on average
+
   Scenario Outline: The pace of a group follows from its runners: <case>
     Given a group whose runners have the paces <paces>
     Then the group has the pace <pace>
