--- a/damaskpoint/balancing/capacities.py
+++ b/damaskpoint/balancing/capacities.py
@@ -39,6 +39,8 @@
 _MAX_LOAD_MEMORY_S: Final = 3.0
 # Time for which the answer whether runners differ is cached (seconds).
 _DIFFERENCE_CACHE_S: Final = 0.25
+# Measured paces in one datagram: fewer than reports, as they do not age.
+_MAX_MEASURED: Final = 2
 # A change of a learned limit by this factor is logged.
 _LOGGED_FACTOR: Final = 1.5
 # Interval at which limits are compared with the logged ones (seconds).
@@ -173,7 +175,8 @@
         What was measured is returned once.
         """
         news = self._reports.list_news(now, limit)
-        for measured in self._latencies.take_unsent(limit - len(news)):
+        free = min(limit - len(news), _MAX_MEASURED)
+        for measured in self._latencies.take_unsent(free):
             news.append(
                 CapacityFact(
                     measured.runner, 0, 0, measured.pace, now, measured.samples
