Count the stage results that a prompt would leave in its zone

A prompt that moved to another zone left the results of its stages behind, for which pieces wait up to 0.4 s for a runner of their zone. Moving now costs as much.

--- a/damaskpoint/balancing/capacity_choice.py
+++ b/damaskpoint/balancing/capacity_choice.py
@@ -33,6 +33,10 @@
 _MOVE_EXPONENT: Final = 4
 # One-way and return network path to a runner of another zone (seconds).
 ZONE_PATH_S: Final = 0.003
+# What it costs to move stage results to another zone (seconds per byte), and
+# at most (seconds): as much as pieces wait for a runner of their zone.
+_INPUT_S_PER_BYTE: Final = 1e-6
+_MAX_INPUT_S: Final = 0.4
 # Speed at which a runner reads a prompt that it does not have (tokens per
 # second). It is half that of slow runners, as the requests that already run
 # there are delayed as well.
@@ -77,6 +81,8 @@
     # Tokens that the runner of the prompt probably has in its cache.
     shared_tokens: int
     request_id: str
+    # Size of the stage results in the home zone that the request takes.
+    input_bytes: int = 0
 
 
 def order_by_cost(
@@ -169,7 +175,10 @@
 def _price_s(place: PromptPlace, runner: Runner) -> float:
     """Return what it takes to move a prompt to a runner (seconds)."""
     read_s = place.shared_tokens / _READ_TOKENS_PER_S
-    return read_s if runner.zone == place.zone else read_s + ZONE_PATH_S
+    if runner.zone == place.zone:
+        return read_s
+    moved_s = min(_MAX_INPUT_S, place.input_bytes * _INPUT_S_PER_BYTE)
+    return read_s + moved_s + ZONE_PATH_S
 
 
 def _is_worth_staying(
--- a/damaskpoint/forwarding/attempts.py
+++ b/damaskpoint/forwarding/attempts.py
@@ -92,8 +92,13 @@
         answer starts: a stream that can continue at another runner then fails
         with ``RESULT_LOST`` and continues in another run with new results.
         """
+        metadata = self._request.metadata
+        input_bytes = sum(
+            stage.result_bytes * metadata.count_pieces(stage.index)
+            for stage in self._route.last_stages
+        )
         self._chooser = RunnerChooser(
-            self._context, self._service, self._request.metadata, zone
+            self._context, self._service, metadata, zone, input_bytes
         )
         had_started = self._relay.is_started
         last_failure = Failure(Code.NO_UPSTREAM, self._service)
--- a/damaskpoint/forwarding/choosing.py
+++ b/damaskpoint/forwarding/choosing.py
@@ -35,12 +35,17 @@
         service: str,
         metadata: RequestMetadata,
         zone: str | None,
+        input_bytes: int = 0,
     ) -> None:
-        """Prefer runners of ``zone``, if it is given."""
+        """Prefer runners of ``zone``, if it is given.
+
+        ``input_bytes`` is the size of the request's stage results there.
+        """
         self._context = context
         self._service = service
         self._metadata = metadata
         self._zone = zone
+        self._input_bytes = input_bytes
 
     def choose(self, excluded: Container[str], now: float) -> Runner | None:
         """Return a runner that can take the request now, or None.
@@ -99,8 +104,7 @@
         if context.capacities.is_informed(self._service, now):
             costed = context.capacities.cost_runners(usable, avoided, now)
             if self._metadata.prompt:
-                place = _find_place(self._metadata, self._zone)
-                return order_by_place(costed, place)
+                return order_by_place(costed, self._find_place())
             return order_by_cost(costed, context.options.zone, key)
         candidates = Candidates(
             usable,
@@ -111,11 +115,12 @@
             return order_by_prompt(candidates, self._zone, key)
         return order_by_load(candidates, context.options.zone, key)
 
-
-def _find_place(metadata: RequestMetadata, zone: str | None) -> PromptPlace:
-    return PromptPlace(
-        zone=zone,
-        key=metadata.affinity_key,
-        shared_tokens=sum(part.tokens for part in metadata.prompt[:-1]),
-        request_id=metadata.request_id,
-    )
+    def _find_place(self) -> PromptPlace:
+        prompt = self._metadata.prompt
+        return PromptPlace(
+            zone=self._zone,
+            key=self._metadata.affinity_key,
+            shared_tokens=sum(part.tokens for part in prompt[:-1]),
+            request_id=self._metadata.request_id,
+            input_bytes=self._input_bytes,
+        )
--- a/features/learned_capacity.feature
+++ b/features/learned_capacity.feature
@@ -29,6 +29,20 @@
     And at most 0.12 of the requests between 16 and 34 s leave their zone
     And at most 0.02 of the requests take longer than 2 s
 
+  # Guards against prompts that leave large results of their stages behind, and
+  # against those that wait where moving them is cheap.
+  Scenario Outline: A prompt at a home runner that is <cost> s slower: <case>
+    Given a home runner in z1 that costs <cost> s more than one in z2
+    Then <share> of 200 prompts with <tokens> shared tokens and <bytes> bytes of results stay
+
+    Examples:
+      | case                      | cost  | tokens | bytes  | share       |
+      | reading it again is worse | 0.05  | 6300   | 0      | 1 to 1      |
+      | a part moves first        | 0.2   | 6300   | 0      | 0.2 to 0.8  |
+      | all move                  | 0.4   | 6300   | 0      | 0 to 0      |
+      | its results are large     | 0.3   | 6300   | 900000 | 0.9 to 1    |
+      | it has no shared part     | 0.05  | 0      | 0      | 0 to 0      |
+
   # Guards against 86 instances that all send to the one runner that an
   # outdated figure shows as idle, or that is idle as it fails each request.
   Scenario: Load pattern: all instances see one idle runner among four
--- a/features/steps/capacity_steps.py
+++ b/features/steps/capacity_steps.py
@@ -15,11 +15,17 @@
 from tornado import simple_httpclient
 from tornado.httputil import HTTPHeaders
 
+from damaskpoint.balancing.capacity_choice import (
+    CostedRunners,
+    PromptPlace,
+    order_by_place,
+)
 from damaskpoint.balancing.runner_choice import (
     Candidates,
     order_by_load,
     order_by_prompt,
 )
+from damaskpoint.catalog.model import Runner
 from damaskpoint.forwarding.choosing import RunnerChooser
 from damaskpoint.forwarding.metadata import (
     LoadReport,
@@ -159,6 +165,37 @@
     return chosen
 
 
+@given('a home runner in z1 that costs {cost:g} s more than one in z2')
+def cost_home(context: Any, cost: float) -> None:
+    """Create two runners with these costs and little load."""
+    runners = [
+        Runner(f'r-{zone}', SERVICE, 'h', 1, zone, 6, False, 0)
+        for zone in _ZONES[:2]
+    ]
+    context.costed = CostedRunners(
+        runners,
+        {'r-z1': 0.1 + cost, 'r-z2': 0.1},
+        {'r-z1': 0.3, 'r-z2': 0.3},
+        0.1 + cost / 2,
+        frozenset(),
+    )
+
+
+@then(
+    '{least:g} to {most:g} of {count:d} prompts with {tokens:d} shared tokens'
+    ' and {size:d} bytes of results stay'
+)
+def check_staying(
+    context: Any, least: float, most: float, count: int, tokens: int, size: int
+) -> None:
+    """Compare the share of requests whose prompt stays at home."""
+    staying = 0
+    for number in range(count):
+        place = PromptPlace('z1', 'key', tokens, f'q{number}', size)
+        staying += order_by_place(context.costed, place)[0].zone == 'z1'
+    assert least <= staying / count <= most, staying
+
+
 @given('four runners of which one is idle and three are half full')
 def report_idle(context: Any) -> None:
     """Let the first runner report no load."""
