--- a/damaskpoint/balancing/capacity_choice.py
+++ b/damaskpoint/balancing/capacity_choice.py
@@ -38,9 +38,9 @@
 _INPUT_S_PER_BYTE: Final = 1e-6
 _MAX_INPUT_S: Final = 0.4
 # Speed at which a runner reads a prompt that it does not have (tokens per
-# second). It is half that of slow runners, as the requests that already run
-# there are delayed as well.
-_READ_TOKENS_PER_S: Final = 30_000
+# second). It is that of slow runners, as the requests that already run there
+# are delayed as well.
+_READ_TOKENS_PER_S: Final = 50_000
 # A prompt moves once the gain exceeds its price times a factor between these
 # bounds, drawn by request: a part of the requests moves first.
 _MIN_PRICE_FACTOR: Final = 0.5
--- a/features/learned_capacity.feature
+++ b/features/learned_capacity.feature
@@ -38,9 +38,9 @@
     Examples:
       | case                      | cost  | tokens | bytes  | share       |
       | reading it again is worse | 0.05  | 6300   | 0      | 1 to 1      |
-      | a part moves first        | 0.2   | 6300   | 0      | 0.2 to 0.8  |
-      | all move                  | 0.4   | 6300   | 0      | 0 to 0      |
-      | its results are large     | 0.3   | 6300   | 900000 | 0.9 to 1    |
+      | a part moves first        | 0.12  | 6300   | 0      | 0.2 to 0.8  |
+      | all move                  | 0.25  | 6300   | 0      | 0 to 0      |
+      | its results are large     | 0.25  | 6300   | 900000 | 0.9 to 1    |
       | it has no shared part     | 0.05  | 0      | 0      | 0 to 0      |
 
   # Guards against 86 instances that all send to the one runner that an
