--- a/damaskpoint/forwarding/choosing.py
+++ b/damaskpoint/forwarding/choosing.py
@@ -14,7 +14,6 @@
     order_by_load,
     order_by_prompt,
 )
-
 from damaskpoint.forwarding import metrics
 
 if TYPE_CHECKING:
