--- a/damaskpoint/gateway/peers.py
+++ b/damaskpoint/gateway/peers.py
@@ -122,10 +122,8 @@
             self._membership.publish_mark(
                 facts.MarkKind.LEAVING, name, started_ms
             )
-        pledges = context.planner.pledges
         self._membership.publish_shares(context.loads.own_by_runner)
         self._membership.publish_paces(context.pool.own_paces(now))
-        self._membership.publish_pledges(pledges.list_own())
         self._membership.publish_counts(
             context.prompts.list_run_counts(),
             self._rollouts.list_facts(now) if self._rollouts else (),
@@ -200,12 +198,13 @@
             self._rollouts.apply_facts(peer, rollouts)
 
     def _apply_work(self) -> None:
-        """Publish the demand of accounts, and apply the work of peers."""
+        """Publish pledges and the demand of accounts; apply peers' work."""
         work = self._membership.view.work
         self._context.loads.set_peer_counts(work.sum_shares())
-        demand = self._context.planner.pledges.demand
-        demand.set_peers(work.sum_outstanding())
-        self._membership.publish_demands(demand.list_own())
+        pledges = self._context.planner.pledges
+        pledges.demand.set_peers(work.sum_outstanding())
+        self._membership.publish_pledges(pledges.list_own())
+        self._membership.publish_demands(pledges.demand.list_own())
 
     def _end_start(self, now: float) -> None:
         """Announce that this instance batches, once it knows its peers."""
