Add tests of an entry process under crowds of callers

The same crowds as for the gateway, against damaskpoint-entry with settings for 128 MB, 600 descriptors (two new options of "border", not enforced yet) and bodies up to 1,500,000 bytes. The crowd takes its path as an argument; what it sends to a gateway is unchanged.

--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -11,6 +11,9 @@
 # HTTP interfaces.
 MAX_PORT: Final = 65_535
 MAX_BODY_BYTES: Final = 1_048_576
+# Memory of a machine (MB) and descriptors of a process.
+MEMORY_MB: Final = 1_024
+MAX_FDS: Final = 8_192
 # Idle timeout of a caller's connection, and timeout for receiving a body
 # (seconds).
 CALLER_IDLE_TIMEOUT_S: Final = 75.0
--- a/damaskpoint/gateway/options.py
+++ b/damaskpoint/gateway/options.py
@@ -27,8 +27,6 @@
 _RETRY_WINDOW_S: Final = 10.0
 _SILENCE_TIMEOUT_S: Final = 2.0
 _STORE_TIMEOUT_S: Final = 1.0
-_MEMORY_MB: Final = 1_024
-_MAX_FDS: Final = 8_192
 
 
 @final
@@ -118,9 +116,9 @@
 class LimitsSection(Section):
     """Resources of the machine that callers may use."""
 
-    memory_mb: int = pydantic.Field(_MEMORY_MB, gt=0)
+    memory_mb: int = pydantic.Field(defaults.MEMORY_MB, gt=0)
     """Memory of the machine that the process may use (MB)."""
-    max_fds: int = pydantic.Field(_MAX_FDS, gt=0)
+    max_fds: int = pydantic.Field(defaults.MAX_FDS, gt=0)
     """File descriptors that the process may open."""
 
 
--- a/damaskpoint/settings.py
+++ b/damaskpoint/settings.py
@@ -124,12 +124,16 @@
 
 @final
 class BorderOptions(Section):
-    """Size limits of requests and answers."""
+    """Size limits of requests and answers, and resources for callers."""
 
     max_body_bytes: int = pydantic.Field(defaults.MAX_BODY_BYTES, gt=0)
     """Maximum size of a request body (bytes)."""
     max_answer_bytes: int = pydantic.Field(defaults.MAX_ANSWER_BYTES, gt=0)
     """Maximum size of an upstream's answer (bytes)."""
+    memory_mb: int = pydantic.Field(defaults.MEMORY_MB, gt=0)
+    """Memory of the machine that the entry may use (MB)."""
+    max_fds: int = pydantic.Field(defaults.MAX_FDS, gt=0)
+    """File descriptors that the entry may open."""
 
 
 @final
--- a/features/steps/entry_border_steps.py
+++ b/features/steps/entry_border_steps.py
@@ -14,7 +14,7 @@
 from tornado import simple_httpclient
 
 from damaskpoint import defaults
-from features.support.cluster import Cluster
+from features.support.cluster import Cluster, Sections
 from features.support.launcher import fetch
 from features.support.sheets import (
     ACCOUNT,
@@ -76,7 +76,7 @@
     """Start it, and wait until a pipeline is served."""
     context.runner = asyncio.Runner()
     context.add_cleanup(context.runner.close)
-    context.runner.run(_start(context))
+    context.runner.run(start_entry_site(context))
 
 
 @when('these requests are sent to the entry')
@@ -211,8 +211,11 @@
     assert used_mb < bound, f'{used_mb:.1f} MB'
 
 
-async def _start(context: Any) -> None:
-    cluster = Cluster()
+async def start_entry_site(
+    context: Any, sections: Sections | None = None
+) -> None:
+    """Start an entry with settings and what it needs, until it serves."""
+    cluster = Cluster(sections=sections or {})
     context.cluster = cluster
     context.add_cleanup(cluster.close)
     await _start_upstreams(cluster)
@@ -244,6 +247,12 @@
     assert status == 200, body
 
 
+async def ask_pipeline(context: Any) -> int:
+    """Return the status of a valid request."""
+    status, _ = await _post(context.url, ANSWER_PATH, _VALID_BODY)
+    return status
+
+
 async def _send_case(url: str, case: str) -> tuple[int, str]:
     if case == 'wrong method':
         return await fetch(f'{url}{ANSWER_PATH}')
--- a/features/support/crowd.py
+++ b/features/support/crowd.py
@@ -47,8 +47,14 @@
 class Crowd:
     """Callers of one process."""
 
-    def __init__(self, address: tuple[str, int], max_body_bytes: int) -> None:
-        """Prepare callers; none is connected yet."""
+    def __init__(
+        self,
+        address: tuple[str, int],
+        max_body_bytes: int,
+        path: str = '/plain/1',
+    ) -> None:
+        """Prepare callers that post to a path; none is connected yet."""
+        self._post_line = f'POST {path} HTTP/1.1'
         self._address = address
         self._max_body_bytes = max_body_bytes
         self._sockets: list[socket.socket] = []
@@ -147,17 +153,22 @@
     def _list_pieces(self, form: str, number: int) -> Pieces:
         is_complete = not number % _COMPLETE_EVERY
         size = self._max_body_bytes
+        line = self._post_line
         pieces_by_form: dict[str, Pieces] = {
-            'whole bodies': _list_counted(size, _SLICE_BYTES, is_complete),
-            'bodies in pieces': _list_counted(size, _PIECE_BYTES, is_complete),
+            'whole bodies': _list_counted(
+                line, size, _SLICE_BYTES, is_complete
+            ),
+            'bodies in pieces': _list_counted(
+                line, size, _PIECE_BYTES, is_complete
+            ),
             'bodies in large chunks': _list_chunks(
-                size, _SLICE_BYTES, is_complete
+                line, size, _SLICE_BYTES, is_complete
             ),
             'bodies in small chunks': _list_chunks(
-                _SMALL_CHUNKS_BYTES, _SMALL_CHUNK_BYTES, is_complete
+                line, _SMALL_CHUNKS_BYTES, _SMALL_CHUNK_BYTES, is_complete
             ),
-            'bodies announced far over the limit': _list_announced(size),
-            'bodies that go far over the limit': _list_over(size),
+            'bodies announced far over the limit': _list_announced(line, size),
+            'bodies that go far over the limit': _list_over(line, size),
             'heads without an end': iter((_encode_long_head(),)),
             'many requests without reading': itertools.repeat(
                 encode_head('GET /unknown/1 HTTP/1.1'), _PIPELINED
@@ -167,9 +178,11 @@
         return pieces_by_form[form]
 
 
-def _list_counted(size: int, piece_bytes: int, is_complete: bool) -> Pieces:
+def _list_counted(
+    line: str, size: int, piece_bytes: int, is_complete: bool
+) -> Pieces:
     """Yield a body with its length, one byte short unless complete."""
-    yield encode_head('POST /plain/1 HTTP/1.1', f'Content-Length: {size}')
+    yield encode_head(line, f'Content-Length: {size}')
     yield from _list_slices(size if is_complete else size - 1, piece_bytes)
 
 
@@ -180,9 +193,11 @@
     yield piece[: size % piece_bytes]
 
 
-def _list_chunks(size: int, chunk_bytes: int, is_complete: bool) -> Pieces:
+def _list_chunks(
+    line: str, size: int, chunk_bytes: int, is_complete: bool
+) -> Pieces:
     """Yield a body in chunks, one byte short of its end unless complete."""
-    yield encode_head('POST /plain/1 HTTP/1.1', _CHUNKED)
+    yield encode_head(line, _CHUNKED)
     chunk = b'%x\r\n%b\r\n' % (chunk_bytes, b'x' * chunk_bytes)
     count = size // chunk_bytes
     # Many small chunks are sent at once.
@@ -193,15 +208,15 @@
     yield b'0\r\n\r\n' if is_complete else b'0\r\n\r'
 
 
-def _list_announced(size: int) -> Pieces:
+def _list_announced(line: str, size: int) -> Pieces:
     length = f'Content-Length: {_FAR_OVER_BYTES}'
-    yield encode_head('POST /plain/1 HTTP/1.1', length)
+    yield encode_head(line, length)
     yield from _list_slices(size * _OVER_FACTOR, _SLICE_BYTES)
 
 
-def _list_over(size: int) -> Pieces:
+def _list_over(line: str, size: int) -> Pieces:
     """Yield chunks up to the limit, and past it once all are there."""
-    yield encode_head('POST /plain/1 HTTP/1.1', _CHUNKED)
+    yield encode_head(line, _CHUNKED)
     chunk = b'%x\r\n%b\r\n' % (_SLICE_BYTES, b'x' * _SLICE_BYTES)
     count = size // _SLICE_BYTES
     yield from itertools.repeat(chunk, count)
--- a/features/support/process_site.py
+++ b/features/support/process_site.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import json
-import os
-import pathlib
 from typing import TYPE_CHECKING, Any, Final
 
 from tornado import netutil
@@ -13,6 +11,7 @@
 from damaskpoint.platform import names
 from features.support.gateway_site import KEY
 from features.support.launcher import Launcher
+from features.support.process_use import ProcessUse
 from standins.endless_runner import EndlessRunner
 from standins.row_store import RowStore, create_row_store_server
 from standins.runner import RunnerState, create_runner_server
@@ -30,9 +29,6 @@
 _STREAM_BYTES: Final = 256 * _BLOCK_BYTES
 _OK: Final = b'HTTP/1.1 200 OK\r\nDamaskpoint-Response-Seal: seal-of-raw\r\n'
 _EVENT: Final = b'data: ' + b'x' * 1016 + b'\n\n'
-_BYTES_PER_KB: Final = 1_024
-# Index of the user time in /proc/PID/stat, after the name of the command.
-_USER_FIELD: Final = 11
 
 
 class ProcessSite:
@@ -41,6 +37,7 @@
     def __init__(self) -> None:
         """Start nothing yet."""
         self.launcher = Launcher()
+        self.use = ProcessUse(self.launcher, _NAME)
         self.host = self.launcher.next_host()
         self._stand_in_host = self.launcher.next_host()
         self._servers: list[HTTPServer] = []
@@ -88,40 +85,6 @@
         for runner in self._raw_runners:
             runner.close()
 
-    @property
-    def is_running(self) -> bool:
-        """Return whether the gateway process lives."""
-        return self.launcher.is_running(_NAME)
-
-    @property
-    def log(self) -> str:
-        """Return the end of the gateway's log."""
-        return self.launcher.read_log(_NAME)
-
-    def read_peak_bytes(self) -> int:
-        """Return the peak resident memory of the gateway process."""
-        status = self._process_folder / 'status'
-        for line in status.read_text().splitlines():
-            if line.startswith('VmHWM:'):
-                return int(line.split()[1]) * _BYTES_PER_KB
-        raise AssertionError('no VmHWM')
-
-    def read_cpu_s(self) -> float:
-        """Return the processor time that the gateway process has used."""
-        stat = (self._process_folder / 'stat').read_text()
-        # The command's name, in parentheses, may contain spaces.
-        fields = stat.rpartition(')')[2].split()
-        ticks = int(fields[_USER_FIELD]) + int(fields[_USER_FIELD + 1])
-        return ticks / os.sysconf('SC_CLK_TCK')
-
-    def count_descriptors(self) -> int:
-        """Return the number of open descriptors of the gateway process."""
-        return len(list((self._process_folder / 'fd').iterdir()))
-
-    @property
-    def _process_folder(self) -> pathlib.Path:
-        return pathlib.Path('/proc') / str(self.launcher.find_pid(_NAME))
-
     def _listen(self, server: HTTPServer) -> int:
         sockets = netutil.bind_sockets(0, self._stand_in_host)
         server.add_sockets(sockets)
