Bound what callers can make an entry hold

Cause: as in the gateway; 120 callers held 165 to 259 MB in an entry. Bodies sent to an unknown path were buffered without any limit, as tornado's own limit is switched off and the handler saw them only when they were complete. A Content-Length of more than 4,300 digits was answered 500.

Change: the entry counts connections and arriving bodies with the decisions of the gateway (options memory_mb and max_fds of "border"); its listening socket has bounded buffers; the handler of unknown paths refuses at the head.

Answers held for callers of an entry are not counted yet.

--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -14,6 +14,10 @@
 # Memory of a machine (MB) and descriptors of a process.
 MEMORY_MB: Final = 1_024
 MAX_FDS: Final = 8_192
+# Interval at which stalled callers are looked for (seconds).
+INTAKE_INTERVAL_S: Final = 0.1
+# Bytes that are read at once from a caller; bounds what a connection buffers.
+CALLER_READ_BYTES: Final = 32_768
 # Idle timeout of a caller's connection, and timeout for receiving a body
 # (seconds).
 CALLER_IDLE_TIMEOUT_S: Final = 75.0
--- a/damaskpoint/entry/caller_app.py
+++ b/damaskpoint/entry/caller_app.py
@@ -5,10 +5,11 @@
 import sys
 from typing import TYPE_CHECKING, Final, final
 
-from tornado import httpserver, web
+from tornado import web
 
 from damaskpoint import defaults
 from damaskpoint.entry.answering_handler import AnsweringHandler
+from damaskpoint.entry.caller_connections import BoundedServer
 from damaskpoint.entry.pipeline_handler import PipelineHandler
 from damaskpoint.entry.service_handler import ServiceHandler
 from damaskpoint.errors import Code, Failure
@@ -22,6 +23,7 @@
 
 
 @final
+@web.stream_request_body
 class _UnknownPathHandler(AnsweringHandler):
     """Answers requests to unknown paths."""
 
@@ -32,13 +34,16 @@
         self.start_request(dependencies)
 
     def prepare(self) -> None:
-        """Refuse the request, regardless of its method."""
+        """Refuse the request, regardless of its method and its body."""
         self.send_failure(Failure(Code.UNKNOWN_PATH, self.request.path))
 
+    def data_received(self, chunk: bytes) -> None:
+        """Discard the body; tornado would otherwise buffer it whole."""
+
 
 def create_caller_server(
     dependencies: HandlerDependencies,
-) -> httpserver.HTTPServer:
+) -> BoundedServer:
     """Return the server for callers, which does not listen yet."""
     handler_arguments = {'dependencies': dependencies}
     app = web.Application(
@@ -50,8 +55,10 @@
         default_handler_args=handler_arguments,
         log_function=_skip_access_log,
     )
-    return httpserver.HTTPServer(
+    return BoundedServer(
         app,
+        connections=dependencies.callers,
+        chunk_size=defaults.CALLER_READ_BYTES,
         max_header_size=defaults.MAX_HEADER_BYTES,
         max_body_size=_UNLIMITED_BYTES,
         idle_connection_timeout=defaults.CALLER_IDLE_TIMEOUT_S,
--- a/damaskpoint/entry/caller_handler.py
+++ b/damaskpoint/entry/caller_handler.py
@@ -23,12 +23,17 @@
 from damaskpoint.errors import Code, Failure, FailureError
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
+    from tornado.http1connection import HTTP1Connection
+
     from damaskpoint.config.model import Account, Configuration
     from damaskpoint.entry.handler_dependencies import HandlerDependencies
 
 # A body of up to this many times the limit is read in full and discarded, so
 # that the caller receives the failure; beyond that, the connection is closed.
 _MAX_DRAIN_FACTOR: Final = 8
+_MAX_LENGTH_DIGITS: Final = 18
 
 
 @web.stream_request_body
@@ -38,6 +43,9 @@
     def initialize(self, dependencies: HandlerDependencies) -> None:
         """Initialize the request with an empty body."""
         self.start_request(dependencies)
+        # tornado declares the interface, but always passes this class.
+        connection: HTTP1Connection = self.request.connection  # type: ignore[assignment]
+        self._stream = connection.stream
         self.deadline: float = 0
         self.body = bytearray()
         self._input_headers: CallerHeaders | None = None
@@ -50,7 +58,9 @@
         max_drained_bytes = (
             _MAX_DRAIN_FACTOR * self.dependencies.border.max_body_bytes
         )
-        if length.isdecimal() and int(length) > max_drained_bytes:
+        # Longer numbers than these cannot be parsed, nor are they in the limit.
+        is_huge = len(length) > _MAX_LENGTH_DIGITS
+        if length.isdecimal() and (is_huge or int(length) > max_drained_bytes):
             self.send_failure(self._make_too_large_failure())
             return
         headers = read_headers(self.request.headers)
@@ -59,20 +69,42 @@
             return
         self._input_headers = headers
         self.request_id = headers.request_id or uuid.uuid4().hex
+        has_body = length or 'Transfer-Encoding' in self.request.headers
+        self.dependencies.callers.begin_body(
+            self._stream,
+            self,
+            _read_length(length, has_body=bool(has_body)),
+        )
 
-    def data_received(self, chunk: bytes) -> None:
-        """Buffer a chunk of the body, up to the limit."""
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Buffer a chunk of the body, up to the limit.
+
+        Reading waits for the result.
+        """
         self._read_bytes += len(chunk)
         max_bytes = self.dependencies.border.max_body_bytes
         if self._read_bytes <= max_bytes:
             self.body.extend(chunk)
-            return
+            return self.dependencies.callers.receive(self._stream, len(chunk))
+        if self.body:
+            self.dependencies.callers.discard_body(self._stream)
         self.body.clear()
         if (
             self._read_bytes > _MAX_DRAIN_FACTOR * max_bytes
             and not self._finished
         ):
             self.send_failure(self._make_too_large_failure())
+        return None
+
+    def refuse_body(self, failure: Failure) -> None:
+        """Answer with a failure; the body is not complete."""
+        self.body.clear()
+        if not self._finished:
+            self.send_failure(failure)
+
+    def on_finish(self) -> None:
+        """Release the body of an answered request."""
+        self.dependencies.callers.end_request(self._stream)
 
     def on_connection_close(self) -> None:
         """Cancel the work for a caller that has disconnected."""
@@ -81,6 +113,7 @@
 
     async def run_request(self, *target: str) -> None:
         """Serve the request and send its one final answer."""
+        self.dependencies.callers.finish_body(self._stream)
         self._serve_task = asyncio.ensure_future(self._serve_tracked(target))
         try:
             await self._serve_task
@@ -184,3 +217,10 @@
     def _make_too_large_failure(self) -> Failure:
         max_bytes = self.dependencies.border.max_body_bytes
         return Failure(Code.BODY_TOO_LARGE, f'above {max_bytes} bytes')
+
+
+def _read_length(length: str, *, has_body: bool) -> int | None:
+    """Return the length of a body, or None if it is not known."""
+    if length.isdecimal():
+        return int(length)
+    return None if has_body else 0
--- a/damaskpoint/entry/handler_dependencies.py
+++ b/damaskpoint/entry/handler_dependencies.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from damaskpoint.admission.base import Admission
     from damaskpoint.config.follower import ConfigurationFollower
+    from damaskpoint.entry.caller_connections import CallerConnections
     from damaskpoint.entry.in_flight import InFlightRequests
     from damaskpoint.entry.shutdown import ShutdownState
     from damaskpoint.pipeline.pipeline_service import PipelineService
@@ -27,3 +28,4 @@
     in_flight: InFlightRequests
     shutdown: ShutdownState
     border: BorderOptions
+    callers: CallerConnections
--- a/damaskpoint/entry/metrics.py
+++ b/damaskpoint/entry/metrics.py
@@ -23,3 +23,7 @@
     'damaskpoint_replayed_answers_total',
     'Answers that an earlier request with the same key had brought.',
 )
+CONNECTIONS_EVICTED: Final = Counter(
+    'damaskpoint_entry_connections_evicted_total',
+    'Connections of callers closed as there were too many.',
+)
--- a/damaskpoint/entry/runtime.py
+++ b/damaskpoint/entry/runtime.py
@@ -11,6 +11,7 @@
 
 from damaskpoint import defaults
 from damaskpoint.admission.backoff import CapacityBackoff
+from damaskpoint.entry.bounded_listen import listen_bounded
 from damaskpoint.entry.caller_app import create_caller_server
 from damaskpoint.entry.periodic import run_periodically
 from damaskpoint.entry.shutdown import PendingWork, Phase
@@ -101,7 +102,7 @@
         platform = self._shared.options.platform
         poll = self._shared.instances.poll
         self._operator_server.listen(instance.operator_port, instance.host)
-        self._caller_server.listen(instance.port, instance.host)
+        listen_bounded(self._caller_server, instance.port, instance.host)
         self._routing.start()
         self._peering.start()
         for coroutine in (
@@ -112,6 +113,9 @@
                 defaults.STALL_CHECK_INTERVAL_S, self._record_loop_iteration
             ),
             run_periodically(defaults.HOUSEKEEPING_S, self._close_idle),
+            run_periodically(
+                defaults.INTAKE_INTERVAL_S, self._dependencies.callers.advance
+            ),
             run_periodically(defaults.SWEEP_INTERVAL_S, self._sweeper.sweep),
         ):
             self._tasks.append(asyncio.ensure_future(coroutine))
--- a/damaskpoint/entry/wiring.py
+++ b/damaskpoint/entry/wiring.py
@@ -15,10 +15,12 @@
 from damaskpoint.entry.in_flight import InFlightRequests
 from damaskpoint.entry.capacity import PoolCapacity
 from damaskpoint.entry.instance_poller import InstancePoller
+from damaskpoint.entry.caller_connections import CallerConnections
 from damaskpoint.entry.handler_dependencies import HandlerDependencies
 from damaskpoint.entry.peer_demand import PeerDemand
 from damaskpoint.entry.shutdown import ShutdownState
 from damaskpoint.entry.stall_guard import StallGuard
+from damaskpoint.gateway.intake import Intake, create_limits
 from damaskpoint.journal.guard import Guard
 from damaskpoint.journal.sweeper import Sweeper
 from damaskpoint.journal.table_journal import create_table_journal
@@ -232,9 +234,18 @@
         in_flight,
         shutdown,
         options.border,
+        _create_callers(shared),
     )
 
 
+def _create_callers(shared: SharedDependencies) -> CallerConnections:
+    border = shared.options.border
+    limits = create_limits(border.memory_mb, border.max_fds)
+    callers = CallerConnections(Intake(limits))
+    shared.registry.register('callers', callers)
+    return callers
+
+
 def _apply_configuration(
     directory: UpstreamDirectory, configuration: Configuration
 ) -> None:
--- a/damaskpoint/gateway/runtime.py
+++ b/damaskpoint/gateway/runtime.py
@@ -4,15 +4,15 @@
 
 import asyncio
 import logging
-import socket
 import time
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, final
 
-from tornado import httpserver, netutil
+from tornado import httpserver
 
 from damaskpoint import defaults
 from damaskpoint.catalog import metrics as catalog_metrics
+from damaskpoint.entry.bounded_listen import listen_bounded
 from damaskpoint.entry.periodic import run_periodically
 from damaskpoint.entry.shutdown import PendingWork, Phase, ShutdownState
 from damaskpoint.errors import Code, Failure
@@ -47,12 +47,6 @@
 _IDLE_TIMEOUT_MARGIN_S: Final = 1.0
 # Body limit until a configuration is known.
 _INITIAL_MAX_BODY_BYTES: Final = 16_777_216
-# Bytes that are read at once from a caller; bounds what a connection buffers.
-_READ_BYTES: Final = 32_768
-# Buffers of the kernel for one caller (bytes; the kernel doubles them).
-_SOCKET_BUFFER_BYTES: Final = 65_536
-# Interval at which stalled callers are looked for (seconds).
-_INTAKE_INTERVAL_S: Final = 0.1
 # Interval of the housekeeping (seconds).
 _HOUSEKEEPING_INTERVAL_S: Final = 0.25
 # Interval at which quarantines are compared with the store's (seconds).
@@ -112,7 +106,7 @@
         self._caller_server = CallerServer(
             components.handler,
             intake=components.intake,
-            chunk_size=_READ_BYTES,
+            chunk_size=defaults.CALLER_READ_BYTES,
             max_header_size=defaults.MAX_HEADER_BYTES,
             find_max_body_bytes=self._find_max_body_bytes,
             idle_connection_timeout=defaults.CALLER_IDLE_TIMEOUT_S,
@@ -193,7 +187,8 @@
         components = self._components
         listen = components.options.listen
         host = components.options.instance.host
-        self._listen_bounded(self._caller_server, listen.callers)
+        caller_host, caller_port = parse_address(listen.callers)
+        listen_bounded(self._caller_server, caller_port, caller_host)
         self._listen(self._ready_server, listen.readiness)
         self._operator_server.listen(listen.operator_port, host)
         components.order_server.listen(listen.peer_port, host)
@@ -203,7 +198,7 @@
             *(follower.run() for follower in components.followers),
             components.discovery.run(),
             run_periodically(_QUARANTINE_INTERVAL_S, self._store_quarantines),
-            run_periodically(_INTAKE_INTERVAL_S, self._advance_intake),
+            run_periodically(defaults.INTAKE_INTERVAL_S, self._advance_intake),
             run_periodically(_HOUSEKEEPING_INTERVAL_S, self._run_housekeeping),
         ):
             self._tasks.append(asyncio.ensure_future(coroutine))
@@ -236,17 +231,6 @@
         host, port = parse_address(address)
         server.listen(port, host)
 
-    def _listen_bounded(
-        self, server: httpserver.HTTPServer, address: str
-    ) -> None:
-        """Listen with bounded socket buffers, which connections inherit."""
-        host, port = parse_address(address)
-        sockets = netutil.bind_sockets(port, host)
-        for sock in sockets:
-            for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
-                sock.setsockopt(socket.SOL_SOCKET, option, _SOCKET_BUFFER_BYTES)
-        server.add_sockets(sockets)
-
     async def _advance_intake(self) -> None:
         now = time.monotonic()
         self._caller_server.advance_intake(now)
