Let answers of unknown length end one after another

Cause: an answer in chunks is counted as it grows, so several that were read in part waited for each other until their requests timed out. Found by reading the code; the new scenario hangs without the change.

Change: of the answers that are read in part, one at a time may exceed the budget.

--- a/damaskpoint/forwarding/answer_budget.py
+++ b/damaskpoint/forwarding/answer_budget.py
@@ -71,6 +71,9 @@
         # Answers that wait for room and the bytes that they need.
         self._waiting: dict[AnswerHold, _Wait] = {}
         self._cuts = 0
+        # The one answer that may exceed the budget to be read to its end, as
+        # answers that are read in part would wait for each other.
+        self._exempt: AnswerHold | None = None
 
     async def take(self, hold: AnswerHold, count: int) -> None:
         """Count more bytes of an answer; waits while there is no room."""
@@ -91,6 +94,8 @@
         """Forget the bytes of an answer."""
         self._held_bytes -= hold.held_bytes
         hold.held_bytes = 0
+        if self._exempt is hold:
+            self._exempt = None
         if self._holds.pop(hold, hold) is None:
             self._wake()
 
@@ -140,7 +145,11 @@
     def _has_room(self, hold: AnswerHold, count: int) -> bool:
         """Return whether an answer may grow; a single one always may."""
         others = self._held_bytes - hold.held_bytes
-        return not others or self._held_bytes + count <= self._limit_bytes
+        if not others or self._held_bytes + count <= self._limit_bytes:
+            return True
+        if hold.held_bytes and self._exempt is None:
+            self._exempt = hold
+        return self._exempt is hold
 
     def _add(self, hold: AnswerHold, count: int) -> None:
         self._holds[hold] = None
@@ -153,7 +162,8 @@
             if has_room.done():
                 continue
             if not self._has_room(hold, count):
-                return
+                # One that is read in part may be next to exceed the budget.
+                continue
             self._add(hold, count)
             has_room.set_result(None)
 
--- a/features/intake.feature
+++ b/features/intake.feature
@@ -77,3 +77,14 @@
     And the runner "model-1" sends 400 events of 10000 bytes
     When a caller reads a stream at 1000000 bytes/s
     Then it has all 400 events
+
+  # Guards against answers of unknown length that wait for each other for ever.
+  Scenario: Answers that grow beyond the budget end one after another
+    Given a budget of 1 MB for answers
+    When 5 answers grow to 600000 bytes in turns
+    Then all of them were held in the end and at most 2 MB at once
+
+  # Guards against counts that drift: the budget would be used up for ever.
+  Scenario: The counts are right after any order of events
+    When 300 seeded callers open, send, stop, are served and leave at random
+    Then the counts equal what is held after each event, and are 0 in the end
