Bound connections by the descriptors that the process may open

Cause: the bound followed the settings only. A process with a lower limit of its own (RLIMIT_NOFILE) accepted callers until it could open neither their connections nor those to runners, and answered nobody.

Change: the lower of the two limits counts, in gateway and entry.

Measured with features/memory_descriptors.feature, 500 callers at a process that may open 350 descriptors and has settings for 8,192: 350 descriptors before (fails), 89 after (passes; VmHWM 52.2 MB, one ordinary request is answered).

--- a/damaskpoint/entry/wiring.py
+++ b/damaskpoint/entry/wiring.py
@@ -15,6 +15,7 @@
 from damaskpoint.entry.in_flight import InFlightRequests
 from damaskpoint.entry.capacity import PoolCapacity
 from damaskpoint.entry.instance_poller import InstancePoller
+from damaskpoint.entry.bounded_listen import find_max_fds
 from damaskpoint.entry.caller_connections import CallerConnections
 from damaskpoint.entry.handler_dependencies import HandlerDependencies
 from damaskpoint.entry.peer_demand import PeerDemand
@@ -240,7 +241,7 @@
 
 def _create_callers(shared: SharedDependencies) -> CallerConnections:
     border = shared.options.border
-    limits = create_limits(border.memory_mb, border.max_fds)
+    limits = create_limits(border.memory_mb, find_max_fds(border.max_fds))
     callers = CallerConnections(Intake(limits))
     shared.registry.register('callers', callers)
     return callers
--- a/damaskpoint/gateway/wiring.py
+++ b/damaskpoint/gateway/wiring.py
@@ -23,6 +23,7 @@
     RunnerSink,
     TableFollower,
 )
+from damaskpoint.entry.bounded_listen import find_max_fds
 from damaskpoint.entry.shutdown import ShutdownState
 from damaskpoint.errors import Failure, FailureError
 from damaskpoint.forwarding.answer_budget import AnswerBudget
@@ -124,7 +125,9 @@
 def _create_intake(
     options: GatewayOptions, registry: StateRegistry
 ) -> tuple[Intake, AnswerBudget]:
-    limits = create_limits(options.limits.memory_mb, options.limits.max_fds)
+    limits = create_limits(
+        options.limits.memory_mb, find_max_fds(options.limits.max_fds)
+    )
     intake = Intake(limits)
     answers = AnswerBudget(limits.answer_bytes)
     registry.register('intake', intake)
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import resource
 import sys
 import time
 from http import HTTPStatus
@@ -24,6 +25,9 @@
 _TRY_S: Final = 10.0
 _ALL_TRIES_S: Final = 120.0
 _BETWEEN_S: Final = 0.5
+# Memory of the process with a limit of its own, and its bodies (bytes).
+_MEMORY_MB: Final = 552
+_BODY_BYTES: Final = 1_500_000
 
 
 @given(
@@ -48,6 +52,20 @@
     run(context, start())
 
 
+@given(
+    'a gateway process that may open {own:d} descriptors, with settings for'
+    ' {descriptors:d}'
+)
+def start_limited(context: Any, own: int, descriptors: int) -> None:
+    """Start the process with a limit that it inherits from this one."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (own, hard))
+    try:
+        start_process(context, _MEMORY_MB, descriptors, _BODY_BYTES)
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
 def _sample(context: Any) -> float:
     """Record the descriptors; return the processor time (seconds)."""
     assert context.use.is_running, context.use.log
