--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -398,6 +398,8 @@
             'Listen.Ready': '{}:{}'.format(*self.ready),
             'PortRange.0': free_port(host),
             'Platform.Address': store_address,
+            'Limits.MemoryMb': 552,
+            'Limits.MaxFds': 4100,
             'Bounds.GraceS': bounds.get('grace_s', 8),
             'Bounds.RetryRatio': 0.2,
             'Bounds.RetrySlack': 56,
