Let the switch wait while a new version is suspect

The switch now waits while the score is above 3, up to the least lead, and is not made with a score of 9 or more. Ruled out: fewer canaries, which find bad versions later.

--- a/damaskpoint/gateway/runtime.py
+++ b/damaskpoint/gateway/runtime.py
@@ -36,7 +36,7 @@
     from damaskpoint.membership.service import Membership
     from damaskpoint.observe.state import StateRegistry
     from damaskpoint.quarantine.stored import QuarantineWriter
-    from damaskpoint.rollout.coordinator import RolloutComponents
+    from damaskpoint.rollout.components import RolloutComponents
 
 _LOG: Final = logging.getLogger(__name__)
 # How much longer than the timeout known to callers an idle connection stays
--- a/damaskpoint/gateway/wiring.py
+++ b/damaskpoint/gateway/wiring.py
@@ -46,7 +46,7 @@
 from damaskpoint.platform.store_instances import StoreInstances
 from damaskpoint.quarantine.guard import PromptGuard
 from damaskpoint.quarantine.stored import QuarantineSink, QuarantineWriter
-from damaskpoint.rollout.coordinator import create_rollouts
+from damaskpoint.rollout.components import create_rollouts
 from damaskpoint.rollout.fleet import GatewayFleet
 from damaskpoint.rollout.gate import VersionGate
 from damaskpoint.rollout.model import RolloutBounds
@@ -62,7 +62,7 @@
     from damaskpoint.gateway.options import GatewayOptions
     from damaskpoint.membership.service import Membership
     from damaskpoint.platform.store import PlatformStore
-    from damaskpoint.rollout.coordinator import RolloutComponents
+    from damaskpoint.rollout.components import RolloutComponents
 
 # Share of the platform's grace period in which a shutdown drains requests; the
 # rest is for closing connections.
--- a/damaskpoint/rollout/coordinator.py
+++ b/damaskpoint/rollout/coordinator.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Final, final
 
@@ -19,9 +18,7 @@
 from damaskpoint.rollout import metrics, phases
 from damaskpoint.rollout.evidence import Counts, SequentialTest
 from damaskpoint.rollout.model import Phase, RolloutState
-from damaskpoint.rollout.orders import OrderBook
 from damaskpoint.rollout.sharing import SharedEvidence, encode_counts
-from damaskpoint.rollout.state_follower import StateFollower
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -29,9 +26,11 @@
     from damaskpoint.membership.facts import PeerFact, RolloutFact
     from damaskpoint.platform.store import PlatformStore
     from damaskpoint.rollout.book import ServiceRollout
+    from damaskpoint.rollout.exposure import Exposure
     from damaskpoint.rollout.fleet import Fleet
     from damaskpoint.rollout.gate import VersionGate
     from damaskpoint.rollout.model import Order
+    from damaskpoint.rollout.state_follower import StateFollower
 
 _LOG: Final = logging.getLogger(__name__)
 _MS_PER_S: Final = 1000
@@ -39,6 +38,9 @@
 # most in total (seconds).
 _RANK_DELAY_S: Final = 0.4
 _MAX_RANK_DELAY_S: Final = 3.0
+# Interval at which the versions of all runners are looked at (seconds): there
+# may be thousands.
+_VERSIONS_INTERVAL_S: Final = 1.0
 # Least time between two attempts to store a change (seconds).
 _RETRY_PAUSE_S: Final = 0.5
 
@@ -87,12 +89,16 @@
         # Since when a change of a service has been due, and which.
         self._due_by_service: dict[str, tuple[object, float]] = {}
         self._retry_at = float('-inf')
+        # When the known runners were last looked at.
+        self._versions_at = float('-inf')
 
     # Commands.
 
     async def advance(self, now: float) -> None:
         """Evaluate the evidence and store what is due; called periodically."""
-        self._fleet.update_versions(self._book)
+        if now - self._versions_at >= _VERSIONS_INTERVAL_S:
+            self._versions_at = now
+            self._fleet.update_versions(self._book)
         for service, rollout in tuple(self._book.rollouts_by_service.items()):
             state = rollout.state
             if state is not None and not state.phase.is_final:
@@ -226,6 +232,8 @@
             'new_bad': totals.new_bad + totals.new_broken,
             'old': totals.old,
             'old_bad': totals.old_bad,
+            # The share and what this instance has sent of it.
+            **_list_canaries(self._gate.exposure, service),
         }
 
     # Phases.
@@ -244,6 +252,9 @@
             return self._create_state(order, now_s)
         if state is None:
             return None
+        metrics.PHASE.set({'service': service}, state.phase.rank)
+        if state.phase.is_final:
+            return None
         change = phases.decide(self._describe(rollout, state, now, now_s))
         if change is None:
             return None
@@ -276,6 +287,7 @@
             state=state,
             is_ordered=rollout.order is not None,
             bad_reason=rollout.blocked_reason,
+            score=progress.test.score,
             new_runners=new_runners,
             no_runner_s=progress.find_gap_s(new_runners, now),
             old_work=self._sum_old_work(state, rollout, now),
@@ -368,31 +380,15 @@
         )
 
 
-@final
-@dataclass(frozen=True, slots=True)
-class RolloutComponents:
-    """What a process needs to take part in rollouts."""
-
-    orders: OrderBook
-    follower: StateFollower
-    coordinator: RolloutCoordinator
-
-    async def follow(self) -> None:
-        """Read the states once if they are needed, and pause."""
-        await self.follower.step(self.coordinator.is_needed())
-
-    async def advance(self) -> None:
-        """Evaluate the evidence once."""
-        await self.coordinator.advance(time.monotonic())
-
-
-def create_rollouts(
-    store: PlatformStore, gate: VersionGate, fleet: Fleet, started_at: float
-) -> RolloutComponents:
-    """Return the components of a process that started at ``started_at``."""
-    follower = StateFollower(store, gate.book)
-    coordinator = RolloutCoordinator(store, gate, follower, fleet, started_at)
-    return RolloutComponents(OrderBook(gate.book), follower, coordinator)
+def _list_canaries(
+    exposure: Exposure | None, service: str
+) -> dict[str, object]:
+    if exposure is None:
+        return {}
+    return {
+        'share': exposure.share,
+        'own_canaries': exposure.dump(service).get('taken', 0),
+    }
 
 
 def _to_ms(time_s: float) -> int:
--- a/damaskpoint/rollout/fleet.py
+++ b/damaskpoint/rollout/fleet.py
@@ -87,6 +87,7 @@
         self._membership = membership
         self._peers = peers
         self._catalog = catalog
+        self._is_mixed = False
 
     def unended_names(self) -> frozenset[str]:
         """Return the other instances that may be running."""
@@ -115,18 +116,20 @@
         )
 
     def has_mixed_versions(self) -> bool:
-        """Return whether a service has runners of several versions."""
-        pairs = {
-            (runner.service, runner.version)
-            for runner in self._catalog.runners.known()
-        }
-        return len(pairs) > len({service for service, _ in pairs})
+        """Return whether a service had runners of several versions.
+
+        As of the last update of the versions.
+        """
+        return self._is_mixed
 
     def update_versions(self, book: RolloutBook) -> None:
         """Apply the known runners of all services."""
         runners_by_service: dict[str, list[Runner]] = {}
         for runner in self._catalog.runners.known():
             runners_by_service.setdefault(runner.service, []).append(runner)
+        self._is_mixed = any(
+            map(_has_several_versions, runners_by_service.values())
+        )
         for service, runners in runners_by_service.items():
             book.versions.update(service, runners, book.find_tested(service))
 
@@ -140,6 +143,10 @@
         return compute_usage(service, routes)
 
 
+def _has_several_versions(runners: Iterable[Runner]) -> bool:
+    return len({runner.version for runner in runners}) > 1
+
+
 def compute_usage(service: str, routes: Iterable[Route]) -> Usage:
     """Return how routes use a service."""
     count = 0
--- a/damaskpoint/rollout/gate.py
+++ b/damaskpoint/rollout/gate.py
@@ -103,7 +103,7 @@
         tested = self.book.find_tested(service)
         if tested and self.book.is_open(service, Phase.SWITCHING, now):
             found = [item for item in runners if item.version == tested]
-            if found:
+            if not all(self._is_cold(item.name, now) for item in found):
                 return found
         established = self.book.versions.find(service)
         if established is None:
--- a/damaskpoint/rollout/metrics.py
+++ b/damaskpoint/rollout/metrics.py
@@ -13,11 +13,7 @@
 )
 SCORE: Final = Gauge(
     'damaskpoint_rollout_score',
-    'Score of the test on the new version of a service; bad from 16.',
-)
-CANARIES: Final = Gauge(
-    'damaskpoint_rollout_canaries',
-    'Requests of this instance to the version under test, since the order.',
+    'Score of the test on the new version of a service; bad from 14.',
 )
 WRITES: Final = Counter(
     'damaskpoint_rollout_writes_total',
--- a/damaskpoint/rollout/phases.py
+++ b/damaskpoint/rollout/phases.py
@@ -17,14 +17,20 @@
 _SPREAD_S: Final = 1.0
 # Requests take up to this multiple of the longest time measured.
 _DRAIN_FACTOR: Final = 1.2
-_MIN_LEAD_S: Final = 2.0
+_MIN_LEAD_S: Final = 2.2
 _MAX_LEAD_SHARE: Final = 0.5
+# Score from which on the switch waits for more canaries, up to the least lead,
+# and score from which on it is not made then. A bad version that is only found
+# after the switch exceeds its exposure at services with few requests.
+_SUSPECT_SCORE: Final = 3.0
+_REJECTED_SCORE: Final = 9.0
 # How long before the deadline the last decision is made (seconds), so that it
-# is stored in time.
-_FINISH_MARGIN_S: Final = 1.0
+# is stored in time: the deadline counts from the order, which the first state
+# follows by some tenths, and the instance whose turn it is may be gone.
+_FINISH_MARGIN_S: Final = 1.5
 # How long before it requests at old runners are no longer waited for
 # (seconds), unless they must not be repeated.
-_LAST_MARGIN_S: Final = 0.4
+_LAST_MARGIN_S: Final = 1.0
 # How long the new version may be without a usable runner while switching
 # (seconds).
 _MAX_GAP_S: Final = 2.0
@@ -66,6 +72,8 @@
     is_ordered: bool
     # Why the version is bad; empty if it is not known to be.
     bad_reason: str
+    # Score of the evidence against the version.
+    score: float
     # Usable runners of the new version, and since when there is none.
     new_runners: int
     no_runner_s: float
@@ -130,22 +138,29 @@
     order = state.order
     lead_s = compute_lead_s(order.duration_s, situation.request_s)
     left_s = state.deadline_s - situation.now_s
-    if not situation.new_runners:
+    if not situation.new_runners or state.phase is Phase.WAITING:
         if left_s <= _FINISH_MARGIN_S:
             return Change(Phase.ROLLED_BACK, 'no usable runner in time')
-        return None
-    if state.phase is Phase.WAITING:
-        if left_s <= _FINISH_MARGIN_S:
-            return Change(Phase.ROLLED_BACK, 'no usable runner in time')
-        if left_s <= lead_s:
+        if not situation.new_runners or left_s <= lead_s:
             # The version would be switched to without evidence.
             return None
         return Change(Phase.CANARY, f'{situation.new_runners} usable runners')
-    if left_s <= lead_s or not state.from_version:
-        return Change(
-            Phase.SWITCHING, f'{left_s:.1f} s left, lead {lead_s:.1f} s'
-        )
-    return None
+    if not state.from_version:
+        return Change(Phase.SWITCHING, 'there was no version before')
+    if left_s > lead_s:
+        return None
+    return _decide_switch(situation.score, left_s, lead_s)
+
+
+def _decide_switch(score: float, left_s: float, lead_s: float) -> Change | None:
+    """Return the end of the canary phase, which is due."""
+    reason = f'{left_s:.1f} s left, lead {lead_s:.1f} s, score {score:.1f}'
+    if left_s > _MIN_LEAD_S:
+        if score > _SUSPECT_SCORE:
+            return None
+    elif score >= _REJECTED_SCORE:
+        return Change(Phase.ROLLED_BACK, f'suspect at the switch: {reason}')
+    return Change(Phase.SWITCHING, reason)
 
 
 def _decide_end(situation: Situation) -> Change | None:
--- a/features/steps/version_rollout_steps.py
+++ b/features/steps/version_rollout_steps.py
@@ -13,12 +13,12 @@
 from damaskpoint.rollout.exposure import Exposure
 from features.support.good_rollouts import play_good
 from features.support.rollout_fleet import (
-    BOUNDS,
     ORDERED_AT,
     RolloutWorld,
     find_excess,
     find_rollback_s,
 )
+from features.support.rollout_instance import BOUNDS
 from features.support.rollout_parts import NEW, SERVICE, VersionFault
 
 _PROCESSES: Final = 3
@@ -145,6 +145,20 @@
     context.world.run(seconds)
 
 
+@when('the store is restored at {seconds:g} s to its copy of 5 s')
+def restore_store(context: Any, seconds: float) -> None:
+    """Restore a copy made now; the operator writes its order again."""
+    world = context.world
+    rows = dict(world.store.rows)
+    assert world.state == 'running', world.state
+    world.run(seconds)
+    assert world.state == 'rolled_back', world.state
+    world.store.restore(rows)
+    world.run(seconds + 1)
+    world.order()
+    world.run()
+
+
 @when('the order is removed and {seconds:g} s pass')
 def withdraw(context: Any, seconds: float) -> None:
     """Remove the row of the order."""
--- a/features/support/rollout_fleet.py
+++ b/features/support/rollout_fleet.py
@@ -16,12 +16,8 @@
 from typing import TYPE_CHECKING, Any, Final
 
 from damaskpoint.errors import Code, Failure, Ran
-from damaskpoint.membership.facts import PeerFact, Phase
 from damaskpoint.platform import names
-from damaskpoint.rollout.coordinator import create_rollouts
-from damaskpoint.rollout.fleet import Fleet, Usage, compute_usage
-from damaskpoint.rollout.gate import VersionGate
-from damaskpoint.rollout.model import RolloutBounds
+from features.support.rollout_instance import BOUNDS, SimulatedInstance
 from features.support.rollout_parts import (
     NEW,
     OLD,
@@ -35,16 +31,13 @@
 
 if TYPE_CHECKING:
     from damaskpoint.catalog.model import Route, Runner
-    from damaskpoint.rollout.book import RolloutBook
     from damaskpoint.rollout.visits import Visit
 
     # Time, number and action.
     _Event = tuple[float, int, Callable[[], None]]
 
-BOUNDS: Final = RolloutBounds(0.1, 50, 5)
 ORDERED_AT: Final = 3.0
 _CRASH_S: Final = 2.0
-_PEER_TIMEOUT_S: Final = 1.0
 _READ_S: Final = 1.2
 _RETRIED: Final = 2
 _KNOWN_BAD: Final = 50
@@ -62,76 +55,6 @@
     is_crashed: bool = False
 
 
-class SimulatedInstance(Fleet):
-    """One start of an instance."""
-
-    def __init__(self, world: RolloutWorld, number: int, start: int) -> None:
-        """Start; knows the runners at once."""
-        self.world = world
-        self.number = number
-        self.start = start
-        self.own_name = f'i-{number}'
-        self.beats = 0
-        self.seen_at_by_name: dict[str, float] = {}
-        self.is_running = True
-        self.frozen_until = float(0)
-        self.gate = VersionGate(self.own_name, BOUNDS, lambda *_: False)
-        store: Any = world.store
-        self.rollouts = create_rollouts(store, self.gate, self, world.now)
-        self.read_version = -1
-        self.read_at = float('-inf')
-
-    def create_fact(self) -> PeerFact:
-        """Return what others learn of this instance."""
-        return PeerFact(
-            self.own_name,
-            'zone-1',
-            '127.0.0.1',
-            1,
-            self.start,
-            self.beats,
-            Phase.SERVING,
-        )
-
-    def unended_names(self) -> frozenset[str]:
-        """Return all others."""
-        others = {item.own_name for item in self.world.instances}
-        return frozenset(others - {self.own_name})
-
-    def is_live(self, name: str, now: float) -> bool:
-        """Return whether another one was heard of just now."""
-        seen_at = self.seen_at_by_name.get(name, float('-inf'))
-        return now - seen_at < _PEER_TIMEOUT_S
-
-    def candidate_names(self, now: float) -> frozenset[str]:
-        """Return the live instances."""
-        live = {
-            name for name in self.unended_names() if self.is_live(name, now)
-        }
-        return frozenset(live | {self.own_name})
-
-    def count_instances(self) -> int | None:
-        """Return the number of all."""
-        return len(self.world.instances)
-
-    def count_runners(self, service: str, version: str) -> int:
-        """Return the runners of a version."""
-        return len(self.world.list_usable(version))
-
-    def has_mixed_versions(self) -> bool:
-        """Return whether there are new runners."""
-        return bool(self.world.list_usable(NEW))
-
-    def update_versions(self, book: RolloutBook) -> None:
-        """Apply the known runners."""
-        known = [item.entry for item in self.world.list_known()]
-        book.versions.update(SERVICE, known, book.find_tested(SERVICE))
-
-    def find_usage(self, service: str) -> Usage:
-        """Return how the routes use the service."""
-        return compute_usage(service, [route for route, _ in ROUTES])
-
-
 @dataclass(slots=True)
 class RolloutWorld:
     """A service with old and new runners, and its instances."""
@@ -176,7 +99,7 @@
         self.at(0, self._arrive)
         self.at(0, self._gossip)
         self.at(0, self._advance)
-        self.at(ORDERED_AT, self._order)
+        self.at(ORDERED_AT, self.order)
 
     # Queries.
 
@@ -244,7 +167,8 @@
 
     # Steps.
 
-    def _order(self) -> None:
+    def order(self) -> None:
+        """Write the order, as the operator does, also after a restore."""
         body = (
             f'{{"Service": "{SERVICE}", "To": "{NEW}",'
             f' "DurationS": {self.duration_s}}}'
@@ -273,9 +197,12 @@
         instance.read_version = self.store.version
         instance.read_at = self.now
         rollouts = instance.rollouts
-        rollouts.orders.replace(
-            self.store.read(names.TABLE_OPERATOR, self.now), self.now
-        )
+        orders = self.store.read(names.TABLE_OPERATOR, self.now)
+        if self.store.era > instance.read_era:
+            rollouts.orders.restore(orders, self.now)
+        else:
+            rollouts.orders.replace(orders, self.now)
+        instance.read_era = self.store.era
         rollouts.follower.apply(
             self.store.read(names.TABLE_ROLLOUTS, self.now),
             self.now,
--- a/features/support/rollout_parts.py
+++ b/features/support/rollout_parts.py
@@ -98,6 +98,12 @@
             self.put(change.table, change.key, change.content or b'')
         return self.version
 
+    def restore(self, rows: dict[tuple[str, str], tuple[bytes, int]]) -> None:
+        """Lose all changes since a copy of the rows was made."""
+        self.rows = dict(rows)
+        self.era += 1
+        self.version -= 1
+
     def put(self, table: str, key: str, content: bytes) -> None:
         """Write a row."""
         self.version += 1
--- a/features/version_rollouts.feature
+++ b/features/version_rollouts.feature
@@ -101,6 +101,15 @@
     When a rollout is played until 9 s
     Then the last request to the new version was sent before 7.2 s
 
+  # Guards against a restored store that brings a rolled back version into use.
+  Scenario: A version stays rolled back when the store is restored
+    Given 4 instances, 120 requests a second and 20 s for the rollout
+    And a version of which 0.5 of the responses fails
+    When a rollout is played until 5 s
+    And the store is restored at 12 s to its copy of 5 s
+    Then all of them are rolled back
+    And the last request to the new version was sent before 12 s
+
   # Guards against a withdrawn order whose version stays in use.
   Scenario: An order that is removed is rolled back
     Given 4 instances, 60 requests a second and 12 s for the rollout
