Count the runners of a version once per table of runners

Each call of a stage asked for the group of all runners of its service, and each of these counted them: with 200 runners 40,000 comparisons a call. The count is kept while the table is unchanged. Pieces are only counted during a rollout, and a store outage is logged once.

--- a/damaskpoint/batching/pool.py
+++ b/damaskpoint/batching/pool.py
@@ -158,9 +158,8 @@
     def find_group_name(self, runner: Runner) -> str:
         """Return the name of a runner's group."""
         prefix = self._versions.group_prefix(runner.version)
-        count = sum(
-            not prefix or other.version == runner.version
-            for other in self._catalog.runners.usable(runner.service)
+        count = self._versions.count_alike(
+            runner, self._catalog.runners.usable(runner.service)
         )
         groups = max(1, math.ceil(count / _RUNNERS_PER_GROUP))
         number = xxhash.xxh32_intdigest(runner.name.encode()) % groups
@@ -216,11 +215,12 @@
 
     def _record_order(self, group: str, pieces: int) -> None:
         """Count pieces for the share of a version under test."""
-        runners = self.find_runners(group)
-        if not runners:
+        name = group.rpartition(_GROUP_SEPARATOR)[0]
+        service = self._catalog.find_service(name)
+        if service is None or not self._versions.has_rollout(name):
             return
-        service = self._catalog.find_service(runners[0].service)
-        if service is not None and service.batches is not None:
+        runners = self.find_runners(group)
+        if runners and service.batches is not None:
             calls = pieces / service.batches.max_pieces
             self._versions.record_stage_pieces(
                 runners[0], calls, time.monotonic()
--- a/damaskpoint/rollout/gate.py
+++ b/damaskpoint/rollout/gate.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import collections
 import math
 from typing import TYPE_CHECKING, Final, final
 
@@ -29,6 +30,7 @@
 
     # Whether a canary's runner is avoided, whether it is cold, and its rank.
     _Penalty = tuple[bool, bool, int]
+    _VersionCounts = tuple[Sequence[Runner], collections.Counter[str]]
 
 # Time for which a runner that failed to answer gets no canary (seconds), if
 # there is another one.
@@ -52,6 +54,8 @@
         self._is_cold = is_cold
         self._avoided_until_by_runner: dict[str, float] = {}
         self._breaks = PendingBreaks()
+        # Usable runners and their number by version.
+        self._counts_by_service: dict[str, _VersionCounts] = {}
         self._times_by_service: dict[str, OldTimes] = {}
 
     # Queries; those that select runners count canaries.
@@ -131,6 +135,25 @@
         steady = self.select_steady(group[0].service, usable, now)
         return list(steady[: len(group)])
 
+    def has_rollout(self, service: str) -> bool:
+        """Return whether a rollout of a service is known."""
+        return self.book.find(service) is not None
+
+    def count_alike(self, runner: Runner, usable: Sequence[Runner]) -> int:
+        """Return the number of usable runners with the version of a runner.
+
+        Counted once for each table of runners, as each call of a stage needs
+        it for all runners.
+        """
+        if self.exposure is None:
+            return len(usable)
+        known = self._counts_by_service.get(runner.service)
+        if known is None or known[0] is not usable:
+            counts = collections.Counter(item.version for item in usable)
+            known = (usable, counts)
+            self._counts_by_service[runner.service] = known
+        return known[1][runner.version]
+
     def group_prefix(self, version: str) -> str:
         """Return what names the groups of a version's stage runners."""
         if self.exposure is None or not version:
--- a/damaskpoint/rollout/state_follower.py
+++ b/damaskpoint/rollout/state_follower.py
@@ -37,6 +37,7 @@
         self._book = book
         self._version: int | None = None
         self._era: int | None = None
+        self._is_failing = False
         # The store's clock minus the monotonic clock; None before a read.
         self.clock_offset_s: float | None = None
         self.versions_by_service: dict[str, int] = {}
@@ -88,6 +89,7 @@
         if is_whole:
             self._version = read.version
         self._era = read.era
+        self._is_failing = False
         self._book.record_confirmed(now)
 
     def apply_written(self, state: RolloutState, version: int) -> None:
@@ -104,7 +106,12 @@
         if failure.code is Code.PLATFORM_MISSING:
             self._version = None
             return _CHANGE_PAUSE_S
-        _LOG.warning('rollouts not read', extra={'reason': failure.detail})
+        if not self._is_failing:
+            self._is_failing = True
+            _LOG.warning(
+                'rollouts not read, no canaries until they are',
+                extra={'reason': failure.detail},
+            )
         return _FAILURE_PAUSE_S
 
     def _find_missing(self, read: Rows) -> None:
--- a/features/steps/version_rollout_gateway_steps.py
+++ b/features/steps/version_rollout_gateway_steps.py
@@ -5,17 +5,25 @@
 import asyncio
 import base64
 import json
+import pathlib
+import re
+import tempfile
 import time
 from typing import Any, Final
 
 from behave import given, then, when
 
+from damaskpoint.errors import Failure
+from damaskpoint.gateway.options import load_gateway_options
 from features.steps.gateway_steps import send_request
 from features.support.gateway_site import Site, run, until
 from standins.runner import RunnerState
 
 _SERVICES: Final = ('plain', 'model', 'stage')
 _KEY: Final = 'rollout/'
+_TEMPLATE: Final = (
+    pathlib.Path(__file__).resolve().parents[2] / 'deploy' / 'settings.json5'
+)
 _SETTLE_S: Final = 0.7
 _POLL_S: Final = 0.05
 
@@ -239,3 +247,51 @@
     await until(lambda: gateway.catalog.configuration is not None)
     await until(lambda: len(gateway.catalog.runners) == len(site.ports_by_name))
     await _send_for(context, per_s, seconds)
+
+
+@when('the settings template is rendered {case} bounds of exposure')
+def render(context: Any, case: str) -> None:
+    """Render the deploy file's template as the platform does."""
+    fields = {
+        'NodeName': 'g-1',
+        'Zone': 'zone-1',
+        'Ip': '127.0.0.1',
+        'Listen.Front': '127.0.0.1:1',
+        'Listen.Ready': '127.0.0.1:2',
+        'PortRange.0': '3',
+        'Platform.Address': '127.0.0.1:4',
+        'Bounds.GraceS': '6',
+        'Bounds.RetryRatio': '0.2',
+        'Bounds.RetrySlack': '50',
+        'Bounds.ColdOvershoot': '1.5',
+        'Bounds.ColdSlack': '5',
+    }
+    if case == 'with':
+        fields['Bounds.ExposureShare'] = '0.1'
+        fields['Bounds.ExposureSlack'] = '50'
+        fields['Bounds.RollbackMs'] = '5000'
+    text = re.sub(
+        r'{{#([\w.]+)}}(.*?){{/\1}}',
+        lambda match: match[2] if match[1] in fields else '',
+        _TEMPLATE.read_text(encoding='utf-8'),
+        flags=re.DOTALL,
+    )
+    for name, value in fields.items():
+        text = text.replace('{{' + name + '}}', value)
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / 'settings.json5'
+        path.write_text(text, encoding='utf-8')
+        context.options = load_gateway_options(path)
+
+
+@then('the rendered settings have rollouts {state}')
+def check_rendered(context: Any, state: str) -> None:
+    """Check the section and its units."""
+    assert not isinstance(context.options, Failure), context.options
+    section = context.options.rollouts
+    if state == 'off':
+        assert section is None
+        return
+    assert str(section.exposure_share) == '0.1'
+    assert section.exposure_slack == 50
+    assert section.rollback_s == 5
--- a/features/version_rollout_gateway.feature
+++ b/features/version_rollout_gateway.feature
@@ -52,3 +52,13 @@
       | state       | how  | seconds | limit |
       | completed   | work | 8       | 9     |
       | rolled_back | fail | 16      | 17    |
+
+  # Guards against a template that cannot be rendered with or without the bounds.
+  Scenario Outline: The settings template is valid <case> bounds of exposure
+    When the settings template is rendered <case> bounds of exposure
+    Then the rendered settings have rollouts <state>
+
+    Examples:
+      | case    | state |
+      | with    | on    |
+      | without | off   |
--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -405,6 +405,13 @@
             'Bounds.ColdSlack': 5,
         }
         text = (ROOT / role['template']).read_text()
+        # A section is rendered only if its value is there.
+        text = re.sub(
+            r'{{#([\w.]+)}}(.*?){{/\1}}',
+            lambda match: match[2] if match[1] in fields else '',
+            text,
+            flags=re.DOTALL,
+        )
         for field, value in fields.items():
             text = text.replace('{{%s}}' % field, str(value))
         self._settings.write_text(text)
