--- a/features/steps/version_rollout_gateway_steps.py
+++ b/features/steps/version_rollout_gateway_steps.py
@@ -9,6 +9,7 @@
 import re
 import tempfile
 import time
+from functools import partial
 from typing import Any, Final
 
 from behave import given, then, when
@@ -16,7 +17,7 @@
 from damaskpoint.errors import Failure
 from damaskpoint.gateway.options import load_gateway_options
 from features.steps.gateway_steps import send_request
-from features.support.gateway_site import Site, run, until
+from features.support.gateway_site import Site, find_free_port, run, until
 from standins.runner import RunnerState
 
 _SERVICES: Final = ('plain', 'model', 'stage')
@@ -78,6 +79,34 @@
             state.status = status
 
 
+@given('{count:d} more gateways')
+def add_gateways(context: Any, count: int) -> None:
+    """Start more gateways and wait until they see each other."""
+    run(context, _add_gateways(context, count))
+
+
+async def _add_gateways(context: Any, count: int) -> None:
+    site = context.site
+    context.gateways = [site.gateway]
+    context.ports = [site.port]
+    for number in range(count):
+        port = find_free_port()
+        gateway = site.create_peer(f'g-{number + 2}', port, find_free_port())
+        task = asyncio.ensure_future(gateway.run())
+        context.closers.append(task.cancel)
+        context.gateways.append(gateway)
+        context.ports.append(port)
+    for gateway in context.gateways:
+        await until(partial(_sees_peers, gateway, count))
+        catalog = gateway.catalog
+        await until(partial(len, catalog.runners))
+
+
+def _sees_peers(gateway: Any, count: int) -> bool:
+    membership = gateway._components.membership
+    return len(membership.live_peers(time.monotonic())) == count
+
+
 @given('the pieces of the new version {how}')
 def set_pieces(context: Any, how: str) -> None:
     """Make the new stage runners fail their pieces."""
@@ -143,6 +172,9 @@
 
 
 async def _send_one(context: Any, path: str) -> None:
+    ports = getattr(context, 'ports', ())
+    if ports:
+        context.site.port = ports[len(context.answers) % len(ports)]
     method = 'POST' if path.startswith('/staged') else 'GET'
     headers = {'Damaskpoint_Prompt_Prefix': ''}
     if method == 'POST':
@@ -185,6 +217,22 @@
     }
 
 
+@then('all gateways know the same of the rollout')
+def check_alike(context: Any) -> None:
+    """Compare phases and the sums of the evidence."""
+    phases = set()
+    for gateway in context.gateways:
+        coordinator = gateway._components.rollouts.coordinator
+        dumped = coordinator.dump_state(time.monotonic())
+        phases.add(dumped['rollouts']['plain']['phase'])
+        own = sum(
+            counts[0]
+            for counts in dumped['rollouts']['plain']['counts'].values()
+        )
+        assert dumped['evidence']['plain']['old'] > own, dumped
+    assert len(phases) == 1, phases
+
+
 @then('all requests were answered')
 def check_answers(context: Any) -> None:
     """Check that the rollout cost no request."""
--- a/features/version_rollout_gateway.feature
+++ b/features/version_rollout_gateway.feature
@@ -19,6 +19,21 @@
     And the new version got at most a tenth of the requests and 50
     And the new version gets no request after that
 
+  # Guards against evidence and reports that do not reach the other instances.
+  Scenario Outline: Three gateways end a rollout alike if the version <how>
+    Given a site with rollouts and 2 runners of each of two versions
+    And 2 more gateways
+    And the new version answers <status>
+    When callers send 90 requests a second and a rollout of 10 s is ordered
+    Then the status of the rollout is <state> within 11 s
+    And the <age> version gets no request after that
+    And all gateways know the same of the rollout
+
+    Examples:
+      | how   | status | state       | age |
+      | works | 200    | completed   | old |
+      | fails | 500    | rolled_back | new |
+
   # Guards against canaries without the deployment's consent.
   Scenario: Without the section, versions of runners are ignored
     Given a site without rollouts and 2 runners of each of two versions
