--- a/features/version_rollouts.feature
+++ b/features/version_rollouts.feature
@@ -24,6 +24,15 @@
       | failures of one route    | 0.3   | fails   | on the route long |
       | slow under load          | 0.5   | is slow | under load        |
 
+  # Guards against a switch that uses more than the exposure (KNOWN-RED.txt).
+  Scenario: A version that turns bad after the switch keeps the exposure
+    Given 4 instances, 60 requests a second and 12 s for the rollout
+    And a version of which 0.3 of the responses fails
+    And it is bad from 9 s on
+    When 3 seeded rollouts are played
+    Then all of them are rolled back
+    And no rollout exceeds the exposure
+
   # Guards against rollbacks of good versions for bursts, crashes and slow zones.
   Scenario: Good versions are completed
     When 1000 seeded good rollouts are played under bursts, crashes and slow zones
