--- a/damaskpoint/batching/grouping.py
+++ b/damaskpoint/batching/grouping.py
@@ -52,9 +52,8 @@
     def find_name(self, runner: Runner) -> str:
         """Return the name of a runner's group."""
         prefix = self._versions.group_prefix(runner.version)
-        count = sum(
-            not prefix or other.version == runner.version
-            for other in self._catalog.runners.usable(runner.service)
+        count = self._versions.count_alike(
+            runner, self._catalog.runners.usable(runner.service)
         )
         groups = max(1, math.ceil(count / _RUNNERS_PER_GROUP))
         number = xxhash.xxh32_intdigest(runner.name.encode()) % groups
--- a/damaskpoint/batching/pool.py
+++ b/damaskpoint/batching/pool.py
@@ -239,11 +239,12 @@
 
     def _record_order(self, group: str, pieces: int) -> None:
         """Count pieces for the share of a version under test."""
-        runners = self.find_runners(group)
-        if not runners:
+        name = find_service_name(group)
+        service = self._catalog.find_service(name)
+        if service is None or not self._versions.has_rollout(name):
             return
-        service = self._catalog.find_service(runners[0].service)
-        if service is not None and service.batches is not None:
+        runners = self.find_runners(group)
+        if runners and service.batches is not None:
             calls = pieces / service.batches.max_pieces
             self._versions.record_stage_pieces(
                 runners[0], calls, time.monotonic()
--- a/damaskpoint/gateway/rollout_wiring.py
+++ b/damaskpoint/gateway/rollout_wiring.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from damaskpoint.platform.piece_caller import HttpPieceCaller
-from damaskpoint.rollout.coordinator import create_rollouts
+from damaskpoint.rollout.components import create_rollouts
 from damaskpoint.rollout.fleet import GatewayFleet
 from damaskpoint.rollout.gate import VersionGate
 from damaskpoint.rollout.model import RolloutBounds
@@ -20,7 +20,7 @@
     from damaskpoint.gateway.options import GatewayOptions
     from damaskpoint.membership.service import Membership
     from damaskpoint.platform.store import PlatformStore
-    from damaskpoint.rollout.coordinator import RolloutComponents
+    from damaskpoint.rollout.components import RolloutComponents
 
 
 def create_piece_caller(
--- a/features/steps/version_rollout_gateway_steps.py
+++ b/features/steps/version_rollout_gateway_steps.py
@@ -5,17 +5,26 @@
 import asyncio
 import base64
 import json
+import pathlib
+import re
+import tempfile
 import time
+from functools import partial
 from typing import Any, Final
 
 from behave import given, then, when
 
+from damaskpoint.errors import Failure
+from damaskpoint.gateway.options import load_gateway_options
 from features.steps.gateway_steps import send_request
-from features.support.gateway_site import Site, run, until
+from features.support.gateway_site import Site, find_free_port, run, until
 from standins.runner import RunnerState
 
 _SERVICES: Final = ('plain', 'model', 'stage')
 _KEY: Final = 'rollout/'
+_TEMPLATE: Final = (
+    pathlib.Path(__file__).resolve().parents[2] / 'deploy' / 'settings.json5'
+)
 _SETTLE_S: Final = 0.7
 _POLL_S: Final = 0.05
 
@@ -70,6 +79,34 @@
             state.status = status
 
 
+@given('{count:d} more gateways')
+def add_gateways(context: Any, count: int) -> None:
+    """Start more gateways and wait until they see each other."""
+    run(context, _add_gateways(context, count))
+
+
+async def _add_gateways(context: Any, count: int) -> None:
+    site = context.site
+    context.gateways = [site.gateway]
+    context.ports = [site.port]
+    for number in range(count):
+        port = find_free_port()
+        gateway = site.create_peer(f'g-{number + 2}', port, find_free_port())
+        task = asyncio.ensure_future(gateway.run())
+        context.closers.append(task.cancel)
+        context.gateways.append(gateway)
+        context.ports.append(port)
+    for gateway in context.gateways:
+        await until(partial(_sees_peers, gateway, count))
+        catalog = gateway.catalog
+        await until(partial(len, catalog.runners))
+
+
+def _sees_peers(gateway: Any, count: int) -> bool:
+    membership = gateway._components.membership
+    return len(membership.live_peers(time.monotonic())) == count
+
+
 @given('the pieces of the new version {how}')
 def set_pieces(context: Any, how: str) -> None:
     """Make the new stage runners fail their pieces."""
@@ -135,6 +172,9 @@
 
 
 async def _send_one(context: Any, path: str) -> None:
+    ports = getattr(context, 'ports', ())
+    if ports:
+        context.site.port = ports[len(context.answers) % len(ports)]
     method = 'POST' if path.startswith('/staged') else 'GET'
     headers = {'Damaskpoint_Prompt_Prefix': ''}
     if method == 'POST':
@@ -177,6 +217,22 @@
     }
 
 
+@then('all gateways know the same of the rollout')
+def check_alike(context: Any) -> None:
+    """Compare phases and the sums of the evidence."""
+    phases = set()
+    for gateway in context.gateways:
+        coordinator = gateway._components.rollouts.coordinator
+        dumped = coordinator.dump_state(time.monotonic())
+        phases.add(dumped['rollouts']['plain']['phase'])
+        own = sum(
+            counts[0]
+            for counts in dumped['rollouts']['plain']['counts'].values()
+        )
+        assert dumped['evidence']['plain']['old'] > own, dumped
+    assert len(phases) == 1, phases
+
+
 @then('all requests were answered')
 def check_answers(context: Any) -> None:
     """Check that the rollout cost no request."""
@@ -239,3 +295,51 @@
     await until(lambda: gateway.catalog.configuration is not None)
     await until(lambda: len(gateway.catalog.runners) == len(site.ports_by_name))
     await _send_for(context, per_s, seconds)
+
+
+@when('the settings template is rendered {case} bounds of exposure')
+def render(context: Any, case: str) -> None:
+    """Render the deploy file's template as the platform does."""
+    fields = {
+        'NodeName': 'g-1',
+        'Zone': 'zone-1',
+        'Ip': '127.0.0.1',
+        'Listen.Front': '127.0.0.1:1',
+        'Listen.Ready': '127.0.0.1:2',
+        'PortRange.0': '3',
+        'Platform.Address': '127.0.0.1:4',
+        'Bounds.GraceS': '6',
+        'Bounds.RetryRatio': '0.2',
+        'Bounds.RetrySlack': '50',
+        'Bounds.ColdOvershoot': '1.5',
+        'Bounds.ColdSlack': '5',
+    }
+    if case == 'with':
+        fields['Bounds.ExposureShare'] = '0.1'
+        fields['Bounds.ExposureSlack'] = '50'
+        fields['Bounds.RollbackMs'] = '5000'
+    text = re.sub(
+        r'{{#([\w.]+)}}(.*?){{/\1}}',
+        lambda match: match[2] if match[1] in fields else '',
+        _TEMPLATE.read_text(encoding='utf-8'),
+        flags=re.DOTALL,
+    )
+    for name, value in fields.items():
+        text = text.replace('{{' + name + '}}', value)
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / 'settings.json5'
+        path.write_text(text, encoding='utf-8')
+        context.options = load_gateway_options(path)
+
+
+@then('the rendered settings have rollouts {state}')
+def check_rendered(context: Any, state: str) -> None:
+    """Check the section and its units."""
+    assert not isinstance(context.options, Failure), context.options
+    section = context.options.rollouts
+    if state == 'off':
+        assert section is None
+        return
+    assert str(section.exposure_share) == '0.1'
+    assert section.exposure_slack == 50
+    assert section.rollback_s == 5
