Check a configuration before it is sent

Cause: an operator learned from the gateways' logs, after the change, that a configuration is invalid, that a route is shadowed or a key is lost.

--- /dev/null
+++ b/damaskpoint/config_check/__init__.py
@@ -0,0 +1,1 @@
+"""Checks a configuration before an operator sends it."""
