--- a/damaskpoint/config_check/differences.py
+++ b/damaskpoint/config_check/differences.py
@@ -131,17 +131,17 @@
             yield _difference(
                 'limit-changed',
                 f'Limits.{name}',
-                f'{limit:g}, was {old_limits[name]:g}',
+                f'{limit}, was {old_limits[name]}',
             )
 
 
-def _describe_limits(configuration: Configuration) -> Mapping[str, float]:
+def _describe_limits(configuration: Configuration) -> Mapping[str, str]:
     limits = configuration.limits
     return {
-        'MaxHeaderBytes': limits.max_header_bytes,
-        'MaxBodyBytes': limits.max_body_bytes,
-        'HeaderTimeoutMs': limits.header_timeout_s * _MS_PER_S,
-        'IdleTimeoutMs': limits.idle_timeout_s * _MS_PER_S,
+        'MaxHeaderBytes': str(limits.max_header_bytes),
+        'MaxBodyBytes': str(limits.max_body_bytes),
+        'HeaderTimeoutMs': f'{limits.header_timeout_s * _MS_PER_S:g}',
+        'IdleTimeoutMs': f'{limits.idle_timeout_s * _MS_PER_S:g}',
     }
 
 
