Begin the switch as late as gossip and requests allow

Cause: the lead of the switch assumed 1 s for gossip, too long for a few instances, whose services then exceeded the exposure, and too short for 195 of them, whose reports need 2 s. It now takes the cycle of the gossip, and the margins before the deadline are 1.2 and 0.8 s instead of 1.5 and 1 s.

--- a/damaskpoint/rollout/coordinator.py
+++ b/damaskpoint/rollout/coordinator.py
@@ -292,6 +292,7 @@
             no_runner_s=progress.find_gap_s(new_runners, now),
             old_work=self._sum_old_work(state, rollout, now),
             request_s=self._gate.work.longest_s(service) + usage.hold_s,
+            gossip_s=self._fleet.gossip_s,
             timeout_s=usage.timeout_s,
             now_s=now_s,
         )
--- a/damaskpoint/rollout/fleet.py
+++ b/damaskpoint/rollout/fleet.py
@@ -38,6 +38,11 @@
 
     own_name: str
 
+    @property
+    @abc.abstractmethod
+    def gossip_s(self) -> float:
+        """Return the time in which each instance hears of each other."""
+
     @abc.abstractmethod
     def unended_names(self) -> frozenset[str]:
         """Return the other instances that may be running."""
@@ -89,6 +94,11 @@
         self._catalog = catalog
         self._is_mixed = False
 
+    @property
+    def gossip_s(self) -> float:
+        """Return the time in which each instance hears of each other."""
+        return self._membership.cycle_s
+
     def unended_names(self) -> frozenset[str]:
         """Return the other instances that may be running."""
         membership = self._membership
--- a/damaskpoint/rollout/phases.py
+++ b/damaskpoint/rollout/phases.py
@@ -12,12 +12,11 @@
 
     from damaskpoint.rollout.model import RolloutState
 
-# Time from a decision until it is known everywhere (seconds): writes and reads
-# of the store and rounds of gossip.
-_SPREAD_S: Final = 1.0
+# Time for the writes and reads of the store (seconds), beside that of gossip.
+_STORE_S: Final = 0.4
 # Requests take up to this multiple of the longest time measured.
 _DRAIN_FACTOR: Final = 1.2
-_MIN_LEAD_S: Final = 2.2
+_MIN_LEAD_S: Final = 2.0
 _MAX_LEAD_SHARE: Final = 0.5
 # Score from which on the switch waits for more canaries, up to the least lead,
 # and score from which on it is not made then. A bad version that is only found
@@ -27,10 +26,10 @@
 # How long before the deadline the last decision is made (seconds), so that it
 # is stored in time: the deadline counts from the order, which the first state
 # follows by some tenths, and the instance whose turn it is may be gone.
-_FINISH_MARGIN_S: Final = 1.5
+_FINISH_MARGIN_S: Final = 1.2
 # How long before it requests at old runners are no longer waited for
 # (seconds), unless they must not be repeated.
-_LAST_MARGIN_S: Final = 1.0
+_LAST_MARGIN_S: Final = 0.8
 # How long the new version may be without a usable runner while switching
 # (seconds).
 _MAX_GAP_S: Final = 2.0
@@ -80,6 +79,8 @@
     old_work: OldWork
     # Longest time that requests of the service take.
     request_s: float
+    # Time in which each instance hears of each other one by gossip.
+    gossip_s: float
     # Longest timeout of the routes of the service.
     timeout_s: float
     now_s: float
@@ -108,11 +109,16 @@
     return OldWork(busy, unrepeatable, silent)
 
 
-def compute_lead_s(duration_s: float, request_s: float) -> float:
+def compute_lead_s(situation: Situation) -> float:
     """Return how long before the deadline the switch begins (seconds)."""
-    lead_s = _FINISH_MARGIN_S + _SPREAD_S + request_s * _DRAIN_FACTOR
-    lead_s = max(_MIN_LEAD_S, lead_s)
-    return min(lead_s, duration_s * _MAX_LEAD_SHARE)
+    lead_s = (
+        _FINISH_MARGIN_S
+        + _STORE_S
+        + situation.gossip_s
+        + situation.request_s * _DRAIN_FACTOR
+    )
+    duration_s = situation.state.order.duration_s
+    return min(max(_MIN_LEAD_S, lead_s), duration_s * _MAX_LEAD_SHARE)
 
 
 def decide(situation: Situation) -> Change | None:
@@ -135,8 +141,7 @@
 
 def _decide_start(situation: Situation) -> Change | None:
     state = situation.state
-    order = state.order
-    lead_s = compute_lead_s(order.duration_s, situation.request_s)
+    lead_s = compute_lead_s(situation)
     left_s = state.deadline_s - situation.now_s
     if not situation.new_runners or state.phase is Phase.WAITING:
         if left_s <= _FINISH_MARGIN_S:
@@ -175,7 +180,8 @@
         return Change(Phase.COMPLETED, 'no request at old runners')
     if situation.now_s < state.deadline_s - _LAST_MARGIN_S:
         return None
-    is_over = situation.now_s > state.phase_s + situation.timeout_s + _SPREAD_S
+    ends_s = state.phase_s + situation.timeout_s
+    is_over = situation.now_s > ends_s + _STORE_S + situation.gossip_s
     if not work.unrepeatable or is_over:
         return Change(
             Phase.COMPLETED,
--- a/features/support/rollout_instance.py
+++ b/features/support/rollout_instance.py
@@ -39,6 +39,11 @@
         self.read_era = world.store.era
         self.read_at = float('-inf')
 
+    @property
+    def gossip_s(self) -> float:
+        """Return the interval of the simulated rounds."""
+        return 0.15
+
     def create_fact(self) -> PeerFact:
         """Return what others learn of this instance."""
         return PeerFact(
--- a/features/version_rollouts.feature
+++ b/features/version_rollouts.feature
@@ -29,7 +29,7 @@
     Given 4 instances, 60 requests a second and 12 s for the rollout
     And a version of which 0.3 of the responses fails
     And it is bad from 9 s on
-    When 3 seeded rollouts are played
+    When 20 seeded rollouts are played
     Then all of them are rolled back
     And no rollout exceeds the exposure
 
