--- a/damaskpoint/gateway/runtime.py
+++ b/damaskpoint/gateway/runtime.py
@@ -212,6 +212,7 @@
         for coroutine in (
             run_periodically(0, rollouts.follow),
             run_periodically(_ROLLOUT_INTERVAL_S, rollouts.advance),
+            run_periodically(_ROLLOUT_INTERVAL_S, rollouts.check_evidence),
         ):
             self._tasks.append(asyncio.ensure_future(coroutine))
 
--- a/damaskpoint/rollout/components.py
+++ b/damaskpoint/rollout/components.py
@@ -29,6 +29,10 @@
         """Read the states once if they are needed, and pause."""
         await self.follower.step(self.coordinator.is_needed())
 
+    async def check_evidence(self) -> None:
+        """Evaluate the evidence once, also while a phase is being stored."""
+        self.coordinator.check_evidence(time.monotonic())
+
     async def advance(self) -> None:
         """Evaluate the evidence once."""
         await self.coordinator.advance(time.monotonic())
--- a/damaskpoint/rollout/coordinator.py
+++ b/damaskpoint/rollout/coordinator.py
@@ -29,7 +29,6 @@
     from damaskpoint.rollout.exposure import Exposure
     from damaskpoint.rollout.fleet import Fleet
     from damaskpoint.rollout.gate import VersionGate
-    from damaskpoint.rollout.model import Order
     from damaskpoint.rollout.state_follower import StateFollower
 
 _LOG: Final = logging.getLogger(__name__)
@@ -99,16 +98,21 @@
         if now - self._versions_at >= _VERSIONS_INTERVAL_S:
             self._versions_at = now
             self._fleet.update_versions(self._book)
+        self.check_evidence(now)
         for service, rollout in tuple(self._book.rollouts_by_service.items()):
-            state = rollout.state
-            if state is not None and not state.phase.is_final:
-                self._check_evidence(rollout, state, now)
             changed = self._find_change(service, rollout, now)
             if changed is None:
                 self._due_by_service.pop(service, None)
             elif self._is_due(service, changed, now):
                 await self._store_state(changed, now)
 
+    def check_evidence(self, now: float) -> None:
+        """Evaluate the evidence alone, which waits for nothing."""
+        for rollout in self._book.rollouts_by_service.values():
+            state = rollout.state
+            if state is not None and not state.phase.is_final:
+                self._check_evidence(rollout, state, now)
+
     def apply_facts(
         self, peer: PeerFact, received: Iterable[RolloutFact]
     ) -> None:
@@ -249,7 +253,10 @@
         if state is not None and service in self._follower.lost_services:
             return state
         if rollout.is_unanswered and order is not None:
-            return self._create_state(order, now_s)
+            established = self._book.versions.find(service) or ''
+            return RolloutState(
+                order, established, Phase.WAITING, now_s, now_s, 'ordered'
+            )
         if state is None:
             return None
         metrics.PHASE.set({'service': service}, state.phase.rank)
@@ -266,12 +273,6 @@
         offset_s = self._follower.clock_offset_s
         return None if offset_s is None else at + offset_s
 
-    def _create_state(self, order: Order, now_s: float) -> RolloutState:
-        established = self._book.versions.find(order.service) or ''
-        return RolloutState(
-            order, established, Phase.WAITING, now_s, now_s, 'ordered'
-        )
-
     def _describe(
         self,
         rollout: ServiceRollout,
