Report stages whose inputs are missing or form a cycle

Cause: read_configuration accepts such stages, and Route.depth ends with an IndexError or a RecursionError on them. Change: rules stage-unknown and stage-cycle, by Route.depth itself.

--- a/damaskpoint/config_check/matching.py
+++ b/damaskpoint/config_check/matching.py
@@ -48,6 +48,7 @@
         yield from _check_match(placed, document.configuration)
         yield from _check_services(placed, document.configuration, runners)
         yield from _check_weights(placed)
+        yield from _check_stages(placed)
     yield from _check_replaced(document)
     yield from _check_accounts(document)
 
@@ -108,6 +109,17 @@
             yield _unused('weight-zero', f'{placed.place}.Split', text)
 
 
+def _check_stages(placed: PlacedRoute) -> Iterator[Finding]:
+    for stage in placed.route.stages:
+        place = f'{placed.place}.Stages.{stage.index}'
+        try:
+            placed.route.depth(stage.index)
+        except IndexError:
+            yield _unused('stage-unknown', place, 'awaits an unknown stage')
+        except RecursionError:
+            yield _unused('stage-cycle', place, 'its inputs form a cycle')
+
+
 def _place_services(placed: PlacedRoute) -> Mapping[str, str]:
     """Return the places of the services that a route uses."""
     places_by_name: dict[str, str] = {}
--- a/features/config_check.feature
+++ b/features/config_check.feature
@@ -5,18 +5,21 @@
   SERVICE:STATE:SLOTS, and "bad" is a runner without fields.
 
   # Guards against findings on a configuration that is in order.
-  Scenario Outline: A valid configuration has no findings: options <options>
-    When the configuration is checked with Version=1, options <options>
+  Scenario Outline: A valid configuration has no findings: <case>
+    When the configuration is checked with <changes>, options <options>
     Then the exit status is 0 and nothing is printed
 
     Examples:
-      | options                     |
-      | none                        |
-      | --against in-force          |
-      | --runners chat,plain        |
-      | --memory-mb 200             |
-      | --retry-ratio 0.2           |
-      | --caller-deadline chat=3000 |
+      | case                     | changes                                             | options                     |
+      | without options          | Version=1                                           | none                        |
+      | the same again           | Version=1                                           | --against in-force          |
+      | the same shares          | Routes.0.Split=[{"Service": "chat", "Weight": 5}]   | --against in-force          |
+      | runners of all services  | Version=1                                           | --runners chat,plain        |
+      | bodies within the budget | Version=1                                           | --memory-mb 200             |
+      | a deadline as long       | Version=1                                           | --caller-deadline chat=3000 |
+      | attempts in reach        | Routes.0.MaxAttempts=3                              | --retry-ratio 0.2           |
+      | attempts of refusals     | Routes.0.Kind="unsafe"; Routes.0.MaxAttempts=4      | --retry-ratio 0.2           |
+      | calls with pieces        | Services.0.ColdPerS=9; Services.0.Pieces={"Batch": 8, "CallMs": 1, "ItemMs": 1, "HeadroomMb": 1, "HandleS": 1} | --runners chat:ready:8,plain |
 
   # Guards against a rule that stays silent, or names a wrong place.
   Scenario Outline: A finding of a configuration: <code>, <case>
@@ -40,6 +43,8 @@
       | route-without-service  | no target        | Routes.0.Service=null                              | none                            | Routes.0            |
       | service-unknown        | of a route       | Routes.0.Service="char"                            | none                            | Routes.0            |
       | service-unknown        | of a stage       | Routes.0.Stages=[{"Service": "rank"}]              | none                            | Routes.0.Stages.0   |
+      | stage-unknown          | no such index    | Routes.0.Stages=[{"Service": "chat", "After": [1]}] | none                           | Routes.0.Stages.0   |
+      | stage-cycle            | of two stages    | Routes.0.Stages=[{"Service": "chat", "After": [1]}, {"Service": "chat", "After": [0]}] | none | Routes.0.Stages.0 and Routes.0.Stages.1 |
       | weight-zero            | of a split       | Routes.0.Split=[{"Service": "plain", "Weight": 0}] | none                            | Routes.0.Split      |
       | service-without-runner | none             | Version=1                                          | --runners chat                  | Routes.1            |
       | service-without-runner | draining         | Version=1                                          | --runners chat,plain:draining   | Routes.1            |
