Take values that the platform has not filled in as absent

The template had a section that only the platform renders, and required fields that earlier renderers of it do not know, so that the review's deployments had been changed to start. They are as they were again.

--- a/damaskpoint/gateway/options.py
+++ b/damaskpoint/gateway/options.py
@@ -27,6 +27,7 @@
 _RETRY_WINDOW_S: Final = 10.0
 _SILENCE_TIMEOUT_S: Final = 2.0
 _STORE_TIMEOUT_S: Final = 1.0
+_PLACEHOLDER: Final = '{{'
 
 
 @final
@@ -133,6 +134,16 @@
     max_fds: int = pydantic.Field(defaults.MAX_FDS, gt=0)
     """File descriptors that the process may open."""
 
+    @pydantic.model_validator(mode='before')
+    @classmethod
+    def drop_absent(cls, raw: object) -> object:
+        """Leave out the values that the platform has not filled in."""
+        if not isinstance(raw, dict):
+            return raw
+        return {
+            name: value for name, value in raw.items() if not _is_absent(value)
+        }
+
 
 @final
 class GatewayOptions(Section):
@@ -147,17 +158,27 @@
     bounds: BoundsSection
     """Limits set by the platform."""
     limits: LimitsSection = LimitsSection()
-    """Resources of the machine that callers may use."""
+    """Resources of the machine that callers may use.
+
+    A value that the platform has not filled in has its default."""
     runners: RunnersSection = RunnersSection()
     """Timeouts of calls to runners."""
     gossip: GossipSection = GossipSection()
     """Gossip between instances."""
     rollouts: RolloutsSection | None = None
-    """Rollouts of service versions. Without this section, versions of runners
-    are ignored."""
+    """Rollouts of service versions. Without this section, or where the platform
+    has not filled in its share, versions of runners are ignored."""
     log: LogOptions = LogOptions()
     """Level and format of the log."""
 
+    @pydantic.field_validator('rollouts', mode='before')
+    @classmethod
+    def drop_absent_rollouts(cls, raw: object) -> object:
+        """Return None for a section whose share is not filled in."""
+        if isinstance(raw, dict) and _is_absent(raw.get('exposure_share')):
+            return None
+        return raw
+
 
 def load_gateway_options(path: pathlib.Path) -> GatewayOptions | Failure:
     """Read and validate a settings file; a failure lists every error."""
@@ -174,3 +195,10 @@
     if not host or not 0 <= number <= defaults.MAX_PORT:
         raise ValueError(f'{text}: not HOST:PORT')
     return host, number
+
+
+def _is_absent(value: object) -> bool:
+    """Return whether a placeholder of the template was not filled in."""
+    return isinstance(value, str) and (
+        not value or value.startswith(_PLACEHOLDER)
+    )
--- a/features/steps/version_rollout_gateway_steps.py
+++ b/features/steps/version_rollout_gateway_steps.py
@@ -318,14 +318,11 @@
         fields['Bounds.ExposureShare'] = '0.1'
         fields['Bounds.ExposureSlack'] = '50'
         fields['Bounds.RollbackMs'] = '5000'
-    text = re.sub(
-        r'{{#([\w.]+)}}(.*?){{/\1}}',
-        lambda match: match[2] if match[1] in fields else '',
-        _TEMPLATE.read_text(encoding='utf-8'),
-        flags=re.DOTALL,
-    )
+    text = _TEMPLATE.read_text(encoding='utf-8')
     for name, value in fields.items():
         text = text.replace('{{' + name + '}}', value)
+    # The platform leaves nothing of a placeholder without a value.
+    text = re.sub(r'{{[\w.]+}}', '', text)
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / 'settings.json5'
         path.write_text(text, encoding='utf-8')
--- a/review/support/deployment.py
+++ b/review/support/deployment.py
@@ -398,8 +398,6 @@
             'Listen.Ready': '{}:{}'.format(*self.ready),
             'PortRange.0': free_port(host),
             'Platform.Address': store_address,
-            'Limits.MemoryMb': 552,
-            'Limits.MaxFds': 4100,
             'Bounds.GraceS': bounds.get('grace_s', 8),
             'Bounds.RetryRatio': 0.2,
             'Bounds.RetrySlack': 56,
@@ -407,13 +405,6 @@
             'Bounds.ColdSlack': 5,
         }
         text = (ROOT / role['template']).read_text()
-        # A section is rendered only if its value is there.
-        text = re.sub(
-            r'{{#([\w.]+)}}(.*?){{/\1}}',
-            lambda match: match[2] if match[1] in fields else '',
-            text,
-            flags=re.DOTALL,
-        )
         for field, value in fields.items():
             text = text.replace('{{%s}}' % field, str(value))
         self._settings.write_text(text)
