Spend less processor time on gossip

Reports of stage runners went to all peers, which do not use them: a tenth of the processor time of an instance in a small twin (116,000 facts applied in 30 s by 16 instances). Each event read twice from the socket, the second time mostly for nothing.

--- a/damaskpoint/membership/gossip.py
+++ b/damaskpoint/membership/gossip.py
@@ -23,9 +23,6 @@
 
 _LOG: Final = logging.getLogger(__name__)
 _MS: Final = 1000
-# Datagrams read per iteration of the event loop, so that other callbacks are
-# not starved.
-_READS_PER_ITERATION: Final = 64
 # More datagrams than the socket's receive buffer holds.
 _READS_PER_DRAIN: Final = 10_000
 
@@ -158,10 +155,10 @@
         self._log_changes(now)
 
     def _on_readable(self, _fd: object, _events: int) -> None:
-        for _ in range(_READS_PER_ITERATION):
-            received = self._read()
-            if received is None:
-                return
+        # One datagram an event: a second read mostly finds nothing, and the
+        # loop calls again as long as there are more.
+        received = self._read()
+        if received is not None:
             self._handle_datagram(*received)
 
     def _handle_datagram(self, datagram: bytes, host: str) -> None:
--- a/damaskpoint/platform/piece_caller.py
+++ b/damaskpoint/platform/piece_caller.py
@@ -6,6 +6,7 @@
 import http
 import logging
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final, final
 
 from damaskpoint import protocol
@@ -112,4 +113,8 @@
         self, runner: Runner, head: exchange.AnswerHead
     ) -> None:
         metadata = requests.read_answer_metadata(head.status, head.headers)
-        self._signals.record(runner, metadata, time.monotonic())
+        # Only the batching instance calls a stage runner, and it reads the
+        # load itself: gossip of it took a tenth of each peer's time.
+        self._signals.record(
+            runner, replace(metadata, load=None), time.monotonic()
+        )
