--- a/damaskpoint/membership/packing.py
+++ b/damaskpoint/membership/packing.py
@@ -40,7 +40,7 @@
 # Heartbeats of other peers in a datagram. Each instance receives some hundred
 # datagrams a second, so that it still hears of each peer several times within
 # the time after which a silent one counts as failed.
-_MAX_HEARTBEATS: Final = 8
+_MAX_HEARTBEATS: Final = 16
 _CAPACITIES_FRACTION: Final = 0.3
 _WINDOW_S: Final = 1.0
 
--- a/features/support/capacity_fleet.py
+++ b/features/support/capacity_fleet.py
@@ -25,6 +25,7 @@
     PromptPart,
     RequestMetadata,
 )
+from damaskpoint.rollout.gate import VersionGate
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -179,6 +180,7 @@
             loads=loads,
             capacities=capacities if self.options.learns else unlearned,
             options=SimpleNamespace(own_name='i', zone=zone),
+            versions=VersionGate('i', None, lambda name, now: False),
         )
         return _Instance(loads, capacities, context)
 
