--- a/damaskpoint/config_check/differences.py
+++ b/damaskpoint/config_check/differences.py
@@ -10,6 +10,7 @@
 
 from damaskpoint.config_check.findings import Finding, FindingKind
 from damaskpoint.config_check.matching import shortest_path
+from damaskpoint.platform import configuration_fields as fields
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping, Sequence
@@ -27,7 +28,7 @@
     if new.version < old.version or (new.version == old.version and new != old):
         yield _difference(
             'version-not-newer',
-            'Version',
+            fields.VERSION,
             f'{new.version} is not applied, {old.version} is in force',
         )
     for host, path in _collect_parts((before, after)):
@@ -109,15 +110,15 @@
         f'{stage.service} after {list(stage.after)}' for stage in route.stages
     ]
     return {
-        'Name': route.name,
-        'Kind': route.kind.value,
-        'TimeoutMs': f'{route.timeout_s * _MS_PER_S:g}',
-        'SloMs': f'{route.objective_s * _MS_PER_S:g}',
-        'GapTargetMs': f'{route.max_event_gap_s * _MS_PER_S:g}',
-        'Priority': str(route.priority),
-        'MaxAttempts': str(route.max_attempts),
-        'Resumable': str(route.is_resumable),
-        'Stages': '; '.join(stages) or 'none',
+        fields.NAME: route.name,
+        fields.KIND: route.kind.value,
+        fields.TIMEOUT_MS: f'{route.timeout_s * _MS_PER_S:g}',
+        fields.OBJECTIVE_MS: f'{route.objective_s * _MS_PER_S:g}',
+        fields.MAX_EVENT_GAP_MS: f'{route.max_event_gap_s * _MS_PER_S:g}',
+        fields.PRIORITY: str(route.priority),
+        fields.MAX_ATTEMPTS: str(route.max_attempts),
+        fields.RESUMABLE: str(route.is_resumable),
+        fields.STAGES: '; '.join(stages) or 'none',
         'key': 'required' if needs_key else 'not required',
     }
 
@@ -130,7 +131,7 @@
         if limit != old_limits[name]:
             yield _difference(
                 'limit-changed',
-                f'Limits.{name}',
+                f'{fields.LIMITS}.{name}',
                 f'{limit}, was {old_limits[name]}',
             )
 
@@ -138,10 +139,10 @@
 def _describe_limits(configuration: Configuration) -> Mapping[str, str]:
     limits = configuration.limits
     return {
-        'MaxHeaderBytes': str(limits.max_header_bytes),
-        'MaxBodyBytes': str(limits.max_body_bytes),
-        'HeaderTimeoutMs': f'{limits.header_timeout_s * _MS_PER_S:g}',
-        'IdleTimeoutMs': f'{limits.idle_timeout_s * _MS_PER_S:g}',
+        fields.MAX_HEADER_BYTES: str(limits.max_header_bytes),
+        fields.MAX_BODY_BYTES: str(limits.max_body_bytes),
+        fields.HEADER_TIMEOUT_MS: f'{limits.header_timeout_s * _MS_PER_S:g}',
+        fields.IDLE_TIMEOUT_MS: f'{limits.idle_timeout_s * _MS_PER_S:g}',
     }
 
 
--- a/damaskpoint/config_check/document.py
+++ b/damaskpoint/config_check/document.py
@@ -12,6 +12,7 @@
 
 from damaskpoint.errors import Failure
 from damaskpoint.platform.rows import read_configuration
+from damaskpoint.platform import configuration_fields as fields
 
 if TYPE_CHECKING:
     from collections.abc import Mapping, Sequence
@@ -56,12 +57,12 @@
         return configuration
     return Document(
         configuration,
-        _place_routes(configuration, raw['Routes']),
+        _place_routes(configuration, raw[fields.ROUTES]),
         tuple(
-            PlacedName(f'Services.{index}', service['Name'])
-            for index, service in enumerate(raw['Services'])
+            PlacedName(f'{fields.SERVICES}.{index}', service[fields.NAME])
+            for index, service in enumerate(raw[fields.SERVICES])
         ),
-        _place_keys(raw.get('Tenants', ())),
+        _place_keys(raw.get(fields.ACCOUNTS, ())),
     )
 
 
@@ -80,9 +81,11 @@
             )
     placed = []
     for index, raw_route in enumerate(raw_routes):
-        route_id = (raw_route['Host'].lower(), raw_route['Prefix'])
+        route_id = (raw_route[fields.HOST].lower(), raw_route[fields.PREFIX])
         placed.append(
-            PlacedRoute(f'Routes.{index}', routes_by_id[route_id].pop(0))
+            PlacedRoute(
+                f'{fields.ROUTES}.{index}', routes_by_id[route_id].pop(0)
+            )
         )
     return tuple(placed)
 
@@ -92,7 +95,7 @@
 ) -> tuple[PlacedName, ...]:
     placed = []
     for index, account in enumerate(raw_accounts):
-        for key_index, key in enumerate(account.get('ApiKeys', ())):
-            place = f'Tenants.{index}.ApiKeys.{key_index}'
-            placed.append(PlacedName(place, key, account['Name']))
+        for key_index, key in enumerate(account.get(fields.KEYS, ())):
+            place = f'{fields.ACCOUNTS}.{index}.{fields.KEYS}.{key_index}'
+            placed.append(PlacedName(place, key, account[fields.NAME]))
     return tuple(placed)
--- a/damaskpoint/config_check/limits.py
+++ b/damaskpoint/config_check/limits.py
@@ -12,6 +12,7 @@
 
 from damaskpoint.config_check.findings import Finding, FindingKind
 from damaskpoint.gateway.intake import create_limits
+from damaskpoint.platform import configuration_fields as fields
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Mapping
@@ -64,7 +65,7 @@
         timeout = _format_ms(route.timeout_s)
         yield _limit(
             'objective-over-timeout',
-            f'{placed.place}.SloMs',
+            f'{placed.place}.{fields.OBJECTIVE_MS}',
             f'{objective} is over the timeout, {timeout}',
         )
 
@@ -81,7 +82,7 @@
     if route.max_attempts > reachable:
         yield _limit(
             'attempts-over-retry-ratio',
-            f'{placed.place}.MaxAttempts',
+            f'{placed.place}.{fields.MAX_ATTEMPTS}',
             f'a retry ratio of {retry_ratio:g} allows about {reachable}',
         )
 
@@ -96,7 +97,7 @@
         timeout = _format_ms(placed.route.timeout_s)
         yield _limit(
             'timeout-over-deadline',
-            f'{placed.place}.TimeoutMs',
+            f'{placed.place}.{fields.TIMEOUT_MS}',
             f'{timeout} is over the deadline of callers, {deadline_ms:g} ms',
         )
 
@@ -118,7 +119,7 @@
 def _check_cold(
     service: Service, place: str, runners: Iterable[Runner]
 ) -> Iterator[Finding]:
-    place = f'{place}.ColdPerS'
+    place = f'{place}.{fields.COLD_PER_S}'
     rate = service.cold_per_s
     if service.cold_s and not rate:
         text = 'cold runners are not limited, despite ColdS'
@@ -147,7 +148,7 @@
     if limits.max_header_bytes + limits.max_body_bytes > budget:
         yield _limit(
             'body-over-memory',
-            'Limits.MaxBodyBytes',
+            f'{fields.LIMITS}.{fields.MAX_BODY_BYTES}',
             f'one request exceeds the budget for requests, {budget} bytes',
         )
 
--- a/damaskpoint/config_check/matching.py
+++ b/damaskpoint/config_check/matching.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Final
 
 from damaskpoint.config_check.findings import Finding, FindingKind
+from damaskpoint.platform import configuration_fields as fields
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Mapping
@@ -60,7 +61,7 @@
     if not route.host or ':' in route.host or _has_space(route.host):
         yield _unused(
             'host-impossible',
-            f'{placed.place}.Host',
+            f'{placed.place}.{fields.HOST}',
             f'no request has the host {route.host!r}, ports are ignored',
         )
         return
@@ -68,7 +69,7 @@
     if path is None:
         yield _unused(
             'prefix-impossible',
-            f'{placed.place}.Prefix',
+            f'{placed.place}.{fields.PREFIX}',
             f'no path starts with {route.prefix!r}',
         )
         return
@@ -76,7 +77,7 @@
     if found is not None and found is not route:
         yield _unused(
             'route-shadowed',
-            f'{placed.place}.Prefix',
+            f'{placed.place}.{fields.PREFIX}',
             f'route {found.name!r} takes all of {route.host}{route.prefix}',
         )
 
@@ -106,12 +107,14 @@
     for target in targets:
         if not target.weight:
             text = f'{target.service!r} gets no requests'
-            yield _unused('weight-zero', f'{placed.place}.Split', text)
+            yield _unused(
+                'weight-zero', f'{placed.place}.{fields.TARGETS}', text
+            )
 
 
 def _check_stages(placed: PlacedRoute) -> Iterator[Finding]:
     for stage in placed.route.stages:
-        place = f'{placed.place}.Stages.{stage.index}'
+        place = f'{placed.place}.{fields.STAGES}.{stage.index}'
         try:
             placed.route.depth(stage.index)
         except IndexError:
@@ -127,7 +130,7 @@
         places_by_name.setdefault(target.service, placed.place)
     for stage in placed.route.stages:
         places_by_name.setdefault(
-            stage.service, f'{placed.place}.Stages.{stage.index}'
+            stage.service, f'{placed.place}.{fields.STAGES}.{stage.index}'
         )
     return places_by_name
 
