Let requests give way only where callers compete for the runners

It now depends on the part of the platform's rules on shared pools, from the settings; elsewhere pieces run by due time as before.

--- a/damaskpoint/batching/group.py
+++ b/damaskpoint/batching/group.py
@@ -59,9 +59,14 @@
         find_runners: Callable[[], Sequence[Runner]],
         health: RunnerHealth,
         caller: PieceCaller,
+        *,
+        shares_capacity: bool = True,
     ) -> None:
-        """Start idle; ``find_runners`` returns the usable runners."""
-        self.queue = PieceQueue(limits)
+        """Start idle; ``find_runners`` returns the usable runners.
+
+        See ``PieceQueue`` for ``shares_capacity``.
+        """
+        self.queue = PieceQueue(limits, shares_capacity=shares_capacity)
         self._limits = limits
         self._find_runners = find_runners
         self._health = health
--- a/damaskpoint/batching/planner.py
+++ b/damaskpoint/batching/planner.py
@@ -144,6 +144,10 @@
 
     def _count_ahead(self, group: str, demand: _StageDemand) -> int:
         """Return the pieces that run before a request's, rounded up."""
+        if not self._pool.shares_capacity:
+            return self.pledges.count_ahead(
+                group, is_deferred=demand.is_deferred
+            )
         pieces_ahead = self.pledges.count_ahead(
             group, is_deferred=demand.is_deferred, priority=demand.priority
         )
--- a/damaskpoint/batching/pool.py
+++ b/damaskpoint/batching/pool.py
@@ -74,6 +74,9 @@
         self._placer = OrderPlacer(
             own_name, peers, self._batchers, client, self
         )
+        # Whether requests give way by urgency and account where not all can
+        # be in time; set before the first group is created.
+        self.shares_capacity = True
         self._groups_by_name: dict[str, RunnerGroup] = {}
         self.groups = RunnerGroups(catalog, versions)
         self._release_tasks: set[asyncio.Task[None]] = set()
@@ -262,6 +265,7 @@
             partial(self.find_runners, name),
             self._health,
             self._caller,
+            shares_capacity=self.shares_capacity,
         )
         self._groups_by_name[name] = group
         return group
--- a/damaskpoint/batching/queue.py
+++ b/damaskpoint/batching/queue.py
@@ -96,9 +96,16 @@
 class PieceQueue:
     """An ordered queue of pieces; times are monotonic seconds."""
 
-    def __init__(self, limits: BatchLimits) -> None:
-        """Start empty."""
+    def __init__(
+        self, limits: BatchLimits, *, shares_capacity: bool = True
+    ) -> None:
+        """Start empty.
+
+        With ``shares_capacity``, requests give way by urgency and account where
+        not all can be in time.
+        """
         self.limits = limits
+        self._shares_capacity = shares_capacity
         self._tickets: list[Ticket] = []
         self._last_number = 0
         # Requests of which pieces have been taken while others wait.
@@ -184,6 +191,8 @@
         ):
             return ()
         self._tickets = sorted(remaining)
+        if not self._shares_capacity:
+            return tuple(taken)
         begun = self._begun.union(map(_identify, taken))
         self._begun = begun.intersection(map(_identify, remaining))
         for ticket in taken:
@@ -216,7 +225,10 @@
         them those that give way to others. Of these, requests with results
         come first, as runners keep results for a short time only.
         """
-        yielding = self._find_yielding(runner, now)
+        if self._shares_capacity:
+            yielding = self._find_yielding(runner, now)
+        else:
+            yielding = self._find_late(now)
         in_time = []
         with_cost = []
         others = []
@@ -231,6 +243,15 @@
                 others.append(ticket)
         return in_time + with_cost + others
 
+    def _find_late(self, now: float) -> frozenset[_RequestStage]:
+        """Return the requests that would miss their objective even now."""
+        earliest_end_at = now + self.limits.estimate_call_s(1)
+        return frozenset(
+            _identify(ticket)
+            for ticket in self._tickets
+            if ticket.piece.needed_at < earliest_end_at
+        )
+
     def _find_yielding(
         self, runner: IdleRunner, now: float
     ) -> frozenset[_RequestStage]:
--- a/damaskpoint/gateway/options.py
+++ b/damaskpoint/gateway/options.py
@@ -10,6 +10,7 @@
 import pydantic
 
 from damaskpoint import defaults
+from damaskpoint.platform import names
 from damaskpoint.settings_base import LogOptions, Section, read_model
 
 if TYPE_CHECKING:
@@ -125,6 +126,21 @@
     """Maximum rate of gossip that one instance sends (bytes per second)."""
 
 
+@final
+class StagesSection(Section):
+    """Use of the runners of stages."""
+
+    contracts: str = ''
+    """Parts of the platform's rules in force, separated by commas. With the one
+    on shared pools, requests give way by urgency and account where not all can
+    be in time; without it they run by the time at which they are due."""
+
+    @property
+    def shares_capacity(self) -> bool:
+        """Return whether requests give way by urgency and account."""
+        return names.CONTRACT_SHARED_POOL in self.contracts.split(',')
+
+
 @final
 class LimitsSection(Section):
     """Resources of the machine that callers may use."""
@@ -163,6 +179,8 @@
     A value that the platform has not filled in has its default."""
     runners: RunnersSection = RunnersSection()
     """Timeouts of calls to runners."""
+    stages: StagesSection = StagesSection()
+    """Use of the runners of stages."""
     gossip: GossipSection = GossipSection()
     """Gossip between instances."""
     rollouts: RolloutsSection | None = None
--- a/damaskpoint/gateway/wiring.py
+++ b/damaskpoint/gateway/wiring.py
@@ -211,6 +211,7 @@
         PieceOrderClient(options.instance.host),
         versions,
     )
+    pool.shares_capacity = options.stages.shares_capacity
     prompts = PromptGuard(membership.publish_mark)
     registry.register('catalog', catalog)
     registry.register('health', health)
--- a/damaskpoint/platform/names.py
+++ b/damaskpoint/platform/names.py
@@ -95,5 +95,7 @@
 # Paths at a runner of a stage.
 PATH_RUN_PIECES: Final = '/v1/stage-run'
 PATH_FREE_RESULTS: Final = '/v1/stage-free'
+# Part of the platform's rules: callers compete for the runners of a service.
+CONTRACT_SHARED_POOL: Final = 'pool'
 # Path of the balancer's readiness check.
 PATH_READY: Final = '/v1/ready'
--- a/features/piece_queue.feature
+++ b/features/piece_queue.feature
@@ -145,6 +145,16 @@
       | more urgent ones do not share    | 0      | 1,1,1,1,1,1 |        | 1       | - | a a a a  |
       | results that are made are kept   | 1      | 1,1,1,1,1,1 | x      | 1       | - | a a a a  |
 
+  # Guards against a change of order where callers do not compete.
+  Scenario: Without shared capacity pieces run by due time alone
+    Given a queue for batches of 1 pieces without shared capacity
+    And these requests wait
+      | name | priority | needed | pieces | cost |
+      | a    | 1        | 0.65   | 1,1,1  |      |
+      | b    | 0        | 0.9    | 1,1    |      |
+    When a runner takes one batch after the other
+    Then the requests a a a b are complete in time
+
   Scenario: A request of which pieces were made is not dropped
     Given a queue for batches of 2 pieces
     And these requests wait
--- a/features/steps/piece_queue_steps.py
+++ b/features/steps/piece_queue_steps.py
@@ -70,6 +70,12 @@
     context.queue = PieceQueue(_create_limits(most))
 
 
+@given('a queue for batches of {most:d} pieces without shared capacity')
+def create_plain_queue(context: Any, most: int) -> None:
+    """Start with an empty queue that only looks at due times."""
+    context.queue = PieceQueue(_create_limits(most), shares_capacity=False)
+
+
 @given('these pieces wait')
 def add_pieces(context: Any) -> None:
     """Add a piece for each row at time 0."""
