--- a/damaskpoint/balancing/capacities.py
+++ b/damaskpoint/balancing/capacities.py
@@ -94,7 +94,7 @@
         self._loads = loads
         self._run_s_by_service: dict[str, float] = {}
         self._differences_by_service: dict[str, tuple[bool, float]] = {}
-        # Runners whose latency was measured, and their limits in the log.
+        # Runners with a measured latency, and their limits in the log.
         self._measured_by_name: dict[str, Runner] = {}
         self._logged_limit_by_runner: dict[str, float] = {}
         self._compared_at = float('-inf')
