Log where the time of a stage goes

A request with three stages took 1.4 times its plan, and no line told whether it waited in the queue, for its zone, in the call, or for a busy process. stages ended has the parts of each stage, batch completed the waits of its pieces and how long one was left for its zone, and a metric and a line every 3 s show how late timers fire. The answer to an order carries both times of its slowest piece; instances that do not know the fields ignore them.

--- a/damaskpoint/batching/group.py
+++ b/damaskpoint/batching/group.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING, Final, final
 
 from damaskpoint.batching import metrics
@@ -160,7 +161,8 @@
                 return
             tickets = self._take_batch(runner, runners, now)
             if tickets:
-                self._spawn(self._call(runner, tickets))
+                held_s = self.queue.forget_held(tickets, now)
+                self._spawn(self._call(runner, tickets, held_s))
         pause_s = self._health.pause_left_s(self._find_runners(), now)
         if pause_s is not None:
             self._drop_late(NOMINAL_PACE, now + pause_s)
@@ -206,7 +208,9 @@
         for ticket in self.queue.take_late(pace, starts_at):
             self._waiters.resolve(ticket, PieceOutcome(None, PieceReason.LATE))
 
-    async def _call(self, runner: Runner, tickets: Sequence[Ticket]) -> None:
+    async def _call(
+        self, runner: Runner, tickets: Sequence[Ticket], held_s: float
+    ) -> None:
         capacity = self._find_capacity(runner.name)
         began_at = time.monotonic()
         expected_s = capacity.busy_until - began_at
@@ -227,10 +231,9 @@
             capacity.record_answer(
                 answer.load, len(tickets), now - began_at, now
             )
-            self._distribute(runner, tickets, answer.outcomes, now)
-            _log_call(
-                runner, tickets, answer.outcomes, now - began_at, capacity
-            )
+            outcomes = _add_times(tickets, answer.outcomes, began_at, now)
+            self._distribute(runner, tickets, outcomes, now)
+            _log_call(runner, tickets, outcomes, held_s, capacity)
         self._dispatch()
 
     def _distribute(
@@ -326,14 +329,32 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _add_times(
+    tickets: Sequence[Ticket],
+    outcomes: Sequence[PieceOutcome],
+    began_at: float,
+    now: float,
+) -> list[PieceOutcome]:
+    """Return the outcomes of a call with the times of their pieces."""
+    return [
+        replace(
+            outcome,
+            waited_s=began_at - ticket.added_at,
+            called_s=now - began_at,
+        )
+        for ticket, outcome in zip(tickets, outcomes, strict=True)
+    ]
+
+
 def _log_call(
     runner: Runner,
     tickets: Sequence[Ticket],
     outcomes: Sequence[PieceOutcome],
-    took_s: float,
+    held_s: float,
     capacity: RunnerCapacity,
 ) -> None:
     missing = [item.reason.value for item in outcomes if item.reason]
+    waits_s = sorted(outcome.waited_s for outcome in outcomes)
     _LOG.info(
         'batch completed',
         extra={
@@ -341,7 +362,10 @@
             'requests': _list_requests(tickets),
             'pieces': len(tickets),
             'not_made': missing,
-            'took_ms': round(took_s * _MS),
+            'took_ms': round(outcomes[0].called_s * _MS),
+            'waited_ms': round(waits_s[len(waits_s) // 2] * _MS),
+            'max_waited_ms': round(waits_s[-1] * _MS),
+            'held_ms': round(held_s * _MS),
             'pace': round(capacity.pace, 2),
             'used_bytes': round(capacity.used_bytes),
         },
--- a/damaskpoint/batching/model.py
+++ b/damaskpoint/batching/model.py
@@ -8,7 +8,10 @@
 
 import enum
 from dataclasses import dataclass
-from typing import final
+from typing import TYPE_CHECKING, final
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
 
 
 @final
@@ -66,6 +69,15 @@
     reason: PieceReason | None
     # The runner that holds the result.
     runner: str = ''
+    # Time in the queue until the call began, and the duration of the call
+    # (seconds); 0 without a call.
+    waited_s: float = 0
+    called_s: float = 0
+
+
+def find_slowest(outcomes: Sequence[PieceOutcome]) -> PieceOutcome:
+    """Return the outcome that came last at the batching instance."""
+    return max(outcomes, key=lambda item: item.waited_s + item.called_s)
 
 
 @final
--- a/damaskpoint/batching/peer_orders.py
+++ b/damaskpoint/batching/peer_orders.py
@@ -20,6 +20,7 @@
     Piece,
     PieceOutcome,
     PieceReason,
+    find_slowest,
 )
 from damaskpoint.batching.peer_connections import PeerConnections
 from damaskpoint.errors import Code, Failure
@@ -285,8 +286,14 @@
         handles.append(outcome.handle or '')
         reasons.append(outcome.reason.value if outcome.reason else '')
         runners.append(outcome.runner)
+    slowest = find_slowest(answer.outcomes)
     return ttypes.PieceAnswer(
-        handles, reasons, runners, _to_wire_held(answer.held, now)
+        handles,
+        reasons,
+        runners,
+        _to_wire_held(answer.held, now),
+        round(slowest.waited_s * _MS),
+        round(slowest.called_s * _MS),
     )
 
 
@@ -294,13 +301,19 @@
     answer: ttypes.PieceAnswer, count: int, now: float
 ) -> OrderAnswer | Failure:
     """Return the answer to an order of ``count`` pieces."""
+    waited_s = (answer.waited_ms or 0) / _MS
+    called_s = (answer.called_ms or 0) / _MS
     outcomes = []
     try:
         for handle, reason, runner in zip(
             answer.handles, answer.reasons, answer.runners, strict=True
         ):
             missing = None if handle else PieceReason(reason)
-            outcomes.append(PieceOutcome(handle or None, missing, runner))
+            outcomes.append(
+                PieceOutcome(
+                    handle or None, missing, runner, waited_s, called_s
+                )
+            )
     except ValueError as error:
         return Failure(Code.MESSAGE_MALFORMED, str(error))
     if len(outcomes) != count:
--- a/damaskpoint/batching/queue.py
+++ b/damaskpoint/batching/queue.py
@@ -111,6 +111,9 @@
         # Requests of which pieces have been taken while others wait.
         self._begun: frozenset[_RequestStage] = frozenset()
         self._service = AccountService()
+        # When a free runner was first left to others, by ticket number,
+        # because a piece waits for its own zone.
+        self._held_since: dict[int, float] = {}
 
     # Commands.
 
@@ -141,6 +144,7 @@
         position = bisect.bisect_left(self._tickets, ticket)
         if position < len(self._tickets) and self._tickets[position] == ticket:
             self._tickets.pop(position)
+            self._held_since.pop(ticket.number, None)
             self._service.remove(ticket.piece.account)
 
     def take_late(self, pace: float, now: float) -> tuple[Ticket, ...]:
@@ -174,7 +178,7 @@
         remaining: list[Ticket] = []
         eligible = 0
         for ticket in self._list_by_urgency(runner, now):
-            if len(taken) == self.limits.max_pieces or _waits_for_own_zone(
+            if len(taken) == self.limits.max_pieces or self._hold(
                 ticket, runner, now
             ):
                 remaining.append(ticket)
@@ -199,6 +203,17 @@
             self._service.take(ticket.piece.account)
         return tuple(taken)
 
+    def forget_held(self, tickets: Iterable[Ticket], now: float) -> float:
+        """Forget how long pieces waited for their zone, return the longest.
+
+        The time counts from when a runner of another zone was free (seconds).
+        """
+        longest_s = float(0)
+        for ticket in tickets:
+            since = self._held_since.pop(ticket.number, now)
+            longest_s = max(longest_s, now - since)
+        return longest_s
+
     # Queries.
 
     def find_next_zone(self) -> str:
@@ -211,11 +226,19 @@
 
     # Steps.
 
+    def _hold(self, ticket: Ticket, runner: IdleRunner, now: float) -> bool:
+        """Return whether a piece is left for a runner of its own zone."""
+        if not _waits_for_own_zone(ticket, runner, now):
+            return False
+        self._held_since.setdefault(ticket.number, now)
+        return True
+
     def _remove(
         self, removed: Iterable[Ticket], remaining: list[Ticket]
     ) -> None:
         self._tickets = remaining
         for ticket in removed:
+            self._held_since.pop(ticket.number, None)
             self._service.remove(ticket.piece.account)
 
     def _list_by_urgency(self, runner: IdleRunner, now: float) -> list[Ticket]:
--- a/damaskpoint/batching/stages.py
+++ b/damaskpoint/batching/stages.py
@@ -8,12 +8,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Final, final
 
-from damaskpoint.batching.model import Piece, PieceReason
+from damaskpoint.batching.model import Piece, PieceReason, find_slowest
 from damaskpoint.errors import Code, Failure, FailureError
 
 if TYPE_CHECKING:
     from collections.abc import Container, Iterable, Mapping, Sequence
 
+    from damaskpoint.batching.model import PieceOutcome
     from damaskpoint.batching.planner import Plan, Planner
     from damaskpoint.batching.pool import StagePool
     from damaskpoint.catalog.model import Route, Stage
@@ -52,6 +53,21 @@
     handle: str
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class StageTime:
+    """Where the time of one stage went (seconds)."""
+
+    stage: int
+    # From the order to its answer.
+    took_s: float
+    # Of the piece that took longest at the batching instance: in its queue,
+    # and in the call. The rest is the way there and back, and time in which
+    # either process was busy.
+    waited_s: float
+    called_s: float
+
+
 @final
 class StageRun:
     """One run of the stages of a request."""
@@ -65,6 +81,8 @@
         self._pool = pool
         self._results_by_stage: dict[int, list[_Result]] = {}
         self._finished: set[int] = set()
+        # Of the stages that ended, in the order of their end.
+        self.times: list[StageTime] = []
         self._has_cost = False
         self._remaining_s_by_stage = planner.min_remaining_s(
             work.route, work.metadata
@@ -129,7 +147,9 @@
             stage, count, self._collect_handles(stage.after)
         )
         group = self._work.plan.groups_by_stage[stage.index]
+        began_at = time.monotonic()
         outcomes = await self._pool.run_pieces(group, pieces)
+        self._record_time(stage, outcomes, time.monotonic() - began_at)
         results = self._results_by_stage.setdefault(stage.index, [])
         reasons = set()
         for outcome in outcomes:
@@ -141,6 +161,14 @@
             self._log_failed(stage, group, reasons)
             raise FailureError(_to_failure(stage, reasons))
 
+    def _record_time(
+        self, stage: Stage, outcomes: Sequence[PieceOutcome], took_s: float
+    ) -> None:
+        slowest = find_slowest(outcomes)
+        self.times.append(
+            StageTime(stage.index, took_s, slowest.waited_s, slowest.called_s)
+        )
+
     def _start_order(self, stage: Stage) -> int:
         return max(self._find_prerequisites(stage), default=-1)
 
--- a/damaskpoint/forwarding/session.py
+++ b/damaskpoint/forwarding/session.py
@@ -16,7 +16,10 @@
 from damaskpoint.platform import requests
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from damaskpoint.batching.planner import Plan
+    from damaskpoint.batching.stages import StageTime
     from damaskpoint.forwarding.caller_answer import CallerAnswer
     from damaskpoint.forwarding.context import ForwardingContext
     from damaskpoint.forwarding.request import CallerRequest
@@ -250,6 +253,7 @@
                 'took_ms': round(took_s * _MS),
                 'planned_ms': round(min(plan.stages_s, _MAX_ESTIMATE_S) * _MS),
                 'pieces': list(request.metadata.piece_counts),
+                'times_ms': _list_times_ms(self._stages.times),
                 'end': end,
             },
         )
@@ -319,3 +323,16 @@
             or _RETRY_AFTER_S
         )
         return replace(failure, code=code, retry_after_s=retry_after_s)
+
+
+def _list_times_ms(times: Iterable[StageTime]) -> list[list[int]]:
+    """Return for each stage its index, total time, wait and call."""
+    return [
+        [
+            item.stage,
+            round(item.took_s * _MS),
+            round(item.waited_s * _MS),
+            round(item.called_s * _MS),
+        ]
+        for item in times
+    ]
--- a/damaskpoint/gateway/runtime.py
+++ b/damaskpoint/gateway/runtime.py
@@ -38,6 +38,7 @@
     from damaskpoint.gateway.options import GatewayOptions
     from damaskpoint.gateway.peers import Discovery
     from damaskpoint.membership.service import Membership
+    from damaskpoint.observe.loop_load import LoopLoad
     from damaskpoint.observe.state import StateRegistry
     from damaskpoint.quarantine.stored import QuarantineWriter
     from damaskpoint.rollout.components import RolloutComponents
@@ -94,6 +95,7 @@
     discovery: Discovery
     order_server: httpserver.HTTPServer
     registry: StateRegistry
+    loop_load: LoopLoad
     rollouts: RolloutComponents | None = None
 
 
@@ -123,6 +125,8 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._shutdown_requested = asyncio.Event()
+        # When the intake is next advanced, on an idle event loop.
+        self._intake_due_at: float | None = None
 
     @property
     def catalog(self) -> Catalog:
@@ -248,6 +252,7 @@
 
     async def _advance_intake(self) -> None:
         now = time.monotonic()
+        self._record_loop_load(now)
         self._caller_server.advance_intake(now)
         self._components.answers.advance(now)
         intake_metrics.HELD_BYTES.set(
@@ -258,6 +263,14 @@
         )
         intake_metrics.CONNECTIONS.set({}, self._components.intake.connections)
 
+    def _record_loop_load(self, now: float) -> None:
+        """Record how late this call of a periodic action comes."""
+        if self._intake_due_at is not None:
+            self._components.loop_load.record_timer(
+                now - self._intake_due_at, now
+            )
+        self._intake_due_at = now + defaults.INTAKE_INTERVAL_S
+
     async def _run_housekeeping(self) -> None:
         catalog = self._components.forwarding.catalog
         now = time.monotonic()
--- a/damaskpoint/gateway/wiring.py
+++ b/damaskpoint/gateway/wiring.py
@@ -49,6 +49,7 @@
 )
 from damaskpoint.gateway.runtime import GatewayComponents, GatewayRuntime
 from damaskpoint.membership.service import create_membership
+from damaskpoint.observe.loop_load import LoopLoad
 from damaskpoint.observe.state import StateRegistry
 from damaskpoint.platform import names
 from damaskpoint.platform.store import create_store
@@ -139,10 +140,17 @@
                 forwarding.pool, membership.is_peer_host
             ),
             registry=registry,
+            loop_load=_create_loop_load(registry),
         )
     )
 
 
+def _create_loop_load(registry: StateRegistry) -> LoopLoad:
+    loop_load = LoopLoad()
+    registry.register('loop', loop_load)
+    return loop_load
+
+
 def _create_intake(
     options: GatewayOptions, registry: StateRegistry
 ) -> tuple[Intake, AnswerBudget]:
--- a/damaskpoint/wire/peer.thrift
+++ b/damaskpoint/wire/peer.thrift
@@ -223,6 +223,10 @@
   3: required list<string> runners
   // The receiver's calls in flight, if it handed pieces back.
   4: optional list<CallHolding> held
+  // Of the piece that took longest there: the time until its call began, and
+  // the duration of the call.
+  5: optional i32 waited_ms
+  6: optional i32 called_ms
 }
 
 // Results that are no longer needed.
--- a/features/steps/piece_queue_steps.py
+++ b/features/steps/piece_queue_steps.py
@@ -108,8 +108,9 @@
     context: Any, zone: str, free: int, now: float, is_impatient: bool
 ) -> None:
     runner = IdleRunner(zone, frozenset(('y', 'z')), free, is_impatient)
-    tickets = context.queue.take_batch(runner, now)
-    context.taken = [ticket.piece.request_id for ticket in tickets]
+    context.now = now
+    context.tickets = context.queue.take_batch(runner, now)
+    context.taken = [ticket.piece.request_id for ticket in context.tickets]
 
 
 @when(
