Do not count memory as occupied that was freed during a call

Cause: the runner judges when the call begins. All that was free when the call ended, including results released meanwhile, was then counted as occupied by others.

The new scenario fails before: 0 bytes counted as free where 650 are.

--- a/damaskpoint/batching/capacity.py
+++ b/damaskpoint/batching/capacity.py
@@ -114,10 +114,19 @@
             size, _ = self._results_by_handle.pop(handle, (0, 0))
             self._used_bytes -= size
 
-    def record_out_of_memory(self, now: float) -> None:
-        """Attribute all memory assumed free to other instances' results."""
-        self._foreign_bytes = self.free_bytes(now)
-        self._foreign_at = now
+    def record_out_of_memory(
+        self, free_bytes: float, made_bytes: int, began_at: float
+    ) -> None:
+        """Attribute memory to results of others, as a call found no room.
+
+        The runner judged when the call began, at ``began_at``: it had room for
+        ``made_bytes`` only, where ``free_bytes`` were assumed to be free. What
+        was released since is free.
+        """
+        occupied = self._count_foreign_bytes(began_at)
+        missing = max(float(0), free_bytes - made_bytes)
+        self._foreign_bytes = occupied + missing
+        self._foreign_at = began_at
 
     def start_memory_wait(self, now: float) -> None:
         """Record that a call waits for free memory."""
@@ -129,9 +138,8 @@
     def free_bytes(self, now: float) -> float:
         """Return the memory estimated free for results of the next call."""
         self._expire(now)
-        half_lives = (now - self._foreign_at) / _FOREIGN_HALF_LIFE_S
-        foreign = self._foreign_bytes * math.pow(_HALF, half_lives)
-        used = self._used_bytes + self._reserved_bytes + foreign
+        used = self._used_bytes + self._reserved_bytes
+        used += self._count_foreign_bytes(now)
         return max(float(0), self._limits.result_capacity_bytes - used)
 
     def is_memory_wait_over(self, now: float) -> bool:
@@ -163,6 +171,10 @@
         """Return the memory that known results occupy."""
         return self._used_bytes
 
+    def _count_foreign_bytes(self, now: float) -> float:
+        half_lives = (now - self._foreign_at) / _FOREIGN_HALF_LIFE_S
+        return self._foreign_bytes * math.pow(_HALF, half_lives)
+
     def _least_call_s(self, load: RunnerLoad | None) -> float:
         """Return the duration of the shortest call now (seconds)."""
         slowness = self.pace if load is None else max(self.pace, load.slowness)
--- a/damaskpoint/batching/group.py
+++ b/damaskpoint/batching/group.py
@@ -9,7 +9,7 @@
 import asyncio
 import logging
 import time
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Final, final
 
 from damaskpoint.batching import metrics
@@ -50,6 +50,20 @@
 _MAX_ATTEMPTS: Final = 3
 
 
+@final
+@dataclass(frozen=True, slots=True)
+class _Batch:
+    """The pieces of a call that has begun."""
+
+    tickets: tuple[Ticket, ...]
+    began_at: float
+    # Memory of the runner that was assumed to be free before the call.
+    free_bytes: float
+    # Longest time for which a piece was left for a runner of its own zone
+    # (seconds).
+    held_s: float
+
+
 @final
 class RunnerGroup:
     """Runs the pieces of one group of runners; owns their queue."""
@@ -159,10 +173,9 @@
             self._drop_late(self._find_capacity(runner.name).pace, now)
             if not len(self.queue):
                 return
-            tickets = self._take_batch(runner, runners, now)
-            if tickets:
-                held_s = self.queue.forget_held(tickets, now)
-                self._spawn(self._call(runner, tickets, held_s))
+            batch = self._take_batch(runner, now)
+            if batch is not None:
+                self._spawn(self._call(runner, batch))
         pause_s = self._health.pause_left_s(self._find_runners(), now)
         if pause_s is not None:
             self._drop_late(NOMINAL_PACE, now + pause_s)
@@ -183,37 +196,35 @@
         ranked.sort(key=_by_rank)
         return [runner for _, runner in ranked]
 
-    def _take_batch(
-        self, runner: Runner, idle: Sequence[Runner], now: float
-    ) -> tuple[Ticket, ...]:
+    def _take_batch(self, runner: Runner, now: float) -> _Batch | None:
         capacity = self._find_capacity(runner.name)
         runners = self._find_runners()
+        free_bytes = capacity.free_bytes(now)
         idle_runner = IdleRunner(
             zone=runner.zone,
             group_zones=frozenset(item.zone for item in runners),
-            free_bytes=capacity.free_bytes(now),
+            free_bytes=free_bytes,
             allows_small_batch=capacity.is_memory_wait_over(now),
             group_slots=len(runners) * self._limits.max_concurrent_calls,
             group_pace=self.pace,
         )
         tickets = self.queue.take_batch(idle_runner, now)
-        if tickets:
-            capacity.begin_call(len(tickets), sum_bytes(tickets), now)
-        else:
+        if not tickets:
             capacity.start_memory_wait(now)
-        return tickets
+            return None
+        capacity.begin_call(len(tickets), sum_bytes(tickets), now)
+        held_s = self.queue.forget_held(tickets, now)
+        return _Batch(tickets, now, idle_runner.free_bytes, held_s)
 
     def _drop_late(self, pace: float, starts_at: float) -> None:
         """Drop the pieces that are late if they start at this time."""
         for ticket in self.queue.take_late(pace, starts_at):
             self._waiters.resolve(ticket, PieceOutcome(None, PieceReason.LATE))
 
-    async def _call(
-        self, runner: Runner, tickets: Sequence[Ticket], held_s: float
-    ) -> None:
+    async def _call(self, runner: Runner, batch: _Batch) -> None:
         capacity = self._find_capacity(runner.name)
-        began_at = time.monotonic()
-        expected_s = capacity.busy_until - began_at
+        tickets = batch.tickets
+        expected_s = capacity.busy_until - time.monotonic()
         answer = await self._caller.run_pieces(
             runner,
             [ticket.piece for ticket in tickets],
@@ -229,23 +240,23 @@
             self._put_back(self._waiters.select_awaited(tickets))
         else:
             capacity.record_answer(
-                answer.load, len(tickets), now - began_at, now
+                answer.load, len(tickets), now - batch.began_at, now
             )
-            outcomes = _add_times(tickets, answer.outcomes, began_at, now)
-            self._distribute(runner, tickets, outcomes, now)
-            _log_call(runner, tickets, outcomes, held_s, capacity)
+            outcomes = _add_times(batch, answer.outcomes, now)
+            self._distribute(runner, batch, outcomes, now)
+            _log_call(runner, batch, outcomes, capacity)
         self._dispatch()
 
     def _distribute(
         self,
         runner: Runner,
-        tickets: Sequence[Ticket],
+        batch: _Batch,
         outcomes: Sequence[PieceOutcome],
         now: float,
     ) -> None:
         capacity = self._find_capacity(runner.name)
         orphaned = []
-        for ticket, outcome in zip(tickets, outcomes, strict=True):
+        for ticket, outcome in zip(batch.tickets, outcomes, strict=True):
             if outcome.handle is not None:
                 size = ticket.piece.result_bytes
                 capacity.add_result(outcome.handle, size, now)
@@ -258,8 +269,7 @@
             else:
                 self._waiters.resolve(ticket, outcome)
         if any(item.reason is PieceReason.NO_ROOM for item in outcomes):
-            capacity.record_out_of_memory(now)
-            capacity.pause(_OUT_OF_MEMORY_PAUSE_S, now)
+            _record_no_room(batch, outcomes, capacity, now)
         if orphaned:
             self.release(runner, orphaned)
 
@@ -329,28 +339,39 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _add_times(
-    tickets: Sequence[Ticket],
+def _record_no_room(
+    batch: _Batch,
     outcomes: Sequence[PieceOutcome],
-    began_at: float,
+    capacity: RunnerCapacity,
     now: float,
+) -> None:
+    made_bytes = 0
+    for ticket, outcome in zip(batch.tickets, outcomes, strict=True):
+        if outcome.handle is not None:
+            made_bytes += ticket.piece.result_bytes
+    capacity.record_out_of_memory(batch.free_bytes, made_bytes, batch.began_at)
+    if not made_bytes:
+        capacity.pause(_OUT_OF_MEMORY_PAUSE_S, now)
+
+
+def _add_times(
+    batch: _Batch, outcomes: Sequence[PieceOutcome], now: float
 ) -> list[PieceOutcome]:
     """Return the outcomes of a call with the times of their pieces."""
     return [
         replace(
             outcome,
-            waited_s=began_at - ticket.added_at,
-            called_s=now - began_at,
+            waited_s=batch.began_at - ticket.added_at,
+            called_s=now - batch.began_at,
         )
-        for ticket, outcome in zip(tickets, outcomes, strict=True)
+        for ticket, outcome in zip(batch.tickets, outcomes, strict=True)
     ]
 
 
 def _log_call(
     runner: Runner,
-    tickets: Sequence[Ticket],
+    batch: _Batch,
     outcomes: Sequence[PieceOutcome],
-    held_s: float,
     capacity: RunnerCapacity,
 ) -> None:
     missing = [item.reason.value for item in outcomes if item.reason]
@@ -359,13 +380,13 @@
         'batch completed',
         extra={
             'runner': runner.name,
-            'requests': _list_requests(tickets),
-            'pieces': len(tickets),
+            'requests': _list_requests(batch.tickets),
+            'pieces': len(batch.tickets),
             'not_made': missing,
             'took_ms': round(outcomes[0].called_s * _MS),
             'waited_ms': round(waits_s[len(waits_s) // 2] * _MS),
             'max_waited_ms': round(waits_s[-1] * _MS),
-            'held_ms': round(held_s * _MS),
+            'held_ms': round(batch.held_s * _MS),
             'pace': round(capacity.pace, 2),
             'used_bytes': round(capacity.used_bytes),
         },
--- a/features/piece_queue.feature
+++ b/features/piece_queue.feature
@@ -273,3 +273,14 @@
       | one full batch in all    | 1       | 8     | 1    | 0     | 0.45 |
       | five full batches in all | 1       | 48    | 1    | 0     | 1.5  |
       | shared by five runners   | 5       | 48    | 1    | 0     | 0.33 |
+
+  # Guards against an idle runner beside waiting pieces: what was freed during a
+  # call in which a piece found no room counted as occupied after it.
+  Scenario: Memory that is freed during a call is free after it
+    Given a runner with memory for 1000 bytes
+    And it holds the results "h1" of 600 and "h2" of 200 bytes
+    When a call for 150 bytes begins at 1
+    And the result "h1" is released
+    And the call of 150 bytes that began at 1 ends at 1.3 with the result "h3" of 100 bytes, without room for the rest
+    Then 650 bytes are free at 1.3
+    And 675 bytes are free at 1.6
--- a/features/steps/piece_queue_steps.py
+++ b/features/steps/piece_queue_steps.py
@@ -159,6 +159,7 @@
 @when('a call for {size:d} bytes begins at {now:g}')
 def begin_call(context: Any, size: int, now: float) -> None:
     """Start a call of one piece."""
+    context.free_at_call = context.capacity.free_bytes(now)
     context.capacity.begin_call(1, size, now)
 
 
@@ -188,8 +189,32 @@
 
 @when('the runner reports at {now:g} that it is out of memory')
 def run_out_of_memory(context: Any, now: float) -> None:
-    """Record the report."""
-    context.capacity.record_out_of_memory(now)
+    """Record a call for which there was no memory at all."""
+    free = context.capacity.free_bytes(now)
+    context.capacity.record_out_of_memory(free, 0, now)
+
+
+@given(
+    'it holds the results "{first}" of {one:d} and "{second}" of {two:d} bytes'
+)
+def hold_results(
+    context: Any, first: str, one: int, second: str, two: int
+) -> None:
+    """Add two results at time 0."""
+    context.capacity.add_result(first, one, 0)
+    context.capacity.add_result(second, two, 0)
+
+
+@when(
+    'the call of {size:d} bytes that began at {began:g} ends at {now:g} with the result "{handle}" of {made:d} bytes, without room for the rest'
+)
+def end_without_room(
+    context: Any, size: int, began: float, now: float, handle: str, made: int
+) -> None:
+    """End a call of which only a part found room."""
+    context.capacity.end_call(size, now)
+    context.capacity.add_result(handle, made, now)
+    context.capacity.record_out_of_memory(context.free_at_call, made, began)
 
 
 @then('{free:d} bytes are free at {now:g}')
