Share the memory of a stage runner between its calls

Callers saw requests with several stages end late: runners whose results fill their memory made two full calls, were then idle until the first results were released, and made a small call, which has the same fixed cost.

A call may now use the part of the memory that lasts until results are released again, by the measured stay of results, or half of what is free if that is more. So calls of about the same size follow each other.

--- a/damaskpoint/batching/group.py
+++ b/damaskpoint/batching/group.py
@@ -18,6 +18,7 @@
 from damaskpoint.batching.paces import NOMINAL_PACE
 from damaskpoint.batching.queue import IdleRunner, PieceQueue, sum_bytes
 from damaskpoint.batching.releaser import ResultReleaser
+from damaskpoint.batching.result_stays import ResultStays
 from damaskpoint.batching.waiters import PieceWaiters
 from damaskpoint.errors import Failure
 
@@ -36,6 +37,7 @@
 
 _LOG: Final = logging.getLogger(__name__)
 _MS: Final = 1000
+_HALF: Final = 0.5
 # Interval at which a waiting queue is dispatched without other events
 # (seconds): a small fraction of the shortest call.
 _POLL_S: Final = 0.02
@@ -87,6 +89,7 @@
         self._health = health
         self._caller = caller
         self.capacities = CapacityTable(limits)
+        self._stays = ResultStays()
         self._waiters = PieceWaiters()
         self._releaser = ResultReleaser(caller, health, self._handle_released)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -204,6 +207,10 @@
             zone=runner.zone,
             group_zones=frozenset(item.zone for item in runners),
             free_bytes=free_bytes,
+            call_bytes=max(
+                free_bytes * _HALF,
+                self._stays.find_sustained_bytes(self._limits, capacity.pace),
+            ),
             allows_small_batch=capacity.is_memory_wait_over(now),
             group_slots=len(runners) * self._limits.max_concurrent_calls,
             group_pace=self.pace,
@@ -260,6 +267,7 @@
             if outcome.handle is not None:
                 size = ticket.piece.result_bytes
                 capacity.add_result(outcome.handle, size, now)
+                self._stays.record_made(outcome.handle, size, now)
                 if not self._waiters.awaits(ticket):
                     orphaned.append(outcome.handle)
             if outcome.reason is PieceReason.NO_ROOM:
@@ -327,6 +335,9 @@
                 self.release(runner, (outcome.handle,))
 
     def _handle_released(self, runner: str, handles: Sequence[str]) -> None:
+        now = time.monotonic()
+        self._stays.record_released(handles, now)
+        self._stays.forget(now - self._limits.result_ttl_s)
         self._find_capacity(runner).release(handles)
         self._dispatch()
 
--- a/damaskpoint/batching/queue.py
+++ b/damaskpoint/batching/queue.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import bisect
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final, final
 
@@ -69,6 +70,8 @@
     # Calls that the group runs at the same time, and its pace.
     group_slots: int = 1
     group_pace: float = 1
+    # Memory for the results of one call that leaves room for the next ones.
+    call_bytes: float = math.inf
 
 
 @final
@@ -173,7 +176,9 @@
 
         Returns none while it is better to wait for more free memory.
         """
-        memory = _FreeMemory(runner.free_bytes)
+        call_bytes = self._find_call_bytes(runner)
+        fair_share = _FreeMemory(call_bytes)
+        memory = _FreeMemory(min(runner.free_bytes, call_bytes))
         taken: list[Ticket] = []
         remaining: list[Ticket] = []
         eligible = 0
@@ -183,7 +188,7 @@
             ):
                 remaining.append(ticket)
                 continue
-            eligible += 1
+            eligible += fair_share.take(ticket.piece.result_bytes)
             if memory.take(ticket.piece.result_bytes):
                 taken.append(ticket)
             else:
@@ -226,6 +231,11 @@
 
     # Steps.
 
+    def _find_call_bytes(self, runner: IdleRunner) -> float:
+        """Return the memory for a call, enough for each single piece."""
+        sizes = [ticket.piece.result_bytes for ticket in self._tickets]
+        return max((runner.call_bytes, *sizes))
+
     def _hold(self, ticket: Ticket, runner: IdleRunner, now: float) -> bool:
         """Return whether a piece is left for a runner of its own zone."""
         if not _waits_for_own_zone(ticket, runner, now):
