Plan with the measured rate at which a group works off a backlog

Cause: the plan, and the rule by which requests give way, count on full calls at all runners, one after the other. The middle stage makes 740 pieces/s of the 1,370 that this gives, as results fill the memory of its runners; the last stage 1,220 of 2,210, as its calls take 1.5 times their nominal time and are not full. So too much was admitted, the queue did not notice, and all of it ended just past its due time.

The batching instance measures how fast a backlog of a batch or more is worked off, and gossips it with the pace of the group where it differs. Plans and the queue use it for what is ahead of a request; without a recent backlog it is the pace of single calls, as before. Instances that do not know the field ignore it.

--- a/damaskpoint/batching/estimate.py
+++ b/damaskpoint/batching/estimate.py
@@ -23,6 +23,9 @@
     pieces_ahead: int
     # Measured duration of calls divided by the expected one.
     pace: float
+    # Measured time in which a backlog is worked off, divided by that of full
+    # calls at all runners.
+    drain_pace: float = 1
 
 
 def estimate_end_s(load: GroupLoad, pieces: int, start_s: float) -> float:
@@ -40,4 +43,5 @@
     wait_s = call_s * _HALF / call_slots if load.pieces_ahead else float(0)
     full_call_s = limits.estimate_call_s(limits.max_pieces)
     drain_s = pieces_per_slot / limits.max_pieces * full_call_s
-    return max(start_s + (wait_s + call_s) * load.pace, drain_s * load.pace)
+    drain_pace = max(load.pace, load.drain_pace)
+    return max(start_s + (wait_s + call_s) * load.pace, drain_s * drain_pace)
--- a/damaskpoint/batching/group.py
+++ b/damaskpoint/batching/group.py
@@ -14,6 +14,7 @@
 
 from damaskpoint.batching import metrics
 from damaskpoint.batching.capacities import CapacityTable
+from damaskpoint.batching.drain import DrainMeter
 from damaskpoint.batching.model import PieceOutcome, PieceReason
 from damaskpoint.batching.paces import NOMINAL_PACE
 from damaskpoint.batching.queue import IdleRunner, PieceQueue, sum_bytes
@@ -21,9 +22,10 @@
 from damaskpoint.batching.result_stays import ResultStays
 from damaskpoint.batching.waiters import PieceWaiters
 from damaskpoint.errors import Failure
+from damaskpoint.membership.facts import PaceFact
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine, Iterable, Sequence
+    from collections.abc import Callable, Iterable, Sequence
 
     from damaskpoint.balancing.health import RunnerHealth
     from damaskpoint.batching.base import PieceCaller
@@ -90,6 +92,7 @@
         self._caller = caller
         self.capacities = CapacityTable(limits)
         self._stays = ResultStays()
+        self._drain = DrainMeter(limits)
         self._waiters = PieceWaiters()
         self._releaser = ResultReleaser(caller, health, self._handle_released)
         self._tasks: set[asyncio.Task[None]] = set()
@@ -156,6 +159,13 @@
         speed = sum(1 / self._find_capacity(item.name).pace for item in runners)
         return len(runners) / speed
 
+    def report_pace(self, name: str, now: float) -> PaceFact:
+        """Return the paces of single calls and of a backlog."""
+        runners = len(self._find_runners())
+        pace = self.pace
+        drain_pace = self._drain.find_pace(pace, runners, now)
+        return PaceFact(name, pace, drain_pace if drain_pace > pace else 0)
+
     def dump_state(self, now: float) -> dict[str, object]:
         """Return the state of the queue and of the runners."""
         return {
@@ -171,33 +181,36 @@
             self._timer.cancel()
             self._timer = None
         now = time.monotonic()
-        runners = self._order_runners(now)
-        for runner in runners:
-            self._drop_late(self._find_capacity(runner.name).pace, now)
-            if not len(self.queue):
-                return
-            batch = self._take_batch(runner, now)
-            if batch is not None:
-                self._spawn(self._call(runner, batch))
-        pause_s = self._health.pause_left_s(self._find_runners(), now)
+        runners = self._find_runners()
+        self._start_calls(self._health.select_retryable(runners, now), now)
+        self._drain.record_queue(len(self.queue), len(runners), now)
+        pause_s = self._health.pause_left_s(runners, now)
         if pause_s is not None:
             self._drop_late(NOMINAL_PACE, now + pause_s)
         if len(self.queue) and self._timer is None:
             loop = asyncio.get_running_loop()
             self._timer = loop.call_later(_POLL_S, self._dispatch)
 
-    def _order_runners(self, now: float) -> list[Runner]:
-        """Return the idle runners, the best one for the next piece first."""
+    def _start_calls(self, usable: Sequence[Runner], now: float) -> None:
+        """Start calls at the idle runners, the best for the next piece first."""
         zone = self.queue.find_next_zone()
-        runners = self._find_runners()
         ranked = []
-        for candidate in self._health.select_retryable(runners, now):
+        for candidate in usable:
             capacity = self._find_capacity(candidate.name)
             if capacity.is_idle(now):
                 rank = (capacity.pace, candidate.zone != zone)
                 ranked.append((rank, candidate))
         ranked.sort(key=_by_rank)
-        return [runner for _, runner in ranked]
+        for _, runner in ranked:
+            self._drop_late(self._find_capacity(runner.name).pace, now)
+            if not len(self.queue):
+                return
+            batch = self._take_batch(runner, now)
+            if batch is None:
+                continue
+            task = asyncio.ensure_future(self._call(runner, batch))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
 
     def _take_batch(self, runner: Runner, now: float) -> _Batch | None:
         capacity = self._find_capacity(runner.name)
@@ -214,6 +227,9 @@
             allows_small_batch=capacity.is_memory_wait_over(now),
             group_slots=len(runners) * self._limits.max_concurrent_calls,
             group_pace=self.pace,
+            group_drain_pace=self._drain.find_pace(
+                self.pace, len(runners), now
+            ),
         )
         tickets = self.queue.take_batch(idle_runner, now)
         if not tickets:
@@ -262,6 +278,7 @@
         now: float,
     ) -> None:
         capacity = self._find_capacity(runner.name)
+        self._drain.record_made(_count_made(outcomes), now)
         orphaned = []
         for ticket, outcome in zip(batch.tickets, outcomes, strict=True):
             if outcome.handle is not None:
@@ -344,10 +361,9 @@
     def _find_capacity(self, runner: str) -> RunnerCapacity:
         return self.capacities.find(runner)
 
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+
+def _count_made(outcomes: Iterable[PieceOutcome]) -> int:
+    return sum(outcome.handle is not None for outcome in outcomes)
 
 
 def _record_no_room(
--- a/damaskpoint/batching/paces.py
+++ b/damaskpoint/batching/paces.py
@@ -8,11 +8,11 @@
 
 from typing import TYPE_CHECKING, Final, final
 
+from damaskpoint.membership.facts import PaceFact
+
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from damaskpoint.membership.facts import PaceFact
-
 # Pace of a group without a recent report.
 NOMINAL_PACE: Final = 1.0
 
@@ -23,21 +23,27 @@
 
     def __init__(self) -> None:
         """Start without reports."""
-        # The pace of each group and when it was received.
-        self._paces_by_group: dict[str, tuple[float, float]] = {}
+        # The report on each group and when it was received.
+        self._reports_by_group: dict[str, tuple[PaceFact, float]] = {}
 
     def record(self, facts: Sequence[PaceFact], now: float) -> None:
         """Record the paces that a peer reports."""
         for fact in facts:
-            self._paces_by_group[fact.group] = (fact.pace, now)
+            self._reports_by_group[fact.group] = (fact, now)
 
     def expire(self, now: float, max_age_s: float) -> None:
         """Remove reports that are too old."""
-        for group, (_, received_at) in tuple(self._paces_by_group.items()):
+        for group, (_, received_at) in tuple(self._reports_by_group.items()):
             if now - received_at > max_age_s:
-                self._paces_by_group.pop(group)
+                self._reports_by_group.pop(group)
 
     def find(self, group: str) -> float:
         """Return the pace of a group, the nominal one if unknown."""
-        pace, _ = self._paces_by_group.get(group, (NOMINAL_PACE, 0))
-        return pace
+        return self.find_report(group).pace
+
+    def find_report(self, group: str) -> PaceFact:
+        """Return what is known of a group, nominal paces if nothing."""
+        report = self._reports_by_group.get(group)
+        if report is None:
+            return PaceFact(group, NOMINAL_PACE)
+        return report[0]
--- a/damaskpoint/batching/planner.py
+++ b/damaskpoint/batching/planner.py
@@ -175,11 +175,13 @@
         ready = self._health.select_retryable(runners, now)
         if limits is None or not ready:
             return float('inf')
+        pace = self._pool.find_pace(group, now)
         load = GroupLoad(
             limits,
             runners=len(ready),
             pieces_ahead=self._count_ahead(group, demand),
-            pace=self._pool.find_pace(group, now),
+            pace=pace.pace,
+            drain_pace=pace.drain_pace,
         )
         return estimate_end_s(load, demand.pieces, demand.start_s)
 
--- a/damaskpoint/batching/pool.py
+++ b/damaskpoint/batching/pool.py
@@ -201,13 +201,13 @@
         """Return the instance that batches for a group."""
         return self._batchers.find(group, now) or self._own_name
 
-    def find_pace(self, group_name: str, now: float) -> float:
-        """Return the pace of a group, as defined in ``batching.paces``."""
+    def find_pace(self, group_name: str, now: float) -> PaceFact:
+        """Return the paces of a group, as defined in ``batching.paces``."""
         if self.find_batcher(group_name, now) == self._own_name:
             group = self._groups_by_name.get(group_name)
             if group is not None:
-                return group.pace
-        return self.paces.find(group_name)
+                return group.report_pace(group_name, now)
+        return self.paces.find_report(group_name)
 
     def list_held(self, group_name: str, now: float) -> tuple[CallHolding, ...]:
         """Return the known calls in flight at runners, except of peers.
@@ -223,7 +223,7 @@
     def own_paces(self, now: float) -> list[PaceFact]:
         """Return the paces of the groups that this instance batches for."""
         return [
-            PaceFact(name, group.pace)
+            group.report_pace(name, now)
             for name, group in self._groups_by_name.items()
             if self.find_batcher(name, now) == self._own_name
         ]
--- a/damaskpoint/batching/queue.py
+++ b/damaskpoint/batching/queue.py
@@ -70,6 +70,8 @@
     # Calls that the group runs at the same time, and its pace.
     group_slots: int = 1
     group_pace: float = 1
+    # Pace at which the group works off a backlog.
+    group_drain_pace: float = 1
     # Memory for the results of one call that leaves room for the next ones.
     call_bytes: float = math.inf
 
@@ -253,6 +255,38 @@
         """Return the preferred zone of the next piece, or an empty string."""
         return self._requests[0].piece.zone if self._requests else ''
 
+    def find_yielding(
+        self, runner: IdleRunner, now: float
+    ) -> frozenset[_RequestStage]:
+        """Return the requests that cannot be in time or give way."""
+        requests = [
+            request
+            for request in self._requests
+            if not request.piece.is_deferred
+        ]
+        waiting = [
+            WaitingPieces(
+                pieces=len(request.tickets),
+                priority=request.piece.priority,
+                has_cost=request.has_cost,
+                left_s=request.piece.needed_at - now,
+                account=request.piece.account,
+            )
+            for request in requests
+        ]
+        rate = GroupRate(
+            self.limits,
+            runner.group_slots,
+            runner.group_pace,
+            runner.group_drain_pace,
+        )
+        taken_by_account = {
+            request.account: self._service.count_taken(request.account)
+            for request in waiting
+        }
+        yielding = find_yielding(waiting, rate, taken_by_account)
+        return frozenset(_identify(requests[index].piece) for index in yielding)
+
     def __len__(self) -> int:
         """Return the number of queued pieces."""
         return self._count
@@ -342,7 +376,7 @@
         come first, as runners keep results for a short time only.
         """
         if self._shares_capacity:
-            yielding = self._find_yielding(runner, now)
+            yielding = self.find_yielding(runner, now)
         else:
             yielding = self._find_late(now)
         in_time = []
@@ -368,33 +402,6 @@
             if request.piece.needed_at < earliest_end_at
         )
 
-    def _find_yielding(
-        self, runner: IdleRunner, now: float
-    ) -> frozenset[_RequestStage]:
-        """Return the requests that cannot be in time or give way."""
-        requests = [
-            request
-            for request in self._requests
-            if not request.piece.is_deferred
-        ]
-        waiting = [
-            WaitingPieces(
-                pieces=len(request.tickets),
-                priority=request.piece.priority,
-                has_cost=request.has_cost,
-                left_s=request.piece.needed_at - now,
-                account=request.piece.account,
-            )
-            for request in requests
-        ]
-        rate = GroupRate(self.limits, runner.group_slots, runner.group_pace)
-        taken_by_account = {
-            request.account: self._service.count_taken(request.account)
-            for request in waiting
-        }
-        yielding = find_yielding(waiting, rate, taken_by_account)
-        return frozenset(_identify(requests[index].piece) for index in yielding)
-
 
 def _identify(piece: Piece) -> _RequestStage:
     return (piece.request_id, piece.stage)
--- a/damaskpoint/batching/urgency.py
+++ b/damaskpoint/batching/urgency.py
@@ -30,18 +30,24 @@
     """How fast a group of runners takes the pieces of its queue."""
 
     def __init__(
-        self, limits: BatchLimits, slots: int = 1, pace: float = 1
+        self,
+        limits: BatchLimits,
+        slots: int = 1,
+        pace: float = 1,
+        drain_pace: float = 1,
     ) -> None:
         """Estimate for a group that runs ``slots`` calls at the same time.
 
-        ``pace`` is the measured duration of calls divided by the expected one.
+        ``pace`` is the measured duration of calls divided by the expected one,
+        ``drain_pace`` the same for the time in which a backlog is worked off.
         """
         self._limits = limits
         self._pace = pace
         self._max_pieces = limits.max_pieces
         # Time of a full call, and between the starts of two (seconds).
-        self._full_call_s = limits.estimate_call_s(limits.max_pieces) * pace
-        self._interval_s = self._full_call_s / slots
+        full_call_s = limits.estimate_call_s(limits.max_pieces)
+        self._full_call_s = full_call_s * pace
+        self._interval_s = full_call_s * max(pace, drain_pace) / slots
 
     def estimate_end_s(self, pieces: int) -> float:
         """Return when this many pieces will have run (seconds from now).
--- a/damaskpoint/membership/facts.py
+++ b/damaskpoint/membership/facts.py
@@ -169,6 +169,9 @@
     group: str
     # Duration of calls as a multiple of the nominal duration.
     pace: float
+    # Time in which a backlog is worked off, as a multiple of that of full calls
+    # at all runners; 0 if it is that of single calls.
+    drain_pace: float = 0
 
 
 @final
--- a/damaskpoint/membership/sizes.py
+++ b/damaskpoint/membership/sizes.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from damaskpoint.membership import facts
 
 # UDP and IP headers of a datagram.
@@ -103,10 +105,9 @@
 
 def measure_pace(fact: facts.PaceFact) -> int:
     """Return the size of a group's pace."""
-    fields = (
-        measure_text(fact.group),
-        measure_number(round(fact.pace * _MS)),
-    )
+    fields = [measure_text(fact.group), measure_number(round(fact.pace * _MS))]
+    if fact.drain_pace:
+        fields.append(measure_number(round(fact.drain_pace * _MS)))
     return _sum_fields(fields)
 
 
@@ -170,5 +171,5 @@
     return measure_number(max(0, round((now - happened_at) * _MS) + 1))
 
 
-def _sum_fields(fields: tuple[int, ...]) -> int:
+def _sum_fields(fields: Sequence[int]) -> int:
     return sum(fields) + _FIELD_HEADER_BYTES * len(fields) + _STOP_BYTES
--- a/damaskpoint/wire/gossip_codec.py
+++ b/damaskpoint/wire/gossip_codec.py
@@ -143,7 +143,11 @@
 
 
 def _encode_pace(fact: facts.PaceFact) -> ttypes.PaceFact:
-    return ttypes.PaceFact(fact.group, round(fact.pace * _MILLI_PER_UNIT))
+    return ttypes.PaceFact(
+        fact.group,
+        round(fact.pace * _MILLI_PER_UNIT),
+        round(fact.drain_pace * _MILLI_PER_UNIT) or None,
+    )
 
 
 def _encode_pledge(fact: facts.PledgeFact) -> ttypes.PledgeFact:
@@ -303,6 +307,7 @@
     return facts.PaceFact(
         _check_name(fact.group),
         _check_number(fact.pace_permille) / _MILLI_PER_UNIT,
+        _check_number(fact.drain_permille or 0) / _MILLI_PER_UNIT,
     )
 
 
--- a/damaskpoint/wire/peer.thrift
+++ b/damaskpoint/wire/peer.thrift
@@ -94,6 +94,8 @@
   1: required string group
   // Duration of calls relative to the expected duration, times 1000.
   2: required i32 pace_permille
+  // Time for a backlog relative to full calls at all runners, times 1000.
+  3: optional i32 drain_permille
 }
 
 // Pieces that the requests of the sender still need from a group.
--- a/features/piece_queue.feature
+++ b/features/piece_queue.feature
@@ -293,3 +293,42 @@
     And 200 requests with 6 pieces of 16 accounts wait
     When a runner without memory asks 500 times for a batch
     Then it gets no piece, and 0.13 s of processor time were used at most
+
+  # Guards against plans and an order of the queue that count on full calls at
+  # all runners where a group does less: too much is then admitted, and all of
+  # it is late. Two runners make 66.7 pieces a second in full calls.
+  Scenario Outline: The pace at which a group works off a backlog: <case>
+    Given the drain of a group of 2 runners with batches of 10 pieces
+    When <waiting> pieces wait for 6 s while <made> pieces are made each second
+    Then its pace is <pace> then and <later> after 10 s without a backlog
+
+    Examples:
+      | case                          | waiting | made | pace | later |
+      | full calls at all runners     | 50      | 66.7 | 1    | 1     |
+      | half of that                  | 50      | 33.3 | 1.8  | 1.1   |
+      | less than a batch waits       | 9       | 10   | 1    | 1     |
+      | a batch waits, nothing is made | 10     | 0    | 9.5  | 1.3   |
+
+  Scenario Outline: A plan for a group with a backlog: <case>
+    Given 600 pieces of priority 1 are pledged to a group of 5 runners
+    And it works off a backlog at the pace <drain>
+    Then a request of priority <priority> with 2 pieces there is planned to take <stages_s> s, <contended>
+
+    Examples:
+      | case                  | drain | priority | stages_s | contended     |
+      | full calls            | 1     | 1        | 3.61     | contended     |
+      | half of that          | 2     | 1        | 7.22     | contended     |
+      | an urgent one, not    | 2     | 0        | 0.20     | not contended |
+
+  Scenario Outline: Only requests that a slow group can serve in time do not give way: <case>
+    Given a queue for batches of 1 pieces
+    And these requests wait
+      | name | priority | needed | pieces    | cost |
+      | a    | 0        | 0.9    | 1,1,1,1,1 | x    |
+    When a runner of a group with the drain pace <drain> takes a batch at 0
+    Then <yielding> requests give way
+
+    Examples:
+      | case           | drain | yielding |
+      | nominal, 4 fit | 1     | 1        |
+      | half of it     | 2     | 3        |
--- a/features/steps/piece_queue_steps.py
+++ b/features/steps/piece_queue_steps.py
@@ -10,6 +10,7 @@
 from damaskpoint.balancing.health import RunnerHealth
 from damaskpoint.batching.base import PieceCaller
 from damaskpoint.batching.capacity import RunnerCapacity
+from damaskpoint.batching.drain import DrainMeter
 from damaskpoint.batching.estimate import GroupLoad, estimate_end_s
 from damaskpoint.batching.group import RunnerGroup
 from damaskpoint.batching.model import CallAnswer, Piece, PieceOutcome
@@ -24,6 +25,7 @@
 
 _NONE: Final = '-'
 _CLOSE: Final = 0.01
+_ABOUT: Final = 0.1
 
 
 @final
@@ -319,3 +321,34 @@
     """Check for handles, and how often the runner was called."""
     assert all(outcome.handle for outcome in context.outcomes)
     assert context.caller.calls <= calls, context.caller.calls
+
+
+@given(
+    'the drain of a group of {runners:d} runners with batches of {most:d} pieces'
+)
+def create_drain(context: Any, runners: int, most: int) -> None:
+    """Start without measurements."""
+    context.drain = DrainMeter(_create_limits(most))
+    context.drain_runners = runners
+
+
+@when(
+    '{waiting:d} pieces wait for 6 s while {made:g} pieces are made each second'
+)
+def drain(context: Any, waiting: int, made: float) -> None:
+    """Record the queue and the results ten times a second."""
+    for tick in range(1, 61):
+        now = tick / 10
+        context.drain.record_made(made / 10, now)
+        context.drain.record_queue(waiting, context.drain_runners, now)
+
+
+@then('its pace is {pace:g} then and {later:g} after 10 s without a backlog')
+def check_drain(context: Any, pace: float, later: float) -> None:
+    """Compare the paces."""
+    runners = context.drain_runners
+    found = context.drain.find_pace(1, runners, 6)
+    assert abs(found - pace) < _ABOUT, found
+    context.drain.record_queue(0, runners, 6)
+    found = context.drain.find_pace(1, runners, 16)
+    assert abs(found - later) < _ABOUT, found
--- a/features/steps/urgency_steps.py
+++ b/features/steps/urgency_steps.py
@@ -22,6 +22,7 @@
 from damaskpoint.membership.facts import (
     DemandFact,
     GossipMessage,
+    PaceFact,
     PeerFact,
     Phase,
     PledgeFact,
@@ -158,9 +159,17 @@
     pledges = PledgeTable()
     pledges.add('stage#0', pieces, is_deferred=False, priority=priority)
     pool = instance.pool
+    context.pool = pool
     context.planner = Planner(instance.catalog, pool, RunnerHealth(), pledges)
 
 
+@given('it works off a backlog at the pace {drain:g}')
+def report_drain(context: Any, drain: float) -> None:
+    """Report the pace of the group as its batching instance does."""
+    fact = PaceFact('stage#0', 1, drain)
+    context.pool.paces.record([fact], 0)
+
+
 @then(
     'a request of priority {priority:d} with {pieces:d} pieces there is planned'
     ' to take {stages_s:g} s, {contended}'
@@ -294,3 +303,16 @@
     """Compare the pieces and the time."""
     assert not context.taken, context.taken
     assert context.used_s <= used, context.used_s
+
+
+@when('a runner of a group with the drain pace {drain:g} takes a batch at 0')
+def take_of_slow_group(context: Any, drain: float) -> None:
+    """Find the requests that give way to others."""
+    runner = IdleRunner('z', frozenset('z'), 9, True, group_drain_pace=drain)
+    context.yielding = context.queue.find_yielding(runner, 0)
+
+
+@then('{count:d} requests give way')
+def check_yielding(context: Any, count: int) -> None:
+    """Compare the number."""
+    assert len(context.yielding) == count, context.yielding
