Count the time between the stages of a request

Callers saw classes with three or four stages end just past their objective. The pieces of a stage were needed as late as the least time of the later stages allows: nominal calls without the way to the batching instance and back (20 to 90 ms for each stage at full size, about 100 in small twins). As the queue runs what is needed first, it used up time that the later stages needed, and plans left it out too.

Each instance measures the part of its orders that is neither queue nor call, by group. Plans include it, and pieces are needed earlier by it and by the pace of the later stages. When a result becomes useless still follows from the least time.

--- a/damaskpoint/batching/planner.py
+++ b/damaskpoint/batching/planner.py
@@ -13,9 +13,10 @@
 
 from damaskpoint.balancing import rendezvous
 from damaskpoint.batching.estimate import GroupLoad, estimate_end_s
+from damaskpoint.batching.handovers import HandoverTimes
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Mapping, Sequence
 
     from damaskpoint.balancing.health import RunnerHealth
     from damaskpoint.batching.pledges import PledgeTable
@@ -71,6 +72,7 @@
     ) -> None:
         """Plan with these runners, their health and the pledged pieces."""
         self.pledges = pledges
+        self.handovers = HandoverTimes()
         self._catalog = catalog
         self._pool = pool
         self._health = health
@@ -122,14 +124,32 @@
         self, route: Route, metadata: RequestMetadata
     ) -> dict[int, float]:
         """Return by stage the least time that the later stages take."""
-        remaining_s_by_stage: dict[int, float] = {}
-        for stage in reversed(route.stages):
-            total_s = remaining_s_by_stage.setdefault(stage.index, float(0))
-            total_s += self._min_stage_s(stage, metadata)
-            for index in stage.after:
-                longest_s = remaining_s_by_stage.get(index, float(0))
-                remaining_s_by_stage[index] = max(longest_s, total_s)
-        return remaining_s_by_stage
+        durations_s = [
+            self._min_stage_s(stage, metadata) for stage in route.stages
+        ]
+        return _sum_remaining_s(route, durations_s)
+
+    def expected_remaining_s(
+        self,
+        route: Route,
+        metadata: RequestMetadata,
+        groups_by_stage: Mapping[int, str],
+        now: float,
+    ) -> dict[int, float]:
+        """Return by stage the time that the later stages take at idle runners.
+
+        Unlike the least time, it includes the measured pace of the calls, and
+        the time between the stages.
+        """
+        durations_s = []
+        for stage in route.stages:
+            duration_s = self._min_stage_s(stage, metadata)
+            group = groups_by_stage.get(stage.index)
+            if group is not None:
+                duration_s *= self._pool.find_pace(group, now).pace
+                duration_s += self.handovers.estimate_s(group)
+            durations_s.append(duration_s)
+        return _sum_remaining_s(route, durations_s)
 
     def _is_contended(self, group: str, demand: _StageDemand) -> bool:
         runners = self._pool.find_runners(group)
@@ -183,7 +203,8 @@
             pace=pace.pace,
             drain_pace=pace.drain_pace,
         )
-        return estimate_end_s(load, demand.pieces, demand.start_s)
+        end_s = estimate_end_s(load, demand.pieces, demand.start_s)
+        return end_s + self.handovers.estimate_s(group)
 
     def _find_limits(self, service_name: str) -> BatchLimits | None:
         service = self._catalog.find_service(service_name)
@@ -202,3 +223,17 @@
             weights_by_zone, metadata.affinity_key
         )
         return ordered[0] if ordered else None
+
+
+def _sum_remaining_s(
+    route: Route, durations_s: Sequence[float]
+) -> dict[int, float]:
+    """Return by stage the longest time of a chain of stages after it."""
+    remaining_s_by_stage: dict[int, float] = {}
+    for stage in reversed(route.stages):
+        total_s = remaining_s_by_stage.setdefault(stage.index, float(0))
+        total_s += durations_s[stage.index]
+        for index in stage.after:
+            longest_s = remaining_s_by_stage.get(index, float(0))
+            remaining_s_by_stage[index] = max(longest_s, total_s)
+    return remaining_s_by_stage
--- a/damaskpoint/batching/stages.py
+++ b/damaskpoint/batching/stages.py
@@ -84,9 +84,15 @@
         # Of the stages that ended, in the order of their end.
         self.times: list[StageTime] = []
         self._has_cost = False
-        self._remaining_s_by_stage = planner.min_remaining_s(
+        self._min_remaining_s_by_stage = planner.min_remaining_s(
             work.route, work.metadata
         )
+        self._remaining_s_by_stage = planner.expected_remaining_s(
+            work.route,
+            work.metadata,
+            work.plan.groups_by_stage,
+            time.monotonic(),
+        )
         # Indexes of stages whose pieces are still pledged.
         self._pledged: set[int] = set()
 
@@ -165,6 +171,11 @@
         self, stage: Stage, outcomes: Sequence[PieceOutcome], took_s: float
     ) -> None:
         slowest = find_slowest(outcomes)
+        if slowest.handle is not None and slowest.called_s:
+            self._planner.handovers.record(
+                self._work.plan.groups_by_stage[stage.index],
+                max(float(0), took_s - slowest.waited_s - slowest.called_s),
+            )
         self.times.append(
             StageTime(stage.index, took_s, slowest.waited_s, slowest.called_s)
         )
@@ -223,7 +234,8 @@
         self, stage: Stage, count: int, inputs: tuple[str, ...]
     ) -> list[Piece]:
         work = self._work
-        remaining_s = self._remaining_s_by_stage.get(stage.index, float(0))
+        min_remaining_s = self._min_remaining_s_by_stage[stage.index]
+        remaining_s = self._remaining_s_by_stage[stage.index]
         zone, moved_bytes = self._choose_zone(stage)
         return [
             Piece(
@@ -236,7 +248,7 @@
                 moved_bytes=moved_bytes,
                 priority=work.priority,
                 account=work.account,
-                ends_at=work.ends_at - remaining_s,
+                ends_at=work.ends_at - min_remaining_s,
                 needed_at=work.due_at - remaining_s,
                 lead_s=work.lead_s,
                 result_bytes=stage.result_bytes,
