Let instances that started together agree on who batches

Callers saw 3 to 4 s of refused and late requests after all instances had lost power, once they were back. An instance that starts and knows no serving one calls the runners itself.

An instance now hands such pieces back when it ends its start, and when it learns that another one batches for a group; their requests order them there. The new scenario fails before: all of eight instances go on calling the runners.

--- a/damaskpoint/batching/placement.py
+++ b/damaskpoint/batching/placement.py
@@ -36,7 +36,11 @@
 _LIVENESS_POLL_S: Final = 0.1
 # Instances that an order is tried at before the runners are called directly.
 _MAX_PLACES: Final = 3
+# Rounds of both: this instance hands back what it began to run itself when it
+# learns which one batches for the group.
+_MAX_ROUNDS: Final = 2
 _HANDED_BACK: Final = PieceOutcome(None, PieceReason.HANDED_BACK)
+_UNREACHABLE: Final = PieceOutcome(None, PieceReason.UNREACHABLE)
 
 
 class LocalBatching(abc.ABC):
@@ -48,6 +52,10 @@
     ) -> Outcomes:
         """Run pieces as the batching instance of a group."""
 
+    @abc.abstractmethod
+    def hand_back_group(self, group_name: str) -> None:
+        """Return the waiting pieces of a group to their requests."""
+
     @abc.abstractmethod
     def record_held(self, group_name: str, held: Sequence[CallHolding]) -> None:
         """Record calls that other instances have at runners of a group."""
@@ -79,27 +87,39 @@
     async def place(self, group: str, pieces: Sequence[Piece]) -> Outcomes:
         """Run pieces of one stage of one request and return the outcomes."""
         outcomes = list(hand_back(pieces))
+        for _ in range(_MAX_ROUNDS):
+            await self._order_from_instances(group, pieces, outcomes)
+            waiting = list_handed_back(outcomes)
+            if not waiting:
+                return tuple(outcomes)
+            ran = await self._run_directly(
+                group, [pieces[index] for index in waiting]
+            )
+            _replace(outcomes, waiting, ran)
+        return tuple(
+            _UNREACHABLE
+            if outcome.reason is PieceReason.HANDED_BACK
+            else outcome
+            for outcome in outcomes
+        )
+
+    async def _order_from_instances(
+        self, group: str, pieces: Sequence[Piece], outcomes: list[PieceOutcome]
+    ) -> None:
+        """Order the pieces that were handed back from one after the other."""
         declined: set[str] = set()
         while len(declined) < _MAX_PLACES:
+            waiting = list_handed_back(outcomes)
             batcher = self._batchers.find(group, time.monotonic(), declined)
-            if batcher is None:
-                break
+            if batcher is None or not waiting:
+                return
             if not declined:
                 self._log_change(group, batcher)
-            waiting = list_handed_back(outcomes)
             ran = await self._run_at(
                 batcher, group, [pieces[index] for index in waiting]
             )
             _replace(outcomes, waiting, ran)
-            if not list_handed_back(outcomes):
-                return tuple(outcomes)
             declined.add(batcher)
-        waiting = list_handed_back(outcomes)
-        ran = await self._run_directly(
-            group, [pieces[index] for index in waiting]
-        )
-        _replace(outcomes, waiting, ran)
-        return tuple(outcomes)
 
     async def _run_at(
         self, batcher: str, group: str, pieces: Sequence[Piece]
@@ -183,18 +203,14 @@
             },
         )
         await asyncio.sleep(delay_s)
-        outcomes = await self._local.run_locally(group, pieces)
-        return tuple(
-            PieceOutcome(None, PieceReason.UNREACHABLE)
-            if outcome.reason is PieceReason.HANDED_BACK
-            else outcome
-            for outcome in outcomes
-        )
+        return await self._local.run_locally(group, pieces)
 
     def _log_change(self, group: str, batcher: str) -> None:
         previous = self._batchers.record_used(group, batcher)
         if previous is None:
             return
+        if previous == self._own_name:
+            self._local.hand_back_group(group)
         metrics.BATCHER_CHANGES.inc({'service': find_service_name(group)})
         _LOG.info(
             'batching instance changed',
--- a/damaskpoint/batching/pool.py
+++ b/damaskpoint/batching/pool.py
@@ -115,17 +115,21 @@
         )
 
     def hand_back(self, now: float) -> None:
-        """Return all waiting pieces, unless there is no other instance."""
-        if not self._batchers.is_replaced(now):
+        """Return the waiting pieces for which another instance batches."""
+        for name in tuple(self._groups_by_name):
+            if self.find_batcher(name, now) != self._own_name:
+                self.hand_back_group(name)
+
+    def hand_back_group(self, group_name: str) -> None:
+        """Return the waiting pieces of a group to their requests."""
+        group = self._groups_by_name.get(group_name)
+        count = 0 if group is None else group.hand_back()
+        if not count:
             return
-        for name, group in self._groups_by_name.items():
-            count = group.hand_back()
-            if not count:
-                continue
-            metrics.HANDED_BACK.add({}, count)
-            _LOG.info(
-                'pieces handed back', extra={'group': name, 'pieces': count}
-            )
+        metrics.HANDED_BACK.add({}, count)
+        _LOG.info(
+            'pieces handed back', extra={'group': group_name, 'pieces': count}
+        )
 
     async def run_locally(
         self, group_name: str, pieces: Sequence[Piece]
@@ -160,7 +164,7 @@
             self.release_locally(runner_name, handles)
             return
         task = asyncio.ensure_future(
-            self._release_at_peer(address, runner_name, handles)
+            _release_at_peer(self._client, address, runner_name, handles)
         )
         self._release_tasks.add(task)
         task.add_done_callback(self._release_tasks.discard)
@@ -270,16 +274,20 @@
         self._groups_by_name[name] = group
         return group
 
-    async def _release_at_peer(
-        self, address: Address, runner_name: str, handles: Sequence[str]
-    ) -> None:
-        failure = await self._client.release(address, runner_name, handles)
-        if failure is not None:
-            _LOG.info(
-                'results not released, they expire at the runner',
-                extra={
-                    'runner': runner_name,
-                    'results': len(handles),
-                    'reason': failure.detail,
-                },
-            )
+
+async def _release_at_peer(
+    client: PieceOrderClient,
+    address: Address,
+    runner_name: str,
+    handles: Sequence[str],
+) -> None:
+    failure = await client.release(address, runner_name, handles)
+    if failure is not None:
+        _LOG.info(
+            'results not released, they expire at the runner',
+            extra={
+                'runner': runner_name,
+                'results': len(handles),
+                'reason': failure.detail,
+            },
+        )
--- a/damaskpoint/gateway/peers.py
+++ b/damaskpoint/gateway/peers.py
@@ -212,6 +212,9 @@
         if not is_introduced(introduction):
             return
         self._membership.set_phase(facts.Phase.SERVING)
+        # Until now this instance may have batched for itself, like all others
+        # that started with it.
+        self._context.pool.hand_back(now)
         _LOG.info(
             'batching for runners',
             extra={
--- a/features/batching.feature
+++ b/features/batching.feature
@@ -64,3 +64,11 @@
     When each is stopped and started in turn, one each 0.2 s, with shutdowns of 0.8 s
     Then all pieces are made
     And at most 2 percent of the calls were refused
+
+  # Guards against instances that each go on to call the runners for themselves
+  # after all have started together, as after a loss of power.
+  Scenario: Instances that start together agree on one of them
+    Given 8 instances that batch for 2 runners
+    When all start together, order 30 pieces each and hear of each other after 0.8 s
+    Then all pieces are made
+    And from 0.1 s after they have heard of each other 1 instance calls runners
--- a/features/steps/batching_steps.py
+++ b/features/steps/batching_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING, Any, Final
 
 from behave import given, then, when
@@ -193,6 +194,49 @@
         await asyncio.sleep(0.02)
 
 
+@when(
+    'all start together, order {count:d} pieces each and hear of each other'
+    ' after {heard:g} s'
+)
+def start_together(context: Any, count: int, heard: float) -> None:
+    """Order while no instance knows another, until all orders have ended."""
+    _run(context, _start_together(context, count, heard))
+
+
+async def _start_together(context: Any, count: int, heard_s: float) -> None:
+    by_name = context.fleet.by_name
+    for instance in by_name.values():
+        instance.phase = Phase.STARTING
+        instance.known = set()
+    orders = [
+        asyncio.ensure_future(context.fleet.order(name, _GROUP, count))
+        for name in by_name
+    ]
+    await asyncio.sleep(heard_s)
+    for name, instance in by_name.items():
+        instance.known = set(by_name) - {name}
+        instance.phase = Phase.SERVING
+    context.heard_at = time.monotonic()
+    for instance in by_name.values():
+        instance.pool.hand_back(context.heard_at)
+    for outcomes in await asyncio.gather(*orders):
+        context.outcomes.extend(outcomes)
+
+
+@then(
+    'from {after:g} s after they have heard of each other {count:d} instance'
+    ' calls runners'
+)
+def check_later_callers(context: Any, after: float, count: int) -> None:
+    """Show the instances of the calls from then on."""
+    found = set()
+    for runner in context.fleet.runners_by_name.values():
+        for instance, called_at in runner.calls:
+            if called_at > context.heard_at + after:
+                found.add(instance)
+    assert len(found) == count, found
+
+
 @then('all pieces are made')
 @then('all pieces of the others are made')
 def check_made(context: Any) -> None:
--- a/features/support/batching_fleet.py
+++ b/features/support/batching_fleet.py
@@ -61,6 +61,8 @@
     callers: list[str] = field(default_factory=list)
     refused: list[str] = field(default_factory=list)
     batch_sizes: list[int] = field(default_factory=list)
+    # The instance and the time of each call, refused or not.
+    calls: list[tuple[str, float]] = field(default_factory=list)
     accepted: int = 0
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
@@ -74,6 +76,7 @@
         self, instance: str, count: int
     ) -> tuple[PieceOutcome, ...] | None:
         """Run a call of ``count`` pieces, or return None if full."""
+        self.calls.append((instance, time.monotonic()))
         if self.accepted >= _RUNNER_PLACES:
             self.refused.append(instance)
             return None
@@ -289,6 +292,11 @@
     ) -> OrderAnswer | Failure:
         target = self._fleet.by_name[address.host]
         target.orders += 1
+        if (
+            target.phase is Phase.STARTING
+            and self._own_name not in target.known
+        ):
+            return Failure(Code.PEER_UNKNOWN, 'not heard of')
         if target.killed.is_set():
             return Failure(Code.PEER_UNREACHABLE, 'refused')
         if target.is_frozen:
