--- a/damaskpoint/batching/group.py
+++ b/damaskpoint/batching/group.py
@@ -9,18 +9,26 @@
 import asyncio
 import logging
 import time
-from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, Final, final
 
-from damaskpoint.batching import metrics
+from damaskpoint.batching.calls import (
+    Batch,
+    add_times,
+    count_made,
+    list_requests,
+    log_call,
+    log_full,
+    record_no_room,
+)
 from damaskpoint.batching.capacities import CapacityTable
 from damaskpoint.batching.drain import DrainMeter
 from damaskpoint.batching.model import PieceOutcome, PieceReason
 from damaskpoint.batching.paces import NOMINAL_PACE
-from damaskpoint.batching.queue import IdleRunner, PieceQueue, sum_bytes
+from damaskpoint.batching.queue import PieceQueue, sum_bytes
 from damaskpoint.batching.releaser import ResultReleaser
 from damaskpoint.batching.result_stays import ResultStays
 from damaskpoint.batching.waiters import PieceWaiters
+from damaskpoint.batching.waiting import IdleRunner
 from damaskpoint.errors import Failure
 from damaskpoint.membership.facts import PaceFact
 
@@ -30,8 +38,8 @@
     from damaskpoint.balancing.health import RunnerHealth
     from damaskpoint.batching.base import PieceCaller
     from damaskpoint.batching.capacity import RunnerCapacity
-    from damaskpoint.batching.model import Piece, RunnerLoad
-    from damaskpoint.batching.queue import Ticket
+    from damaskpoint.batching.model import Piece
+    from damaskpoint.batching.waiting import Ticket
     from damaskpoint.catalog.model import BatchLimits, Runner
 
     # Pace, and whether the runner is in another zone; lower is better.
@@ -43,9 +51,6 @@
 # Interval at which a waiting queue is dispatched without other events
 # (seconds): a small fraction of the shortest call.
 _POLL_S: Final = 0.02
-# Pause after a runner had less free memory than estimated (seconds): results
-# of a lost instance stay for seconds, other results for about a call.
-_OUT_OF_MEMORY_PAUSE_S: Final = 0.1
 # Timeout of a call as a multiple of its expected duration at the measured
 # pace, and the shortest timeout (seconds). It leaves time for a slow runner.
 _CALL_TIMEOUT_FACTOR: Final = 3.0
@@ -54,20 +59,6 @@
 _MAX_ATTEMPTS: Final = 3
 
 
-@final
-@dataclass(frozen=True, slots=True)
-class _Batch:
-    """The pieces of a call that has begun."""
-
-    tickets: tuple[Ticket, ...]
-    began_at: float
-    # Memory of the runner that was assumed to be free before the call.
-    free_bytes: float
-    # Longest time for which a piece was left for a runner of its own zone
-    # (seconds).
-    held_s: float
-
-
 @final
 class RunnerGroup:
     """Runs the pieces of one group of runners; owns their queue."""
@@ -212,7 +203,7 @@
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    def _take_batch(self, runner: Runner, now: float) -> _Batch | None:
+    def _take_batch(self, runner: Runner, now: float) -> Batch | None:
         capacity = self._find_capacity(runner.name)
         runners = self._find_runners()
         free_bytes = capacity.free_bytes(now)
@@ -237,14 +228,14 @@
             return None
         capacity.begin_call(len(tickets), sum_bytes(tickets), now)
         held_s = self.queue.forget_held(tickets, now)
-        return _Batch(tickets, now, idle_runner.free_bytes, held_s)
+        return Batch(tickets, now, idle_runner.free_bytes, held_s)
 
     def _drop_late(self, pace: float, starts_at: float) -> None:
         """Drop the pieces that are late if they start at this time."""
         for ticket in self.queue.take_late(pace, starts_at):
             self._waiters.resolve(ticket, PieceOutcome(None, PieceReason.LATE))
 
-    async def _call(self, runner: Runner, batch: _Batch) -> None:
+    async def _call(self, runner: Runner, batch: Batch) -> None:
         capacity = self._find_capacity(runner.name)
         tickets = batch.tickets
         expected_s = capacity.busy_until - time.monotonic()
@@ -259,26 +250,26 @@
             self._handle_failed_call(runner, tickets, answer)
         elif answer.outcomes is None:
             capacity.record_full(answer.load, now)
-            _log_full(runner, tickets, answer.load)
+            log_full(runner, tickets, answer.load)
             self._put_back(self._waiters.select_awaited(tickets))
         else:
             capacity.record_answer(
                 answer.load, len(tickets), now - batch.began_at, now
             )
-            outcomes = _add_times(batch, answer.outcomes, now)
+            outcomes = add_times(batch, answer.outcomes, now)
             self._distribute(runner, batch, outcomes, now)
-            _log_call(runner, batch, outcomes, capacity)
+            log_call(runner, batch, outcomes, capacity)
         self._dispatch()
 
     def _distribute(
         self,
         runner: Runner,
-        batch: _Batch,
+        batch: Batch,
         outcomes: Sequence[PieceOutcome],
         now: float,
     ) -> None:
         capacity = self._find_capacity(runner.name)
-        self._drain.record_made(_count_made(outcomes), now)
+        self._drain.record_made(count_made(outcomes), now)
         orphaned = []
         for ticket, outcome in zip(batch.tickets, outcomes, strict=True):
             if outcome.handle is not None:
@@ -294,7 +285,7 @@
             else:
                 self._waiters.resolve(ticket, outcome)
         if any(item.reason is PieceReason.NO_ROOM for item in outcomes):
-            _record_no_room(batch, outcomes, capacity, now)
+            record_no_room(batch, outcomes, capacity, now)
         if orphaned:
             self.release(runner, orphaned)
 
@@ -307,7 +298,7 @@
             'batch failed',
             extra={
                 'runner': runner.name,
-                'requests': _list_requests(tickets),
+                'requests': list_requests(tickets),
                 'code': failure.code.value,
                 'reason': failure.detail,
             },
@@ -362,83 +353,5 @@
         return self.capacities.find(runner)
 
 
-def _count_made(outcomes: Iterable[PieceOutcome]) -> int:
-    return sum(outcome.handle is not None for outcome in outcomes)
-
-
-def _record_no_room(
-    batch: _Batch,
-    outcomes: Sequence[PieceOutcome],
-    capacity: RunnerCapacity,
-    now: float,
-) -> None:
-    made_bytes = 0
-    for ticket, outcome in zip(batch.tickets, outcomes, strict=True):
-        if outcome.handle is not None:
-            made_bytes += ticket.piece.result_bytes
-    capacity.record_out_of_memory(batch.free_bytes, made_bytes, batch.began_at)
-    if not made_bytes:
-        capacity.pause(_OUT_OF_MEMORY_PAUSE_S, now)
-
-
-def _add_times(
-    batch: _Batch, outcomes: Sequence[PieceOutcome], now: float
-) -> list[PieceOutcome]:
-    """Return the outcomes of a call with the times of their pieces."""
-    return [
-        replace(
-            outcome,
-            waited_s=batch.began_at - ticket.added_at,
-            called_s=now - batch.began_at,
-        )
-        for ticket, outcome in zip(batch.tickets, outcomes, strict=True)
-    ]
-
-
-def _log_call(
-    runner: Runner,
-    batch: _Batch,
-    outcomes: Sequence[PieceOutcome],
-    capacity: RunnerCapacity,
-) -> None:
-    missing = [item.reason.value for item in outcomes if item.reason]
-    waits_s = sorted(outcome.waited_s for outcome in outcomes)
-    _LOG.info(
-        'batch completed',
-        extra={
-            'runner': runner.name,
-            'requests': _list_requests(batch.tickets),
-            'pieces': len(batch.tickets),
-            'not_made': missing,
-            'took_ms': round(outcomes[0].called_s * _MS),
-            'waited_ms': round(waits_s[len(waits_s) // 2] * _MS),
-            'max_waited_ms': round(waits_s[-1] * _MS),
-            'held_ms': round(batch.held_s * _MS),
-            'pace': round(capacity.pace, 2),
-            'used_bytes': round(capacity.used_bytes),
-        },
-    )
-
-
-def _log_full(
-    runner: Runner, tickets: Sequence[Ticket], load: RunnerLoad | None
-) -> None:
-    metrics.FULL_RUNNERS.inc({'service': runner.service})
-    _LOG.info(
-        'runner full',
-        extra={
-            'runner': runner.name,
-            'requests': _list_requests(tickets),
-            'pieces': len(tickets),
-            'running': None if load is None else load.running,
-            'waiting_calls': None if load is None else load.waiting,
-        },
-    )
-
-
 def _by_rank(ranked: tuple[_Rank, Runner]) -> _Rank:
     return ranked[0]
-
-
-def _list_requests(tickets: Iterable[Ticket]) -> list[str]:
-    return sorted({ticket.piece.request_id for ticket in tickets})
--- a/damaskpoint/batching/queue.py
+++ b/damaskpoint/batching/queue.py
@@ -8,8 +8,6 @@
 from __future__ import annotations
 
 import bisect
-import math
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final, final
 
 from damaskpoint.batching.account_service import AccountService
@@ -18,11 +16,13 @@
     WaitingPieces,
     find_yielding,
 )
+from damaskpoint.batching.waiting import FreeMemory, Ticket, WaitingRequest
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Sequence
 
     from damaskpoint.batching.model import Piece
+    from damaskpoint.batching.waiting import IdleRunner
     from damaskpoint.catalog.model import BatchLimits
 
     # Request id and index of the stage.
@@ -37,100 +37,11 @@
 # which the delay no longer grows; level 0 is the most urgent.
 _PRIORITY_LAG_S: Final = 0.2
 _MAX_PRIORITY: Final = 3
-# Size of a piece that may overtake one that waits for memory, as a share of the
-# latter's size.
-_NEGLIGIBLE_SHARE: Final = 0.05
 # Smallest share of the possible batch that is sent if the runner lacks memory
 # for the rest.
 _MIN_BATCH_SHARE: Final = 0.7
 
 
-@final
-@dataclass(frozen=True, slots=True, order=True)
-class Ticket:
-    """A queued piece with its position in the order of the queue."""
-
-    virtual_deadline: float
-    number: int
-    piece: Piece = field(compare=False)
-    added_at: float = field(compare=False)
-
-
-@final
-@dataclass(frozen=True, slots=True)
-class IdleRunner:
-    """A runner that can take a call now."""
-
-    zone: str
-    # Zones of all runners of the group.
-    group_zones: frozenset[str]
-    free_bytes: float
-    # Whether the batch may be small because memory is short.
-    allows_small_batch: bool
-    # Calls that the group runs at the same time, and its pace.
-    group_slots: int = 1
-    group_pace: float = 1
-    # Pace at which the group works off a backlog.
-    group_drain_pace: float = 1
-    # Memory for the results of one call that leaves room for the next ones.
-    call_bytes: float = math.inf
-
-
-@final
-@dataclass(slots=True, order=True)
-class _WaitingRequest:
-    """The pieces of one stage of a request that wait, at least one.
-
-    They were ordered together, so they share all that decides on their order.
-    """
-
-    first: Ticket
-    tickets: list[Ticket] = field(compare=False)
-    # Whether pieces of it have been taken while others wait.
-    is_begun: bool = field(default=False, compare=False)
-
-    @property
-    def piece(self) -> Piece:
-        """Return a piece that stands for all of them."""
-        return self.first.piece
-
-    @property
-    def has_cost(self) -> bool:
-        """Return whether work for the request was begun."""
-        return self.first.piece.has_cost or self.is_begun
-
-
-@final
-class _FreeMemory:
-    """The memory of a runner that the pieces of a call may still use."""
-
-    def __init__(self, free_bytes: float) -> None:
-        self._free_bytes = free_bytes
-        self._max_piece_bytes = free_bytes
-
-    def take(self, size: int, count: int) -> int:
-        """Use memory for pieces of one size; return how many have room."""
-        if size * count <= min(self._free_bytes, self._max_piece_bytes):
-            self._free_bytes -= size * count
-            return count
-        taken = 0
-        while taken < count and self._take_one(size):
-            taken += 1
-        return taken
-
-    def _take_one(self, size: int) -> bool:
-        """Use memory for a piece; return False if it has to wait for more."""
-        if size > self._free_bytes:
-            # Only pieces that need hardly any memory may overtake one that is
-            # waiting for it.
-            limit = size * _NEGLIGIBLE_SHARE
-            self._max_piece_bytes = min(self._max_piece_bytes, limit)
-        if size > min(self._free_bytes, self._max_piece_bytes):
-            return False
-        self._free_bytes -= size
-        return True
-
-
 @final
 class PieceQueue:
     """An ordered queue of pieces; times are monotonic seconds.
@@ -150,8 +61,8 @@
         self.limits = limits
         self._shares_capacity = shares_capacity
         # In the order in which they are needed, and by identity.
-        self._requests: list[_WaitingRequest] = []
-        self._requests_by_key: dict[_RequestStage, _WaitingRequest] = {}
+        self._requests: list[WaitingRequest] = []
+        self._requests_by_key: dict[_RequestStage, WaitingRequest] = {}
         self._count = 0
         self._last_number = 0
         self._service = AccountService()
@@ -218,11 +129,11 @@
         if self._must_wait(runner, now):
             return ()
         call_bytes = self._find_call_bytes(runner)
-        fair_share = _FreeMemory(call_bytes)
-        memory = _FreeMemory(min(runner.free_bytes, call_bytes))
+        fair_share = FreeMemory(call_bytes)
+        memory = FreeMemory(min(runner.free_bytes, call_bytes))
         possible = 0
         pieces = 0
-        chosen: list[tuple[_WaitingRequest, int]] = []
+        chosen: list[tuple[WaitingRequest, int]] = []
         for request in self._list_by_urgency(runner, now):
             if self._waits_for_own_zone(request, runner, now):
                 continue
@@ -300,18 +211,18 @@
         if request is not None:
             bisect.insort(request.tickets, ticket)
             return
-        request = _WaitingRequest(ticket, [ticket])
+        request = WaitingRequest(ticket, [ticket])
         self._requests_by_key[key] = request
         bisect.insort(self._requests, request)
 
-    def _remove(self, request: _WaitingRequest) -> None:
+    def _remove(self, request: WaitingRequest) -> None:
         """Remove a request with the pieces that it still has."""
         self._count -= len(request.tickets)
         self._requests_by_key.pop(_identify(request.piece))
         position = bisect.bisect_left(self._requests, request)
         self._requests.pop(position)
 
-    def _drop(self, requests: Iterable[_WaitingRequest]) -> tuple[Ticket, ...]:
+    def _drop(self, requests: Iterable[WaitingRequest]) -> tuple[Ticket, ...]:
         """Remove requests whose pieces no runner takes; return the pieces."""
         dropped: list[Ticket] = []
         for request in requests:
@@ -323,7 +234,7 @@
         return tuple(dropped)
 
     def _take(
-        self, chosen: Iterable[tuple[_WaitingRequest, int]]
+        self, chosen: Iterable[tuple[WaitingRequest, int]]
     ) -> tuple[Ticket, ...]:
         """Remove the first pieces of each request, and return them."""
         taken: list[Ticket] = []
@@ -362,7 +273,7 @@
         return runner.free_bytes // min(sizes) < possible * _MIN_BATCH_SHARE
 
     def _waits_for_own_zone(
-        self, request: _WaitingRequest, runner: IdleRunner, now: float
+        self, request: WaitingRequest, runner: IdleRunner, now: float
     ) -> bool:
         """Return whether a request leaves a runner of another zone to others.
 
@@ -387,7 +298,7 @@
 
     def _list_by_urgency(
         self, runner: IdleRunner, now: float
-    ) -> list[_WaitingRequest]:
+    ) -> list[WaitingRequest]:
         """Return the requests in the order in which they should run.
 
         Those that are deferred or miss their objective come last, and before
--- a/damaskpoint/batching/waiters.py
+++ b/damaskpoint/batching/waiters.py
@@ -9,7 +9,7 @@
     from collections.abc import Iterable
 
     from damaskpoint.batching.model import PieceOutcome
-    from damaskpoint.batching.queue import Ticket
+    from damaskpoint.batching.waiting import Ticket
 
 
 @final
--- a/features/steps/piece_queue_steps.py
+++ b/features/steps/piece_queue_steps.py
@@ -15,7 +15,8 @@
 from damaskpoint.batching.group import RunnerGroup
 from damaskpoint.batching.model import CallAnswer, Piece, PieceOutcome
 from damaskpoint.batching.pledges import PledgeTable
-from damaskpoint.batching.queue import IdleRunner, PieceQueue
+from damaskpoint.batching.queue import PieceQueue
+from damaskpoint.batching.waiting import IdleRunner
 from damaskpoint.catalog.model import BatchLimits, Runner
 from damaskpoint.errors import Code, Failure
 from damaskpoint.membership.facts import PledgeFact
--- a/features/steps/urgency_steps.py
+++ b/features/steps/urgency_steps.py
@@ -14,7 +14,7 @@
 from damaskpoint.batching.model import Piece
 from damaskpoint.batching.planner import Planner
 from damaskpoint.batching.pledges import PledgeTable
-from damaskpoint.batching.queue import IdleRunner
+from damaskpoint.batching.waiting import IdleRunner
 from damaskpoint.catalog.model import RequestKind, Route, Stage
 from damaskpoint.errors import Failure
 from damaskpoint.forwarding.metadata import RequestMetadata
