--- a/features/crashing_prompts.feature
+++ b/features/crashing_prompts.feature
@@ -12,6 +12,21 @@
     Then at most 3 crashing requests reach runners later than 3 s after the fifth crash
     And all sound requests sent later than 3 s after the fifth crash are answered whole
 
+  # Guards against a crashing part that is never found, because only runs that
+  # break between their head and their first event count, and a first event
+  # clears the part.
+  Scenario Outline: Requests are refused wherever the answer breaks: after <point>
+    Given 5 gateways and 8 runners that send <point> and crash on one part of prompts
+    When callers send sound and crashing requests for 8 s
+    Then at most 3 crashing requests reach runners later than 3 s after the fifth crash
+    And all sound requests sent later than 3 s after the fifth crash are answered whole
+
+    Examples:
+      | point            |
+      | nothing          |
+      | part of an event |
+      | events           |
+
   # Guards against a quarantine that operators cannot explain.
   Scenario: Logs, metrics and the state dump tell which part is refused, and why
     Given 3 gateways and 8 runners that crash on one part of prompts
--- a/features/steps/crashing_prompt_steps.py
+++ b/features/steps/crashing_prompt_steps.py
@@ -14,6 +14,7 @@
 from features.steps.runner_answer_steps import RecordList
 from features.support.crashing_site import CRASHING_PART, CrashingSite
 from features.support.gateway_site import run
+from standins.crashing_runner import CrashPoint
 
 _SEED: Final = 31
 _CRASHES: Final = 5
@@ -23,8 +24,14 @@
 _QUARANTINED: Final = 'prompt_quarantined'
 
 
-def _start(context: Any, gateways: int, runners: int, part: str | None) -> None:
-    context.crashing = CrashingSite(_SEED, part)
+def _start(
+    context: Any,
+    gateways: int,
+    runners: int,
+    part: str | None,
+    crash_point: CrashPoint = CrashPoint.HEAD,
+) -> None:
+    context.crashing = CrashingSite(_SEED, part, crash_point)
     context.closers.append(context.crashing.close)
     run(context, context.crashing.start(runners, gateways))
 
@@ -38,6 +45,17 @@
     _start(context, gateways, runners, CRASHING_PART)
 
 
+@given(
+    '{gateways:d} gateways and {runners:d} runners that send {point} and crash'
+    ' on one part of prompts'
+)
+def start_crashing_at(
+    context: Any, gateways: int, runners: int, point: str
+) -> None:
+    """Start the site with runners that crash at this point of an answer."""
+    _start(context, gateways, runners, CRASHING_PART, CrashPoint(point))
+
+
 @given(
     '{gateways:d} gateways and {runners:d} runners that crash on no part of'
     ' prompts'
--- a/features/support/crashing_site.py
+++ b/features/support/crashing_site.py
@@ -23,7 +23,11 @@
     find_free_port,
     until,
 )
-from standins.crashing_runner import CrashingRunner, RunnerFleet
+from standins.crashing_runner import (
+    CrashingRunner,
+    CrashPoint,
+    RunnerFleet,
+)
 
 if TYPE_CHECKING:
     from damaskpoint.gateway.runtime import GatewayRuntime
@@ -63,9 +67,14 @@
 class CrashingSite:
     """A store, model runners and gateways."""
 
-    def __init__(self, seed: int, crashing_part: str | None) -> None:
+    def __init__(
+        self,
+        seed: int,
+        crashing_part: str | None,
+        crash_point: CrashPoint = CrashPoint.HEAD,
+    ) -> None:
         """Create a site without runners and gateways."""
-        self.fleet = RunnerFleet(crashing_part, _RESTART_S)
+        self.fleet = RunnerFleet(crashing_part, _RESTART_S, crash_point)
         self.runners: list[CrashingRunner] = []
         self.answers: list[Answer] = []
         self._rng = random.Random(seed)
--- a/standins/crashing_runner.py
+++ b/standins/crashing_runner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -12,10 +13,21 @@
 _LENGTH_PREFIX: Final = 'content-length:'
 _EVENTS: Final = 5
 _EVENT_INTERVAL_S: Final = 0.01
+# Event after which an answer crashes its runner.
+_CRASHING_EVENT: Final = 2
 # Time from the head of an answer to a crash (seconds).
 _CRASH_DELAY_S: Final = 0.03
 
 
+class CrashPoint(enum.Enum):
+    """What of an answer is sent before the runner crashes."""
+
+    NOTHING = 'nothing'
+    HEAD = 'head'
+    PART_OF_EVENT = 'part of an event'
+    EVENTS = 'events'
+
+
 @dataclass(slots=True)
 class RunnerFleet:
     """What the runners of a service share, and a record of their requests."""
@@ -24,6 +36,8 @@
     crashing_part: str | None
     # Time from a crash to the restart (seconds).
     restart_s: float
+    # What of the answer the caller gets before a crash.
+    crash_point: CrashPoint = CrashPoint.HEAD
     # Times of the crashes, and of the arrivals of requests with the part
     # (seconds of the event loop).
     crashed_at: list[float] = field(default_factory=list)
@@ -90,6 +104,10 @@
         is_crashing = self._is_crashing(request)
         if is_crashing:
             self._fleet.reached_at.append(asyncio.get_running_loop().time())
+        point = self._fleet.crash_point
+        if is_crashing and point is CrashPoint.NOTHING:
+            await self._crash_later(writer)
+            return
         request_id = _find(request, _ID_PREFIX)
         writer.write(
             (
@@ -99,17 +117,20 @@
                 'Transfer-Encoding: chunked\r\n\r\n'
             ).encode()
         )
-        if is_crashing:
-            await asyncio.sleep(_CRASH_DELAY_S)
-            if writer in self._writers:
-                self.crash()
+        if not is_crashing:
+            await _write_events(writer, _EVENTS)
+            writer.write(b'0\r\n\r\n')
             return
-        for number in range(1, _EVENTS + 1):
-            await asyncio.sleep(_EVENT_INTERVAL_S)
-            event = f'id: {number}\ndata: piece\n\n'.encode()
-            writer.write(b'%x\r\n%b\r\n' % (len(event), event))
-            await writer.drain()
-        writer.write(b'0\r\n\r\n')
+        if point is CrashPoint.EVENTS:
+            await _write_events(writer, _CRASHING_EVENT)
+        elif point is CrashPoint.PART_OF_EVENT:
+            _write_chunk(writer, b'id: 1\ndata: pi')
+        await self._crash_later(writer)
+
+    async def _crash_later(self, writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(_CRASH_DELAY_S)
+        if writer in self._writers:
+            self.crash()
 
     def _is_crashing(self, request: str) -> bool:
         prompt = _find(request, _PROMPT_PREFIX) or ''
@@ -117,6 +138,17 @@
         return self._fleet.crashing_part in part_ids
 
 
+async def _write_events(writer: asyncio.StreamWriter, count: int) -> None:
+    for number in range(1, count + 1):
+        await asyncio.sleep(_EVENT_INTERVAL_S)
+        _write_chunk(writer, f'id: {number}\ndata: piece\n\n'.encode())
+        await writer.drain()
+
+
+def _write_chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
+    writer.write(b'%x\r\n%b\r\n' % (len(data), data))
+
+
 def _find(request: str, prefix: str) -> str | None:
     for line in request.splitlines():
         if line.lower().startswith(prefix):
