--- a/features/piece_queue.feature
+++ b/features/piece_queue.feature
@@ -336,6 +336,21 @@
       | half of that          | 2     | 1        | 7.22     | contended     |
       | an urgent one, not    | 2     | 0        | 0.20     | not contended |
 
+  # Guards against early stages that use up the time that later ones need. A call
+  # of two pieces takes 0.22 s.
+  Scenario Outline: Pieces are needed early enough for the later stages: <case>
+    Given 0 pieces of priority 0 are pledged to a group of 5 runners
+    And its calls have the pace <pace>
+    And each of 20 orders to it has taken <beside> s beside queue and call
+    Then the pieces of a chain of three stages are needed <first>, <second> and 0 s before its end
+
+    Examples:
+      | case                     | pace | beside | first | second |
+      | nominal                  | 1    | 0      | 0.44  | 0.22   |
+      | slow calls               | 1.5  | 0      | 0.66  | 0.33   |
+      | time between the stages  | 1    | 0.06   | 0.56  | 0.28   |
+      | both                     | 1.5  | 0.06   | 0.78  | 0.39   |
+
   Scenario Outline: Only requests that a slow group can serve in time do not give way: <case>
     Given a queue for batches of 1 pieces
     And these requests wait
--- a/features/steps/urgency_steps.py
+++ b/features/steps/urgency_steps.py
@@ -178,7 +178,15 @@
     context: Any, priority: int, pieces: int, stages_s: float, contended: str
 ) -> None:
     """Compare the estimate and whether other work is ahead."""
-    route = Route(
+    route = _create_route((Stage(0, 'stage', (), 1),), priority)
+    metadata = RequestMetadata('r', None, None, piece_counts=(pieces,))
+    plan = context.planner.plan(route, 'plain', metadata, 0, is_deferred=False)
+    assert abs(plan.stages_s - stages_s) < _CLOSE, plan
+    assert plan.is_contended == (contended == 'contended'), plan
+
+
+def _create_route(stages: tuple[Stage, ...], priority: int) -> Route:
+    return Route(
         name='route',
         host='h',
         prefix='/',
@@ -188,12 +196,43 @@
         priority=priority,
         targets=(),
         max_attempts=1,
-        stages=(Stage(0, 'stage', (), 1),),
+        stages=stages,
     )
-    metadata = RequestMetadata('r', None, None, piece_counts=(pieces,))
-    plan = context.planner.plan(route, 'plain', metadata, 0, is_deferred=False)
-    assert abs(plan.stages_s - stages_s) < _CLOSE, plan
-    assert plan.is_contended == (contended == 'contended'), plan
+
+
+@given('its calls have the pace {pace:g}')
+def report_pace(context: Any, pace: float) -> None:
+    """Report the pace of the group as its batching instance does."""
+    context.pool.paces.record([PaceFact('stage#0', pace)], 0)
+
+
+@given('each of 20 orders to it has taken {beside:g} s beside queue and call')
+def record_handovers(context: Any, beside: float) -> None:
+    """Record the times of these orders."""
+    for _ in range(20):
+        context.planner.handovers.record('stage#0', beside)
+
+
+@then(
+    'the pieces of a chain of three stages are needed {first:g}, {second:g} and'
+    ' 0 s before its end'
+)
+def check_remaining(context: Any, first: float, second: float) -> None:
+    """Compare the times that are expected for the later stages."""
+    stages = (
+        Stage(0, 'stage', (), 1),
+        Stage(1, 'stage', (0,), 1),
+        Stage(2, 'stage', (1,), 1),
+    )
+    metadata = RequestMetadata('r', None, None, piece_counts=(2, 2, 2))
+    remaining_s_by_stage = context.planner.expected_remaining_s(
+        _create_route(stages, 0),
+        metadata,
+        dict.fromkeys(range(3), 'stage#0'),
+        0,
+    )
+    found = [round(remaining_s_by_stage[index], 2) for index in range(3)]
+    assert found == [first, second, 0], found
 
 
 @given('the accounts need pieces')
