--- a/damaskpoint/batching/group.py
+++ b/damaskpoint/batching/group.py
@@ -159,8 +159,12 @@
 
     def dump_state(self, now: float) -> dict[str, object]:
         """Return the state of the queue and of the runners."""
+        runners = len(self._find_runners())
+        drain_pace = self._drain.find_pace(self.pace, runners, now)
         return {
             'waiting': len(self.queue),
+            'drain_pace': round(drain_pace, 2),
+            'result_stay_s': round(self._stays.mean_s, 2),
             'runners_by_name': self.capacities.dump_state(now),
         }
 
