--- a/features/steps/stage_memory_steps.py
+++ b/features/steps/stage_memory_steps.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import random
-import time
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Final, final
+from unittest import mock
 
 from behave import given, then, when
 
@@ -20,6 +20,7 @@
     PieceReason,
 )
 from damaskpoint.catalog.model import BatchLimits, Runner
+from features.support.virtual_loop import VirtualLoop
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -39,6 +40,10 @@
 _WARM_UP_S: Final = 1.0
 
 
+def _now() -> float:
+    return asyncio.get_running_loop().time()
+
+
 def _create_limits(results: int) -> BatchLimits:
     return BatchLimits(
         max_concurrent_calls=1,
@@ -120,10 +125,10 @@
         """Offer requests for this time, then drop what still waits."""
         self.length_s = length_s
         tasks = [asyncio.ensure_future(self._observe(length_s))]
-        began_at = time.monotonic()
+        began_at = _now()
         per_s = _REQUESTS_PER_S * len(self.runners)
         for number in range(round(length_s * per_s)):
-            await asyncio.sleep(began_at + number / per_s - time.monotonic())
+            await asyncio.sleep(began_at + number / per_s - _now())
             tasks.append(asyncio.ensure_future(self._serve(f'r{number}')))
         await tasks[0]
         for task in tasks[1:]:
@@ -131,7 +136,7 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
     async def _serve(self, request_id: str) -> None:
-        due_at = time.monotonic() + 30
+        due_at = _now() + 30
         outcomes = await self.group.run_pieces(
             [
                 _create_piece(request_id, index, due_at)
@@ -147,8 +152,8 @@
     async def _observe(self, length_s: float) -> None:
         await asyncio.sleep(_WARM_UP_S)
         self.made_before = self.caller.made
-        ends_at = time.monotonic() + length_s - _WARM_UP_S
-        while time.monotonic() < ends_at:
+        ends_at = _now() + length_s - _WARM_UP_S
+        while _now() < ends_at:
             await asyncio.sleep(_SAMPLE_S)
             if len(self.group.queue) < self.group.queue.limits.max_pieces:
                 continue
@@ -200,10 +205,13 @@
 
 @when('each result is released {used:g} s after it was made')
 def offer(context: Any, used: float) -> None:
-    """Offer the load."""
+    """Offer the load in virtual time."""
     load = context.memory_load
     load.used_s = used
-    context.loop.run_until_complete(load.run(context.length_s))
+    loop = VirtualLoop()
+    with mock.patch('damaskpoint.batching.group.time.monotonic', loop.time):
+        loop.run_until_complete(load.run(context.length_s))
+    loop.close()
 
 
 @then(
