--- a/damaskpoint/batching/placement.py
+++ b/damaskpoint/batching/placement.py
@@ -36,8 +36,8 @@
 _LIVENESS_POLL_S: Final = 0.1
 # Instances that an order is tried at before the runners are called directly.
 _MAX_PLACES: Final = 3
-# Rounds of both: this instance hands back what it began to run itself when it
-# learns which one batches for the group.
+# Rounds of orders and direct calls: this instance hands back what it began to
+# run itself when it learns which one batches for the group.
 _MAX_ROUNDS: Final = 2
 _HANDED_BACK: Final = PieceOutcome(None, PieceReason.HANDED_BACK)
 _UNREACHABLE: Final = PieceOutcome(None, PieceReason.UNREACHABLE)
--- a/damaskpoint/batching/queue.py
+++ b/damaskpoint/batching/queue.py
@@ -134,6 +134,7 @@
         memory = FreeMemory(min(runner.free_bytes, call_bytes))
         possible = 0
         pieces = 0
+        # With the number of pieces that the call takes of each.
         chosen: list[tuple[WaitingRequest, int]] = []
         for request in self._list_by_urgency(runner, now):
             if self._waits_for_own_zone(request, runner, now):
--- a/damaskpoint/batching/stages.py
+++ b/damaskpoint/batching/stages.py
@@ -87,7 +87,7 @@
         self._min_remaining_s_by_stage = planner.min_remaining_s(
             work.route, work.metadata
         )
-        self._remaining_s_by_stage = planner.expected_remaining_s(
+        self._expected_remaining_s_by_stage = planner.expected_remaining_s(
             work.route,
             work.metadata,
             work.plan.groups_by_stage,
@@ -235,7 +235,7 @@
     ) -> list[Piece]:
         work = self._work
         min_remaining_s = self._min_remaining_s_by_stage[stage.index]
-        remaining_s = self._remaining_s_by_stage[stage.index]
+        expected_s = self._expected_remaining_s_by_stage[stage.index]
         zone, moved_bytes = self._choose_zone(stage)
         return [
             Piece(
@@ -249,7 +249,7 @@
                 priority=work.priority,
                 account=work.account,
                 ends_at=work.ends_at - min_remaining_s,
-                needed_at=work.due_at - remaining_s,
+                needed_at=work.due_at - expected_s,
                 lead_s=work.lead_s,
                 result_bytes=stage.result_bytes,
                 has_cost=self._has_cost,
