--- a/features/steps/stage_memory_steps.py
+++ b/features/steps/stage_memory_steps.py
@@ -6,7 +6,6 @@
 import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any, Final, final
-from unittest import mock
 
 from behave import given, then, when
 
@@ -20,7 +19,7 @@
     PieceReason,
 )
 from damaskpoint.catalog.model import BatchLimits, Runner
-from features.support.virtual_loop import VirtualLoop
+from features.support.virtual_loop import run_virtually
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -208,10 +207,8 @@
     """Offer the load in virtual time."""
     load = context.memory_load
     load.used_s = used
-    loop = VirtualLoop()
-    with mock.patch('damaskpoint.batching.group.time.monotonic', loop.time):
-        loop.run_until_complete(load.run(context.length_s))
-    loop.close()
+    with run_virtually() as runner:
+        runner.run(load.run(context.length_s))
 
 
 @then(
--- a/features/steps/stage_time_steps.py
+++ b/features/steps/stage_time_steps.py
@@ -4,14 +4,13 @@
 
 import asyncio
 from typing import Any, Final
-from unittest import mock
 
 from behave import given, then, when
 
 from damaskpoint.batching.model import find_slowest
 from damaskpoint.observe.loop_load import LoopLoad
 from features.support.batching_fleet import BatchingFleet
-from features.support.virtual_loop import VirtualLoop
+from features.support.virtual_loop import run_virtually
 
 _GROUP: Final = 'stage#0'
 # A queue is looked at every 0.02 s.
@@ -25,12 +24,10 @@
 )
 def order_together(context: Any, count: int, pieces: int) -> None:
     """Order in virtual time, and wait for the outcomes."""
-    loop = VirtualLoop()
-    with mock.patch('damaskpoint.batching.group.time.monotonic', loop.time):
+    with run_virtually() as runner:
         fleet = BatchingFleet(count, 1)
         orders = [fleet.order(name, _GROUP, pieces) for name in fleet.by_name]
-        gathered = loop.run_until_complete(_gather(orders))
-    loop.close()
+        gathered = runner.run(_gather(orders))
     context.outcomes = [item for outcomes in gathered for item in outcomes]
 
 
--- a/features/support/virtual_loop.py
+++ b/features/support/virtual_loop.py
@@ -3,8 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import selectors
-from typing import Any, final
+from typing import TYPE_CHECKING, Any, final
+from unittest import mock
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
 
 
 @final
@@ -35,3 +40,12 @@
     def time(self) -> float:
         """Return the virtual time in seconds."""
         return self._instant_selector.now
+
+
+@contextlib.contextmanager
+def run_virtually() -> Iterator[asyncio.Runner]:
+    """Run coroutines whose clock is the loop's; cancel what is left of them."""
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        clock = runner.get_loop().time
+        with mock.patch('time.monotonic', clock):
+            yield runner
