Compute the pace and the memory of a call once for a batch

Both were computed twice for each batch, the pace over all runners of the group. No decision changes; format, lint, types and the features of queues, batching and layout passed (103 scenarios).

--- a/damaskpoint/batching/group.py
+++ b/damaskpoint/batching/group.py
@@ -211,6 +211,7 @@
         capacity = self._find_capacity(runner.name)
         runners = self._find_runners()
         free_bytes = capacity.free_bytes(now)
+        pace = self.pace
         idle_runner = IdleRunner(
             zone=runner.zone,
             group_zones=frozenset(item.zone for item in runners),
@@ -221,10 +222,8 @@
             ),
             allows_small_batch=capacity.is_memory_wait_over(now),
             group_slots=len(runners) * self._limits.max_concurrent_calls,
-            group_pace=self.pace,
-            group_drain_pace=self._drain.find_pace(
-                self.pace, len(runners), now
-            ),
+            group_pace=pace,
+            group_drain_pace=self._drain.find_pace(pace, len(runners), now),
         )
         tickets = self.queue.take_batch(idle_runner, now)
         if not tickets:
--- a/damaskpoint/batching/queue.py
+++ b/damaskpoint/batching/queue.py
@@ -127,9 +127,9 @@
 
         Returns none while it is better to wait for more free memory.
         """
-        if self._must_wait(runner, now):
-            return ()
         call_bytes = self._find_call_bytes(runner)
+        if self._must_wait(runner, call_bytes, now):
+            return ()
         fair_share = FreeMemory(call_bytes)
         memory = FreeMemory(min(runner.free_bytes, call_bytes))
         possible = 0
@@ -255,7 +255,9 @@
                 self._service.take(ticket.piece.account)
         return tuple(taken)
 
-    def _must_wait(self, runner: IdleRunner, now: float) -> bool:
+    def _must_wait(
+        self, runner: IdleRunner, call_bytes: float, now: float
+    ) -> bool:
         """Return whether a batch would be empty or too small in any order."""
         waiting = 0
         sizes = []
@@ -268,7 +270,6 @@
             sizes.append(max(1, request.piece.result_bytes))
         if not waiting or runner.allows_small_batch:
             return not waiting
-        call_bytes = self._find_call_bytes(runner)
         possible = min(
             waiting, self.limits.max_pieces, call_bytes // max(sizes)
         )
