Log what a stage call spends beyond its nominal time

The logs could not tell the link of the instance from the connection, the runner and the process: a call had only its total time, and nothing says what link and processor an instance has.

'batch completed' has the nominal time, the time to connect and the bytes sent; 'started' has the machine's link and processor, from new settings.

--- a/damaskpoint/batching/calls.py
+++ b/damaskpoint/batching/calls.py
@@ -12,7 +12,11 @@
     from collections.abc import Iterable, Sequence
 
     from damaskpoint.batching.capacity import RunnerCapacity
-    from damaskpoint.batching.model import PieceOutcome, RunnerLoad
+    from damaskpoint.batching.model import (
+        CallAnswer,
+        PieceOutcome,
+        RunnerLoad,
+    )
     from damaskpoint.batching.waiting import Ticket
     from damaskpoint.catalog.model import Runner
 
@@ -76,6 +80,7 @@
     runner: Runner,
     batch: Batch,
     outcomes: Sequence[PieceOutcome],
+    answer: CallAnswer,
     capacity: RunnerCapacity,
 ) -> None:
     """Log a call that a runner has answered."""
@@ -89,6 +94,9 @@
             'pieces': len(batch.tickets),
             'not_made': missing,
             'took_ms': round(outcomes[0].called_s * _MS),
+            'nominal_ms': round(capacity.nominal_call_s(len(outcomes)) * _MS),
+            'connect_ms': round(answer.connected_s * _MS),
+            'sent_bytes': answer.sent_bytes,
             'waited_ms': round(waits_s[len(waits_s) // 2] * _MS),
             'max_waited_ms': round(waits_s[-1] * _MS),
             'held_ms': round(batch.held_s * _MS),
--- a/damaskpoint/batching/capacity.py
+++ b/damaskpoint/batching/capacity.py
@@ -166,6 +166,10 @@
         reported = self._foreign_calls if now < self._foreign_until else 0
         return max(held, reported)
 
+    def nominal_call_s(self, pieces: int) -> float:
+        """Return the duration of a call at the nominal pace (seconds)."""
+        return self._limits.estimate_call_s(pieces)
+
     @property
     def used_bytes(self) -> float:
         """Return the memory that known results occupy."""
--- a/damaskpoint/batching/group.py
+++ b/damaskpoint/batching/group.py
@@ -261,7 +261,7 @@
             )
             outcomes = add_times(batch, answer.outcomes, now)
             self._distribute(runner, batch, outcomes, now)
-            log_call(runner, batch, outcomes, capacity)
+            log_call(runner, batch, outcomes, answer, capacity)
         self._dispatch()
 
     def _distribute(
--- a/damaskpoint/batching/model.py
+++ b/damaskpoint/batching/model.py
@@ -123,3 +123,6 @@
     # One for each piece; None if the runner was full and ran none of them.
     outcomes: tuple[PieceOutcome, ...] | None
     load: RunnerLoad | None = None
+    # Time for connecting to the runner (seconds), and the bytes of the call.
+    connected_s: float = 0
+    sent_bytes: int = 0
--- a/damaskpoint/defaults.py
+++ b/damaskpoint/defaults.py
@@ -14,6 +14,10 @@
 # Memory of a machine (MB) and descriptors of a process.
 MEMORY_MB: Final = 1_024
 MAX_FDS: Final = 8_192
+# Network link of a machine (Mbit/s), and its processor.
+LINK_MBPS: Final = 1_000.0
+CPU_SHARE: Final = 1.0
+CORE_SPEED: Final = 1.0
 # Interval at which stalled callers are looked for (seconds).
 INTAKE_INTERVAL_S: Final = 0.1
 # Bytes that are read at once from a caller; bounds what a connection buffers.
--- a/damaskpoint/gateway/options.py
+++ b/damaskpoint/gateway/options.py
@@ -149,6 +149,12 @@
     """Memory of the machine that the process may use (MB)."""
     max_fds: int = pydantic.Field(defaults.MAX_FDS, gt=0)
     """File descriptors that the process may open."""
+    link_mbps: float = pydantic.Field(defaults.LINK_MBPS, gt=0)
+    """Bandwidth of the machine's network link (Mbit/s)."""
+    cpu_share: float = pydantic.Field(defaults.CPU_SHARE, gt=0)
+    """Processor time that the process may use, as a share of one core."""
+    core_speed: float = pydantic.Field(defaults.CORE_SPEED, gt=0)
+    """Speed of that core as a multiple of a standard one."""
 
     @pydantic.model_validator(mode='before')
     @classmethod
--- a/damaskpoint/gateway/runtime.py
+++ b/damaskpoint/gateway/runtime.py
@@ -219,6 +219,9 @@
                 'instance': components.options.instance.name,
                 'zone': components.options.instance.zone,
                 'callers': listen.callers,
+                'link_mbps': components.options.limits.link_mbps,
+                'cpu_share': components.options.limits.cpu_share,
+                'core_speed': components.options.limits.core_speed,
             },
         )
 
--- a/damaskpoint/platform/piece_caller.py
+++ b/damaskpoint/platform/piece_caller.py
@@ -55,17 +55,17 @@
         )
         if isinstance(response, Failure):
             return response
-        head, answer = response
+        head, answer, connected_s = response
         load = stage_calls.decode_load(head.headers.get(names.SERVER_LOAD, ''))
         if head.status == http.HTTPStatus.SERVICE_UNAVAILABLE:
             if names.NOT_RUN in head.headers:
-                return CallAnswer(None, load)
+                return CallAnswer(None, load, connected_s, len(body))
         if head.status != http.HTTPStatus.OK:
             return Failure(Code.UPSTREAM_FAILED, f'HTTP {head.status}')
         outcomes = stage_calls.decode_outcomes(answer, len(pieces), runner.name)
         if isinstance(outcomes, Failure):
             return outcomes
-        return CallAnswer(outcomes, load)
+        return CallAnswer(outcomes, load, connected_s, len(body))
 
     async def release(self, runner: Runner, handles: Sequence[str]) -> None:
         """Release results at a runner; a failure is only logged."""
@@ -85,12 +85,15 @@
 
     async def _call(
         self, runner: Runner, path: str, body: bytes, timeout_s: float
-    ) -> tuple[exchange.AnswerHead, bytes] | Failure:
+    ) -> tuple[exchange.AnswerHead, bytes, float] | Failure:
+        """Return the head and body of the answer, and the time to connect."""
+        began_at = time.monotonic()
         opened = await exchange.open_exchange(
             runner.address, self._connect_s, self._silence_s
         )
         if isinstance(opened, Failure):
             return opened
+        connected_s = time.monotonic() - began_at
         headers = (
             ('Host', f'{runner.host}:{runner.port}'),
             ('Content-Type', protocol.MEDIA_JSON),
@@ -101,7 +104,7 @@
                 opened.send(exchange.RunnerRequest('POST', path, headers, body))
                 head = await opened.read_head()
                 self._record_signals(runner, head)
-                return head, await opened.read_body()
+                return head, await opened.read_body(), connected_s
         except TimeoutError:
             return Failure(Code.UPSTREAM_TIMEOUT, path, Ran.UNKNOWN)
         except exchange.BrokenAnswerError as error:
