Tell peers how much each machine can batch

The rate of pieces that a machine's link and processor bear is now computed from its settings, and sent with the facts of a peer and in its row of the store's list. Nothing uses it yet.

--- a/damaskpoint/batching/assignment.py
+++ b/damaskpoint/batching/assignment.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Final, final
 
 import xxhash
@@ -16,7 +16,7 @@
 from damaskpoint.membership.facts import Phase
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Mapping
 
 # Share of the listed instances of which a starting process must have heard
 # before it batches: those that it does not know may rank before it.
@@ -45,6 +45,8 @@
     starting: frozenset[str] = frozenset()
     # Instances in the platform's list of which nothing was heard.
     unheard: frozenset[str] = frozenset()
+    # Pieces per second that the machine of an instance can batch, if known.
+    batch_rates_by_name: Mapping[str, int] = field(default_factory=dict)
 
 
 @final
--- a/damaskpoint/gateway/peers.py
+++ b/damaskpoint/gateway/peers.py
@@ -50,6 +50,7 @@
         self._membership = membership
         self._serving: frozenset[str] = frozenset()
         self._starting: frozenset[str] = frozenset()
+        self._batch_rates_by_name: dict[str, int] = {}
         self._refreshed_at = float('-inf')
 
     def batching_names(self, now: float) -> frozenset[str]:
@@ -68,6 +69,7 @@
             self._serving,
             self._starting,
             self._list_unheard() if is_starting else frozenset(),
+            self._batch_rates_by_name,
         )
 
     def find_address(self, name: str, now: float) -> facts.Address | None:
@@ -88,8 +90,13 @@
             return
         self._refreshed_at = now
         names_by_phase: dict[facts.Phase, set[str]] = {}
+        rates_by_name = dict(self._membership.addresses.batch_rates_by_name)
+        own = self._membership.view.own
+        rates_by_name[own.name] = own.batch_rate
         for peer in self._membership.live_peers(now):
             names_by_phase.setdefault(peer.phase, set()).add(peer.name)
+            rates_by_name[peer.name] = peer.batch_rate
+        self._batch_rates_by_name = rates_by_name
         self._serving = frozenset(names_by_phase.get(facts.Phase.SERVING, ()))
         self._starting = frozenset(names_by_phase.get(facts.Phase.STARTING, ()))
 
@@ -356,7 +363,7 @@
 
 
 def create_listed_instance(
-    name: str, zone: str, host: str, peer_port: int
+    name: str, zone: str, host: str, peer_port: int, batch_rate: int
 ) -> ListedInstance:
     """Return the entry of a gateway in the list of peers."""
     return ListedInstance(
@@ -368,4 +375,5 @@
         peer_port=peer_port,
         incarnation=0,
         presence=Presence.LIVE,
+        batch_rate=batch_rate,
     )
--- a/damaskpoint/gateway/wiring.py
+++ b/damaskpoint/gateway/wiring.py
@@ -11,6 +11,7 @@
 from damaskpoint.balancing.health import RunnerHealth
 from damaskpoint.balancing.loads import RunnerLoads
 from damaskpoint.balancing.signals import RunnerSignals
+from damaskpoint.batching.instance_rates import compute_batch_rate
 from damaskpoint.batching.peer_orders import (
     PieceOrderClient,
     create_order_server,
@@ -169,7 +170,11 @@
 ) -> Discovery:
     instance = options.instance
     own = create_listed_instance(
-        instance.name, instance.zone, instance.host, options.listen.peer_port
+        instance.name,
+        instance.zone,
+        instance.host,
+        options.listen.peer_port,
+        _find_batch_rate(options),
     )
     return Discovery(StoreInstances(store), own, membership)
 
@@ -191,12 +196,20 @@
             peer_port=options.listen.peer_port,
         ),
         time.monotonic,
+        _find_batch_rate(options),
     )
     if isinstance(membership, Failure):
         raise FailureError(membership)
     return membership
 
 
+def _find_batch_rate(options: GatewayOptions) -> int:
+    limits = options.limits
+    return compute_batch_rate(
+        limits.link_mbps, limits.cpu_share * limits.core_speed
+    )
+
+
 def _create_forwarding(
     options: GatewayOptions,
     membership: Membership,
--- a/damaskpoint/membership/addresses.py
+++ b/damaskpoint/membership/addresses.py
@@ -8,7 +8,7 @@
 from damaskpoint.membership.facts import Address
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Collection, Iterable, Mapping
 
     from damaskpoint.membership.peers import PeerTable
     from damaskpoint.platform.base import ListedInstance
@@ -31,8 +31,10 @@
         self._seeds = frozenset(seeds)
         self._networks = tuple(networks)
         self._listed_by_name: dict[str, Address] = {}
+        # Pieces per second that their machines can batch.
+        self.batch_rates_by_name: dict[str, int] = {}
 
-    def apply_instances(self, instances: Iterable[ListedInstance]) -> None:
+    def apply_instances(self, instances: Collection[ListedInstance]) -> None:
         """Replace the listed addresses by those of the platform's list.
 
         The list is applied even if it is older than the previous one.
@@ -42,6 +44,11 @@
             for instance in instances
             if instance.pool == _ENTRY_POOL and instance.peer_port
         }
+        self.batch_rates_by_name = {
+            instance.name: instance.batch_rate
+            for instance in instances
+            if instance.name in self._listed_by_name
+        }
 
     @property
     def listed_names(self) -> frozenset[str]:
--- a/damaskpoint/membership/facts.py
+++ b/damaskpoint/membership/facts.py
@@ -36,6 +36,8 @@
     # Increases with each gossip round of that start.
     heartbeat: int
     phase: Phase
+    # Pieces per second that its machine can batch; 0 if unknown.
+    batch_rate: int = 0
 
     @property
     def address(self) -> Address:
--- a/damaskpoint/membership/peers.py
+++ b/damaskpoint/membership/peers.py
@@ -225,4 +225,5 @@
         start=fact.start,
         heartbeat=heartbeat,
         phase=fact.phase,
+        batch_rate=fact.batch_rate,
     )
--- a/damaskpoint/membership/service.py
+++ b/damaskpoint/membership/service.py
@@ -30,10 +30,12 @@
     options: MembershipOptions,
     instance: InstanceOptions,
     clock: Callable[[], float],
+    batch_rate: int = 0,
 ) -> Membership | Failure:
     """Return a membership that is not started yet.
 
-    ``clock`` returns the monotonic time in seconds. Fails with
+    ``clock`` returns the monotonic time in seconds; ``batch_rate`` are the
+    pieces per second that this machine can batch. Fails with
     ``SETTINGS_INVALID`` on a peer or network that cannot be parsed.
     """
     try:
@@ -49,6 +51,7 @@
         start=time.time_ns() // _NS_PER_MS,
         heartbeat=0,
         phase=facts.Phase.STARTING,
+        batch_rate=batch_rate,
     )
     gossiper = create_gossiper(
         View(own, options.peer_timeout_s),
@@ -88,6 +91,8 @@
         self._clock = clock
         # Publishes or relays reports of runners, the most important first.
         self.publish_capacities = loop.gossiper.view.publish_capacities
+        # Entries in the platform's list.
+        self.addresses = loop.gossiper.addresses
         # Whether the platform's list of instances has been read.
         self.has_list = False
 
--- a/damaskpoint/membership/sizes.py
+++ b/damaskpoint/membership/sizes.py
@@ -44,6 +44,7 @@
         measure_number(peer.start),
         measure_number(peer.heartbeat),
         measure_number(peer.phase),
+        measure_number(peer.batch_rate),
     )
     return _sum_fields(fields)
 
--- a/damaskpoint/platform/base.py
+++ b/damaskpoint/platform/base.py
@@ -132,6 +132,8 @@
     peer_port: int
     incarnation: int
     presence: Presence
+    # Pieces per second that its machine can batch; 0 if unknown.
+    batch_rate: int = 0
 
 
 class InstanceList(abc.ABC):
--- a/damaskpoint/platform/store_instances.py
+++ b/damaskpoint/platform/store_instances.py
@@ -34,6 +34,7 @@
     peer_port: int = pydantic.Field(ge=0, le=defaults.MAX_PORT)
     incarnation: int = 0
     presence: Presence = Presence.LIVE
+    batch_rate: int = pydantic.Field(0, ge=0)
 
 
 @final
@@ -70,6 +71,7 @@
             'peer_port': own.peer_port,
             'incarnation': own.incarnation,
             'presence': own.presence.value,
+            'batch_rate': own.batch_rate,
         }
         return await self._change(own.name, json.dumps(content).encode())
 
@@ -113,6 +115,7 @@
         peer_port=body.peer_port,
         incarnation=body.incarnation,
         presence=body.presence,
+        batch_rate=body.batch_rate,
     )
 
 
--- a/damaskpoint/wire/gossip_codec.py
+++ b/damaskpoint/wire/gossip_codec.py
@@ -85,6 +85,7 @@
         start=peer.start,
         heartbeat=peer.heartbeat,
         phase=int(peer.phase),
+        batch_rate=peer.batch_rate or None,
     )
 
 
@@ -240,6 +241,7 @@
         start=_check_number(peer.start),
         heartbeat=_check_number(peer.heartbeat),
         phase=facts.Phase(peer.phase),
+        batch_rate=_check_number(peer.batch_rate or 0),
     )
 
 
--- a/damaskpoint/wire/peer.thrift
+++ b/damaskpoint/wire/peer.thrift
@@ -27,6 +27,8 @@
   // Increases with each gossip round of that start.
   6: required i64 heartbeat
   7: required Phase phase
+  // Pieces per second that its machine can batch; absent if unknown.
+  8: optional i32 batch_rate
 }
 
 struct ConfigurationFact {
--- a/features/batching_decisions.feature
+++ b/features/batching_decisions.feature
@@ -32,6 +32,16 @@
       | no runners known            | nothing | 85    | 85     | 9.0      | not over  |
       | no list read                | runners | 0     | 0      | -        | not over  |
 
+  # Guards against rates that do not follow the scarcest resource.
+  Scenario Outline: What a machine can batch: <case>
+    Then a link of <link> Mbit/s and <cores> cores batch <most> times what 10 Mbit/s and 0.5 cores do
+
+    Examples:
+      | case           | link | cores | most |
+      | a larger link  | 200  | 0.5   | 1    |
+      | more processor | 10   | 3     | 1.25 |
+      | both           | 200  | 2     | 4    |
+
   # Guards against orders that are sent to a dead instance again and again, and
   # against one that is avoided for good after a connection broke.
   Scenario Outline: A lost instance is avoided: <case>
--- a/features/steps/batching_decisions_steps.py
+++ b/features/steps/batching_decisions_steps.py
@@ -17,6 +17,7 @@
     list_candidates,
 )
 from damaskpoint.batching.capacity import RunnerCapacity
+from damaskpoint.batching.instance_rates import compute_batch_rate
 from damaskpoint.batching.model import (
     CallHolding,
     OrderAnswer,
@@ -61,6 +62,16 @@
     assert found == _split(names), found
 
 
+@then(
+    'a link of {link:g} Mbit/s and {cores:g} cores batch {most:g} times what 10'
+    ' Mbit/s and 0.5 cores do'
+)
+def check_rate(context: Any, link: float, cores: float, most: float) -> None:
+    """Compare the rates of two machines."""
+    found = compute_batch_rate(link, cores) / compute_batch_rate(10, 0.5)
+    assert found == most, found
+
+
 @given(
     'a process that knows {catalog} and has heard of {heard:d} of {listed:d}'
     ' listed for {listed_s} s'
--- a/features/support/batching_fleet.py
+++ b/features/support/batching_fleet.py
@@ -113,6 +113,8 @@
     is_heard: bool = False
     # Orders of peers.
     orders: int = 0
+    # Pieces per second that its machine can batch; 0 if unknown.
+    batch_rate: int = 0
 
 
 class BatchingFleet:
@@ -246,6 +248,7 @@
             frozenset(names_by_phase.get(Phase.SERVING, ())),
             frozenset(names_by_phase.get(Phase.STARTING, ())),
             frozenset(by_name).difference(own.known, (own.name,)),
+            {other.name: other.batch_rate for other in by_name.values()},
         )
 
     def find_last_seen(self, name: str) -> float | None:
