--- a/features/batching.feature
+++ b/features/batching.feature
@@ -72,3 +72,11 @@
     When all start together, order 30 pieces each and hear of each other after 0.8 s
     Then all pieces are made
     And from 0.1 s after they have heard of each other 1 instance calls runners
+
+  # Guards against groups that are batched for by small machines, and against
+  # instances that disagree on who batches.
+  Scenario: Groups are batched for by the larger machines
+    Given 12 instances that batch for 5 runners, of which 2 have large machines
+    Then each instance chooses a large one for each of 8 groups, and all the same
+    When the large machines are lost
+    Then each other instance chooses a small one for each of 8 groups, and all the same
--- a/features/batching_gateways.feature
+++ b/features/batching_gateways.feature
@@ -10,3 +10,8 @@
     When callers send POST /staged/ with the pieces "2,3" every 0.03 s while each gateway is replaced by a new one
     Then all answers to the callers are 200
     And no order was lost and no runner was called without the batching instance
+
+  # Guards against machines whose peers do not hear how much they can batch.
+  Scenario: Gateways tell each other what their machines can batch
+    Given 3 gateways and 2 runners of a stage with calls of 0.1 s, the first one on a large machine
+    Then all gateways order from the first one
--- a/features/steps/batching_gateways_steps.py
+++ b/features/steps/batching_gateways_steps.py
@@ -5,10 +5,12 @@
 import asyncio
 import collections
 import itertools
+import json
 import logging
 from typing import TYPE_CHECKING, Any, Final
 
 from behave import given, then, when
+from tornado.httpclient import AsyncHTTPClient
 
 from features.support.gateway_site import (
     HOST,
@@ -30,6 +32,8 @@
 _READY: Final = 'batching for runners'
 # Time between the stop of a gateway and the start of its successor (seconds).
 _STEP_S: Final = 0.5
+_SMALL_MACHINE: Final = {'link_mbps': 10, 'cpu_share': 0.5}
+_LARGE_MACHINE: Final = {'link_mbps': 200, 'cpu_share': 0.7, 'core_speed': 3}
 
 
 class _Counting(logging.Handler):
@@ -52,14 +56,14 @@
         self.statuses: collections.Counter[str] = collections.Counter()
         self.tasks: list[asyncio.Task[None]] = []
         self.runtimes: list[GatewayRuntime] = []
-        self._site = site
+        self.site = site
         self._numbers = itertools.count()
 
     async def start(self) -> None:
         """Start another gateway; callers use it once it knows runners."""
         port = find_free_port()
         name = f'g-{next(self._numbers)}'
-        runtime = self._site.create_peer(name, port, find_free_port())
+        runtime = self.site.create_peer(name, port, find_free_port())
         self.tasks.append(asyncio.ensure_future(runtime.run()))
         await until(lambda: runtime.catalog.configuration)
         await until(lambda: runtime.catalog.runners.usable('model'))
@@ -118,8 +122,45 @@
     run(context, _start(context, count))
 
 
+@given(
+    '{count:d} gateways and {runners:d} runners of a stage with calls of'
+    ' {call_s:g} s, the first one on a large machine'
+)
+def start_uneven_gateways(
+    context: Any, count: int, runners: int, call_s: float
+) -> None:
+    """Start them with the limits of their machines."""
+    context.has_large_machine = True
+    start_gateways(context, count, runners, call_s)
+
+
+@then('all gateways order from the first one')
+def check_batcher(context: Any) -> None:
+    """Send a request to each; only the first one then has a queue."""
+    gateways = context.gateways
+    for number, _ in enumerate(gateways.ports):
+        run(context, gateways.ask(number))
+    check_statuses(context)
+    batching = [
+        name
+        for name, port in gateways.site.operator_ports_by_name.items()
+        if run(context, _fetch_groups(port))
+    ]
+    assert batching == ['g-0'], batching
+
+
+async def _fetch_groups(port: int) -> dict[str, Any]:
+    """Return the groups with a queue at the gateway with this port."""
+    answer = await AsyncHTTPClient().fetch(f'http://{HOST}:{port}/state')
+    groups: dict[str, Any] = json.loads(answer.body)['stages']
+    return groups
+
+
 async def _start(context: Any, count: int) -> None:
-    for _ in range(count):
+    settings = context.gateways.site.settings
+    for number in range(count):
+        if getattr(context, 'has_large_machine', False):
+            settings['limits'] = _SMALL_MACHINE if number else _LARGE_MACHINE
         await context.gateways.start()
     await until(lambda: context.log.counts[_READY] == count)
 
--- a/features/steps/batching_steps.py
+++ b/features/steps/batching_steps.py
@@ -17,6 +17,11 @@
 
 _GROUP: Final = 'stage#0'
 _STARTED: Final = 'started'
+# Pieces per second that machines can batch.
+_LARGE_RATE: Final = 10_000
+_SMALL_RATE: Final = 2_000
+# Time after which an instance selects the machines again (seconds).
+_SELECTED_AFTER_S: Final = 1.0
 # Time after its start at which an instance has heard of the others (seconds).
 _HEARD_AFTER_S: Final = 0.3
 
@@ -35,6 +40,46 @@
     context.subject = 'i-0'
 
 
+@given(
+    '{instances:d} instances that batch for {runners:d} runners, of which'
+    ' {large:d} have large machines'
+)
+def create_uneven_fleet(
+    context: Any, instances: int, runners: int, large: int
+) -> None:
+    """Create a fleet; machines of its first instances are large."""
+    create_fleet(context, instances, runners)
+    context.large = frozenset(tuple(context.fleet.by_name)[:large])
+    for name, instance in context.fleet.by_name.items():
+        is_large = name in context.large
+        instance.batch_rate = _LARGE_RATE if is_large else _SMALL_RATE
+
+
+@when('the large machines are lost')
+def lose_large(context: Any) -> None:
+    """Let the others hear of their loss."""
+    for instance in context.fleet.by_name.values():
+        instance.known -= context.large
+
+
+@then(
+    'each {who} chooses a {size} one for each of {count:d} groups, and all'
+    ' the same'
+)
+def check_chosen(context: Any, who: str, size: str, count: int) -> None:
+    """Compare the choices of all instances, or of all but the large ones."""
+    asked = set(context.fleet.by_name)
+    if who == 'other instance':
+        asked -= context.large
+    for number in range(count):
+        group = f'stage#{number}'
+        pools = [context.fleet.by_name[name].pool for name in asked]
+        now = time.monotonic() + _SELECTED_AFTER_S
+        chosen = {pool.find_batcher(group, now) for pool in pools}
+        assert len(chosen) == 1, chosen
+        assert (chosen <= context.large) == (size == 'large'), chosen
+
+
 @when('an instance starts that has heard of nobody')
 def start_instance(context: Any) -> None:
     """Start an instance that knows only the platform's list."""
