Let the larger machines batch

Cause: the instance that batches for a group was chosen by hash alone. All calls of a group pass its link, and 80 of 86 machines have 10 Mbit/s and half a core; six have 200 Mbit/s and two cores. Calls of the last stage took 60 to 150 ms more than nominal, orders 66 to 89 ms on their way, the runners were occupied for as long, and the measured pace made plans refuse what could have been served.

Instances now select the machines with the largest rates that bear all groups, and spread the groups over them by rate. Fleets of equal machines choose as before.

--- a/damaskpoint/batching/assignment.py
+++ b/damaskpoint/batching/assignment.py
@@ -84,9 +84,19 @@
     return view.serving or own
 
 
-def find_first(candidates: frozenset[str], group: str) -> str:
-    """Return the candidate that batches for a group; there must be one."""
-    return max(candidates, key=lambda name: rendezvous.score(name, group))
+def find_first(
+    candidates: frozenset[str], group: str, rates_by_name: Mapping[str, int]
+) -> str:
+    """Return the candidate that batches for a group; there must be one.
+
+    Groups are spread by the rates of the machines.
+    """
+    return max(
+        candidates,
+        key=lambda name: rendezvous.score(
+            name, group, max(1, rates_by_name.get(name, 0))
+        ),
+    )
 
 
 def compute_direct_delay_s(own_name: str, group: str) -> float:
--- a/damaskpoint/batching/batchers.py
+++ b/damaskpoint/batching/batchers.py
@@ -2,37 +2,51 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, final
+from typing import TYPE_CHECKING, Final, final
 
 from damaskpoint.batching.assignment import (
     LostInstances,
     find_first,
     list_candidates,
 )
+from damaskpoint.batching.instance_rates import select_largest
 
 from damaskpoint.membership.facts import Phase
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
     from collections.abc import Set as AbstractSet
 
     from damaskpoint.batching.base import Peers
 
 _NONE: frozenset[str] = frozenset()
+# Time for which a selection is kept while the candidates stay the same
+# (seconds); only the number of runners can change it.
+_SELECTION_CACHE_S: Final = 0.5
 
 
 @final
 class BatcherDirectory:
     """The batching instances, without those that were lost."""
 
-    def __init__(self, own_name: str, peers: Peers) -> None:
-        """Choose among the instances that ``peers`` knows."""
+    def __init__(
+        self, own_name: str, peers: Peers, find_load: Callable[[], float]
+    ) -> None:
+        """Choose among the instances that ``peers`` knows.
+
+        ``find_load`` returns the pieces per second of all groups together.
+        """
         self._own_name = own_name
         self._peers = peers
+        self._find_load = find_load
         self._lost = LostInstances(peers.find_last_seen)
         self._used_by_group: dict[str, str] = {}
-        # The batching instances by group while the candidates stay the same.
-        # Each request asks for several groups, and hashing all is slow.
+        # The candidates of the last choice and the selected ones of them, when
+        # they were selected, and the batching instances by group. Each request
+        # asks for several groups, and hashing all is slow.
         self._candidates: frozenset[str] = frozenset()
+        self._selected: frozenset[str] = frozenset()
+        self._selected_at = float('-inf')
         self._first_by_group: dict[str, str] = {}
 
     # Commands.
@@ -62,18 +76,20 @@
 
         Instances that ``declined`` an order are no candidates for it.
         """
-        candidates = list_candidates(self._peers.find_view(now))
-        remaining = candidates - self._lost.select(now) - declined
+        view = self._peers.find_view(now)
+        rates_by_name = view.batch_rates_by_name
+        remaining = list_candidates(view) - self._lost.select(now) - declined
         if not remaining:
             return None
         if declined:
-            return find_first(remaining, group)
-        if remaining != self._candidates:
-            self._candidates = remaining
-            self._first_by_group.clear()
+            selected = select_largest(
+                remaining, rates_by_name, self._find_load()
+            )
+            return find_first(selected, group, rates_by_name)
+        self._select(remaining, rates_by_name, now)
         first = self._first_by_group.get(group)
         if first is None:
-            first = find_first(remaining, group)
+            first = find_first(self._selected, group, rates_by_name)
             self._first_by_group[group] = first
         return first
 
@@ -81,3 +97,22 @@
         """Return whether this instance leaves, and another one batches."""
         view = self._peers.find_view(now)
         return view.phase is Phase.LEAVING and bool(view.serving)
+
+    # Steps.
+
+    def _select(
+        self,
+        candidates: frozenset[str],
+        rates_by_name: Mapping[str, int],
+        now: float,
+    ) -> None:
+        """Select the candidates again if they or the load may have changed."""
+        is_recent = now - self._selected_at < _SELECTION_CACHE_S
+        if is_recent and candidates == self._candidates:
+            return
+        self._candidates = candidates
+        self._selected_at = now
+        selected = select_largest(candidates, rates_by_name, self._find_load())
+        if selected != self._selected:
+            self._selected = selected
+            self._first_by_group.clear()
--- a/damaskpoint/batching/grouping.py
+++ b/damaskpoint/batching/grouping.py
@@ -8,6 +8,7 @@
 import xxhash
 
 from damaskpoint.balancing import rendezvous
+from damaskpoint.batching.instance_rates import compute_runner_rate
 from damaskpoint.batching.placement import find_service_name
 
 if TYPE_CHECKING:
@@ -66,6 +67,15 @@
         usable = self._catalog.runners.usable(service)
         return self._versions.filter_group(found, usable, now)
 
+    def find_total_rate(self) -> float:
+        """Return the pieces per second that all runners make in full calls."""
+        total = float(0)
+        for service in self._catalog.list_services():
+            if service.batches is not None:
+                runners = len(self._catalog.runners.usable(service.name))
+                total += runners * compute_runner_rate(service.batches)
+        return total
+
     def _count_sizes(
         self, service: str, selected: Sequence[Runner]
     ) -> dict[str, float]:
--- a/damaskpoint/batching/pool.py
+++ b/damaskpoint/batching/pool.py
@@ -69,7 +69,10 @@
         self._health = health
         self._caller = caller
         self._client = client
-        self._batchers = BatcherDirectory(own_name, peers)
+        self.groups = RunnerGroups(catalog, versions)
+        self._batchers = BatcherDirectory(
+            own_name, peers, self.groups.find_total_rate
+        )
         self._holdings = HoldingTable()
         self._placer = OrderPlacer(
             own_name, peers, self._batchers, client, self
@@ -78,7 +81,6 @@
         # be in time; set before the first group is created.
         self.shares_capacity = True
         self._groups_by_name: dict[str, RunnerGroup] = {}
-        self.groups = RunnerGroups(catalog, versions)
         self._release_tasks: set[asyncio.Task[None]] = set()
 
     # Commands.
--- a/damaskpoint/catalog/catalog.py
+++ b/damaskpoint/catalog/catalog.py
@@ -60,6 +60,12 @@
             return None
         return self.configuration.services_by_name.get(name)
 
+    def list_services(self) -> tuple[Service, ...]:
+        """Return the services of the configuration in force."""
+        if self.configuration is None:
+            return ()
+        return tuple(self.configuration.services_by_name.values())
+
     def max_cold_s(self) -> float:
         """Return the longest cold time of any service's runners."""
         if self.configuration is None:
--- a/features/batching_decisions.feature
+++ b/features/batching_decisions.feature
@@ -32,6 +32,24 @@
       | no runners known            | nothing | 85    | 85     | 9.0      | not over  |
       | no list read                | runners | 0     | 0      | -        | not over  |
 
+  # Guards against calls of a whole group that wait for the link or the
+  # processor of a small machine while larger ones are there.
+  Scenario Outline: The machines that batch for a load: <case>
+    Given instances whose machines batch "<rates>" pieces a second
+    When all groups make <load> pieces a second
+    Then the instances "<selected>" batch
+
+    Examples:
+      | case                               | rates                 | load | selected |
+      | the large ones bear it             | a=90 b=90 c=10 d=10   | 50   | a b      |
+      | one large one bears it             | a=90 b=10 c=10 d=10   | 20   | a        |
+      | the large ones do not bear it      | a=90 b=40 c=30 d=10   | 70   | a b c    |
+      | nobody bears it                    | a=20 b=10 c=5         | 900  | a b c    |
+      | all alike                          | a=10 b=10 c=10        | 1    | a b c    |
+      | similar ones                       | a=10 b=6 c=4          | 1    | a b      |
+      | unknown ones beside known ones     | a=10 b=0 c=0          | 1    | a        |
+      | all unknown                        | a=0 b=0 c=0           | 1    | a b c    |
+
   # Guards against rates that do not follow the scarcest resource.
   Scenario Outline: What a machine can batch: <case>
     Then a link of <link> Mbit/s and <cores> cores batch <most> times what 10 Mbit/s and 0.5 cores do
--- a/features/steps/batching_decisions_steps.py
+++ b/features/steps/batching_decisions_steps.py
@@ -17,7 +17,10 @@
     list_candidates,
 )
 from damaskpoint.batching.capacity import RunnerCapacity
-from damaskpoint.batching.instance_rates import compute_batch_rate
+from damaskpoint.batching.instance_rates import (
+    compute_batch_rate,
+    select_largest,
+)
 from damaskpoint.batching.model import (
     CallHolding,
     OrderAnswer,
@@ -62,6 +65,28 @@
     assert found == _split(names), found
 
 
+@given('instances whose machines batch "{rates}" pieces a second')
+def create_rates(context: Any, rates: str) -> None:
+    """Keep the rates by name."""
+    entries = [entry.partition('=') for entry in rates.split()]
+    context.rates_by_name = {name: int(rate) for name, _, rate in entries}
+
+
+@when('all groups make {load:g} pieces a second')
+def select(context: Any, load: float) -> None:
+    """Select the instances that batch for this load."""
+    rates_by_name = context.rates_by_name
+    context.selected = select_largest(
+        frozenset(rates_by_name), rates_by_name, load
+    )
+
+
+@then('the instances "{names}" batch')
+def check_selected(context: Any, names: str) -> None:
+    """Compare the selected instances."""
+    assert context.selected == _split(names), context.selected
+
+
 @then(
     'a link of {link:g} Mbit/s and {cores:g} cores batch {most:g} times what 10'
     ' Mbit/s and 0.5 cores do'
