--- a/damaskpoint/batching/peer_connections.py
+++ b/damaskpoint/batching/peer_connections.py
@@ -15,7 +15,6 @@
 from damaskpoint.errors import Failure
 from damaskpoint.forwarding.exchange import (
     BrokenAnswerError,
-    Ending,
     Exchange,
     open_exchange,
 )
@@ -36,7 +35,6 @@
 # batching instance of a busy group overlap; others rarely do.
 _MAX_IDLE: Final = 4
 _MAX_IDLE_S: Final = 5.0
-_LOST_ENDINGS: Final = frozenset((Ending.CLOSED, Ending.SOCKET_ERROR))
 
 
 @final
@@ -71,7 +69,7 @@
             try:
                 return await self._send(address, exchange, request)
             except BrokenAnswerError:
-                if exchange.has_head or exchange.ending not in _LOST_ENDINGS:
+                if not exchange.is_lost_unanswered:
                     raise
         opened = await open_exchange(
             (address.host, address.port),
--- a/damaskpoint/forwarding/exchange.py
+++ b/damaskpoint/forwarding/exchange.py
@@ -224,6 +224,12 @@
                 counted = size
             chunks.append(chunk)
 
+    @property
+    def is_lost_unanswered(self) -> bool:
+        """Return whether the peer closed it before the head of an answer."""
+        is_closed = self.ending in {Ending.CLOSED, Ending.SOCKET_ERROR}
+        return is_closed and not self.has_head
+
     def close(self) -> None:
         """Close the connection; the runner then stops its work."""
         self._stream.close()
