Treat answers with invalid statuses, and unread uploads, as broken

Callers got answers with the status 600 or 999, and a 200 that followed a 000 or 099 on the connection, as these counted as interim answers. A status below 100 or over 599, or an interim one other than 100, 102 and 103, is now a malformed answer wherever a runner is read: requests, stage calls, load reports and the entry's own client.

An answer without a length ends with its connection. It counted as complete if the runner had closed before it took the whole request, which is how a reset looks that only the write reports.

--- a/damaskpoint/forwarding/exchange.py
+++ b/damaskpoint/forwarding/exchange.py
@@ -17,6 +17,7 @@
 from damaskpoint import defaults
 from damaskpoint.errors import Code, Failure, Ran
 from damaskpoint.forwarding.connecting import open_stream
+from damaskpoint.http_statuses import check_status
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -152,6 +153,8 @@
         self.body_bytes = 0
         self._unyielded_bytes = 0
         self._method = ''
+        # Done once the connection has taken the whole request.
+        self._written: asyncio.Future[None] | None = None
         # Whether the head of the answer has been read.
         self.has_head = False
         # Whether either side closes the connection after the answer.
@@ -170,6 +173,7 @@
             return
         # A runner may answer before it has read the whole body.
         _ignore_write_error_of(written)
+        self._written = written
 
     async def read_head(self) -> AnswerHead:
         """Return the head of the final answer, skipping 1xx answers.
@@ -284,6 +288,7 @@
         )
         first, _, rest = raw.decode('latin-1').partition('\r\n')
         start = httputil.parse_response_start_line(first)
+        check_status(start.code)
         headers = httputil.HTTPHeaders.parse(rest)
         return AnswerHead(start.code, start.reason, headers)
 
@@ -336,8 +341,9 @@
         try:
             return await self._stream.read_bytes(_CHUNK_BYTES, partial=True)
         except iostream.StreamClosedError as error:
-            # After a connection reset, bytes may be missing.
-            if error.real_error is not None:
+            # After a connection reset, bytes may be missing. Only the write
+            # may tell of it, or find the connection closed before it could.
+            if error.real_error is not None or not _is_taken(self._written):
                 raise
         self._end(Ending.CLOSED)
         return b''
@@ -376,6 +382,13 @@
         raise ValueError('trailers too long')
 
 
+def _is_taken(written: asyncio.Future[None] | None) -> bool:
+    """Return whether the connection has taken all that was written."""
+    if written is None or not written.done():
+        return False
+    return written.exception() is None
+
+
 def _classify(error: Exception) -> Ending:
     """Return the ending that an error of a read means."""
     if not isinstance(error, iostream.StreamClosedError):
--- a/damaskpoint/pipeline/upstream_client.py
+++ b/damaskpoint/pipeline/upstream_client.py
@@ -21,6 +21,7 @@
 from damaskpoint import defaults
 from damaskpoint.errors import Failure
 from damaskpoint.forwarding.connecting import open_stream
+from damaskpoint.http_statuses import check_status
 from damaskpoint.observe.state import StateSource
 from damaskpoint.pipeline import metrics
 from damaskpoint.pipeline.call import CallFailure, UpstreamAnswer, UpstreamHead
@@ -172,6 +173,7 @@
         self._chunks: list[bytes] = []
         self._is_finished = False
         self._is_timed_out = False
+        self._status_error = ''
 
     async def run(
         self, call: UpstreamCall, now: float
@@ -189,6 +191,8 @@
             raise
         finally:
             timer.cancel()
+        if self._status_error:
+            return self._fail(self._status_error)
         if self._head is None or not self._is_finished:
             return self._fail('the answer was cut')
         if not _has_delimited_body(call.method, self._head):
@@ -202,12 +206,20 @@
         start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
         headers: httputil.HTTPHeaders,
     ) -> None:
-        """Store the head of the answer."""
+        """Store the head of the answer; an invalid status breaks it."""
         assert isinstance(start_line, httputil.ResponseStartLine)
+        try:
+            check_status(start_line.code)
+        except httputil.HTTPInputError as error:
+            self._status_error = str(error)
+            # What has arrived after it is still read, and not used.
+            self._stream.close()
         self._head = UpstreamHead(start_line.code, tuple(headers.get_all()))
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Store a chunk of the body, or pass it to the receiver."""
+        if self._status_error:
+            return None
         head = self._head
         if self._receiver is None or head is None or head.status != _OK:
             self._chunks.append(chunk)
--- a/damaskpoint/reconcile/engine_client.py
+++ b/damaskpoint/reconcile/engine_client.py
@@ -15,6 +15,7 @@
 from damaskpoint import protocol
 from damaskpoint.errors import Code, Failure, FailureError, Ran
 from damaskpoint.http_errors import HTTP_CALL_ERRORS
+from damaskpoint.http_statuses import check_status_line
 from damaskpoint.reconcile.planner import EngineModel, EngineState
 
 if TYPE_CHECKING:
@@ -121,6 +122,7 @@
                 _build_url(engine, 'state'),
                 connect_timeout=self._timeout_s,
                 request_timeout=self._timeout_s,
+                header_callback=check_status_line,
             )
         )
         if isinstance(response, Failure):
@@ -149,6 +151,7 @@
                 body_producer=guarded_body.produce,
                 connect_timeout=self._timeout_s,
                 request_timeout=self._order_timeout_s,
+                header_callback=check_status_line,
             )
         )
         return response if isinstance(response, Failure) else None
--- a/damaskpoint/routing/poller.py
+++ b/damaskpoint/routing/poller.py
@@ -14,6 +14,7 @@
 
 from damaskpoint.errors import Code, Failure
 from damaskpoint.http_errors import HTTP_CALL_ERRORS
+from damaskpoint.http_statuses import check_status_line
 from damaskpoint.routing import metrics
 from damaskpoint.routing.report import LoadReport, PeerReport, parse_report
 
@@ -121,6 +122,7 @@
         f'http://{upstream.host}:{upstream.port}/v1/load',
         connect_timeout=options.connect_timeout_s,
         request_timeout=options.load_report_bound_s,
+        header_callback=check_status_line,
     )
     try:
         response = await client.fetch(request)
--- a/features/runner_answers.feature
+++ b/features/runner_answers.feature
@@ -146,3 +146,48 @@
       | 5 events            | asks to keep it | close  |
       | 2 events and a part | expects a close | reset  |
       | 2 events and a part | asks to keep it | reset  |
+
+  # Guards against an answer with an invalid status that reaches the caller, and
+  # against one that follows it on the connection.
+  Scenario Outline: A runner in trouble answers with the status <status>: <length>
+    Given a site with a runner of each service
+    And the runner "plain-1" answers with the status <status>, <length>
+    When a caller sends POST /unsafe/one with the key "key-1"
+    Then the answer is <answer>
+
+    Examples:
+      | status           | length           | answer |
+      | 000              | with a length    | 502    |
+      | 099              | without a length | 502    |
+      | 600              | with a length    | 502    |
+      | 600              | without a length | 502    |
+      | 999              | with a length    | 502    |
+      | 000 and then 200 | with a length    | 502    |
+      | 099 and then 200 | without a length | 502    |
+      | 101 and then 200 | with a length    | 502    |
+      | 150 and then 200 | with a length    | 502    |
+      | 100 and then 200 | with a length    | 200    |
+      | 103 and then 200 | without a length | 200    |
+
+  # Guards against a call of a stage whose pieces are taken from an answer with
+  # an invalid status.
+  Scenario: A stage runner answers with the status 600
+    Given a site with a runner of each service
+    And the runner "stage-1" answers with the status 600, with a length
+    When a caller sends POST /staged/one with the pieces "1,0"
+    Then the answer is 503
+
+  # Guards against a part of an answer that looks complete because the reset of
+  # its connection was reported to the write of the request.
+  Scenario Outline: A reset during an upload breaks an answer without a length: <order>
+    Given an upload that the runner answers early with a part, without a length
+    When <order>, and then the connection ends
+    Then the answer is broken
+
+    Examples:
+      | order                                   |
+      | the write fails before the head is read |
+      | the write fails after the head is read  |
+      | the write fails after the part is read  |
+      | the read fails after the part is read   |
+      | the write waits after the part is read  |
--- a/features/steps/runner_answer_steps.py
+++ b/features/steps/runner_answer_steps.py
@@ -22,6 +22,7 @@
 _PART: Final = b'id: 3\ndata: pi'
 _LINE_ENDS_BY_NAME: Final = {'LF': b'\n', 'CRLF': b'\r\n', 'CR': b'\r'}
 _SEND_LOGGER: Final = 'damaskpoint.forwarding.attempts'
+_PLAIN_BODY: Final = b'an answer'
 _HEAD: Final = 'HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n'
 
 
@@ -132,10 +133,26 @@
 )
 def answer_plain(context: Any, name: str, end: str) -> None:
     """Replace a runner by one whose plain answers have no length."""
-    runner = RawRunner(b'HTTP/1.1 200 OK\r\n', b'an answer', RawEnd(end))
+    runner = RawRunner(b'HTTP/1.1 200 OK\r\n', _PLAIN_BODY, RawEnd(end))
     _replace(context, name, 'plain', runner)
 
 
+@given('the runner "{name}" answers with the status {status}, {length}')
+def answer_status(context: Any, name: str, status: str, length: str) -> None:
+    """Replace a runner; ``N and then M`` sends an answer without a body first.
+
+    It is a runner of the service in its name.
+    """
+    first, _, then_status = status.partition(' and then ')
+    head = f'HTTP/1.1 {then_status or first} x\r\n'
+    if then_status:
+        head = f'HTTP/1.1 {first} x\r\n\r\n{head}'
+    if length == 'with a length':
+        head = f'{head}Content-Length: {len(_PLAIN_BODY)}\r\n'
+    runner = RawRunner(head.encode(), _PLAIN_BODY, RawEnd.CLOSE)
+    _replace(context, name, name.partition('-')[0], runner)
+
+
 def _replace(context: Any, name: str, service: str, runner: RawRunner) -> None:
     context.raw_runner = runner
     server = run(
--- a/features/steps/upstream_client_steps.py
+++ b/features/steps/upstream_client_steps.py
@@ -9,8 +9,13 @@
 
 from behave import given, then, when
 
+from damaskpoint.forwarding.report_client import create_report_client
 from damaskpoint.pipeline.call import CallFailure, UpstreamAnswer, UpstreamCall
 from damaskpoint.pipeline.upstream_client import UpstreamClient
+from damaskpoint.routing.base import Upstream
+from damaskpoint.routing.poller import fetch_report
+from damaskpoint.routing.report import LoadReport
+from damaskpoint.settings import RoutingOptions
 
 _HOST: Final = '127.0.0.1'
 _BOUND: Final = 10_000
@@ -32,6 +37,10 @@
     'answers with invalid HTTP': (b'hello\r\n\r\n', True),
     'never answers': (b'', False),
 }
+_REPORT: Final = (
+    b'{"incarnation": 1, "warmth": "warm", "in_flight": 0, "limit": 1}'
+)
+_STATUS_PREFIX: Final = 'answers with the status '
 
 
 @dataclass(slots=True)
@@ -41,6 +50,8 @@
     behaviour: str
     reads: int = 0
     connections: int = 0
+    # Of an answer with a given status.
+    body: bytes = b'ok'
     closed: asyncio.Event = field(default_factory=asyncio.Event)
 
     async def serve(
@@ -75,6 +86,13 @@
         if self.behaviour.startswith('answers the first request'):
             is_first = self.reads == 1
             return (_OK, False) if is_first else (b'', True)
+        if self.behaviour.startswith(_STATUS_PREFIX):
+            status = self.behaviour.removeprefix(_STATUS_PREFIX)[:3].encode()
+            length = b'Content-Length: %d\r\n\r\n' % len(self.body)
+            answer = b'HTTP/1.1 200 OK\r\n' + length + self.body
+            if self.behaviour.endswith('and then 200'):
+                return b'HTTP/1.1 %b x\r\n\r\n' % status + answer, False
+            return answer.replace(b'200', status, 1), False
         return _ANSWERS[self.behaviour]
 
 
@@ -96,6 +114,32 @@
     asyncio.run(_send(context, kind, count, 0))
 
 
+@when('its load report is read')
+def read_report(context: Any) -> None:
+    """Read the report of the upstream."""
+    context.report = asyncio.run(_read_report(context.behaviour))
+
+
+@then('the report is {state}')
+def check_report(context: Any, state: str) -> None:
+    """Compare whether there is a report."""
+    is_read = isinstance(context.report, LoadReport)
+    assert is_read == (state == 'read'), context.report
+
+
+async def _read_report(behaviour: str) -> object:
+    upstream = RawUpstream(behaviour, body=_REPORT)
+    server = await asyncio.start_server(upstream.serve, _HOST, 0)
+    port = server.sockets[0].getsockname()[1]
+    client = create_report_client(1)
+    report = await fetch_report(
+        client, Upstream('e', 'p', 'z', _HOST, port, 1), RoutingOptions()
+    )
+    client.close()
+    server.close()
+    return report
+
+
 @when('a call is sent after its send deadline')
 def send_late(context: Any) -> None:
     """Send a call whose send deadline has passed."""
--- a/features/upstream_client.feature
+++ b/features/upstream_client.feature
@@ -18,6 +18,40 @@
       | never answers                    | idempotent     | timed_out   | 1     |
       | is not listening                 | not idempotent | unreachable | 0     |
 
+  # Guards against an answer with an invalid status that counts as an answer,
+  # and against one that follows it on the connection.
+  Scenario Outline: An upstream that answers with the status <status>
+    Given an upstream that answers with the status <status>
+    When a call that is idempotent is sent to it
+    Then the call ends as "<end>" and the upstream has read 1 requests
+
+    Examples:
+      | status           | end       |
+      | 000              | broken    |
+      | 099              | broken    |
+      | 600              | broken    |
+      | 999              | broken    |
+      | 000 and then 200 | broken    |
+      | 099 and then 200 | broken    |
+      | 101 and then 200 | broken    |
+      | 150 and then 200 | broken    |
+      | 100 and then 200 | succeeded |
+      | 103 and then 200 | succeeded |
+
+  # Guards against a report that is read although an invalid status came first.
+  Scenario Outline: A load report with the status <status>
+    Given an upstream that answers with the status <status>
+    When its load report is read
+    Then the report is <state>
+
+    Examples:
+      | status           | state   |
+      | 200              | read    |
+      | 103 and then 200 | read    |
+      | 150 and then 200 | missing |
+      | 000 and then 200 | missing |
+      | 600              | missing |
+
   Scenario: A call is not sent again when a reused connection closes after the read
     Given an upstream that answers the first request and then closes after the read
     When 2 calls that are idempotent are sent to it
