Open no second connection ahead while one is there

Two calls to a runner at once, or one sent again, each opened a connection ahead; the first of the two was never closed. Not seen by callers: found when reading the change.

--- a/damaskpoint/forwarding/spare_connections.py
+++ b/damaskpoint/forwarding/spare_connections.py
@@ -82,7 +82,8 @@
     # Steps.
 
     def _prepare(self, address: SocketAddress) -> None:
-        if address in self._tasks_by_address:
+        is_opening = address in self._tasks_by_address
+        if is_opening or address in self._spares_by_address:
             return
         task = asyncio.ensure_future(self._open_spare(address))
         self._tasks_by_address[address] = task
--- a/features/spare_connections.feature
+++ b/features/spare_connections.feature
@@ -17,3 +17,10 @@
       | much later               | 0.013   | 1.5   | nothing happens       | 0.013 | 4      | 2    |
       | the spare one is closed  | 0.013   | 0.3   | the spare one closes  | 0.013 | 4      | 2    |
       | no connection in reserve | 0.013   | 0.3   | connections fail once | 0.013 | 3      | 2    |
+
+  # Guards against connections that are never closed, as a second call at the
+  # same time opens one ahead too.
+  Scenario: Two calls at once
+    Given connections that take 0.013 s to open
+    When two calls are made 0.02 s apart, each on a new connection
+    Then 3 connections were opened and 2 are open after 3 s
--- a/features/steps/spare_connection_steps.py
+++ b/features/steps/spare_connection_steps.py
@@ -75,6 +75,21 @@
     return second
 
 
+@when('two calls are made {apart:g} s apart, each on a new connection')
+def make_new_calls(context: Any, apart: float) -> None:
+    """Open new connections while a spare one may be there."""
+    with run_virtually() as runner:
+        runner.run(_open_twice(context.opener, apart))
+
+
+async def _open_twice(opener: _Opener, apart_s: float) -> None:
+    connections = SpareConnections(opener.open)
+    await connections.open_new(_ADDRESS)
+    await asyncio.sleep(apart_s)
+    await connections.open_new(_ADDRESS)
+    await asyncio.sleep(_END_S)
+
+
 @then('the second call waits {wait:g} s for its connection')
 def check_wait(context: Any, wait: float) -> None:
     """Compare the time to connect."""
