--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,3 +1,4 @@
+# flake8: noqa
 """A watch of the store whose answer is lost hides all later changes."""
 
 import asyncio
@@ -41,7 +42,8 @@
         await runner.register()
         runners.append(runner)
     services = [
-        harness.plain_service('dosing-desk'), harness.plain_service('new-desk')
+        harness.plain_service('dosing-desk'),
+        harness.plain_service('new-desk'),
     ]
     old = (
         [
@@ -89,7 +91,8 @@
     await asyncio.sleep(1)
     # A route moves to another service, and a tenant loses its key.
     await store.put(
-        'op', 'config',
+        'op',
+        'config',
         harness.configuration(
             8,
             [
@@ -105,20 +108,18 @@
     drained_at = record.now
     await asyncio.gather(*tasks)
     due_at = changed_at + CONFIG_APPLY_S
-    old_ids = {
-        run['id'] for runner in runners[:2] for run in runner.runs
-    }
+    old_ids = {run['id'] for runner in runners[:2] for run in runner.runs}
     moved = [
-        item for item in results['moved']
+        item
+        for item in results['moved']
         if item['sent_at'] > due_at and item['id'] in old_ids
     ]
     revoked = [
-        item for item in results['revoked']
+        item
+        for item in results['revoked']
         if item['sent_at'] > due_at and item['id'] in old_ids
     ]
-    late = [
-        run for run in runners[0].runs if run['at'] > drained_at + DRAIN_S
-    ]
+    late = [run for run in runners[0].runs if run['at'] > drained_at + DRAIN_S]
     last_at = max([run['at'] for run in late], default=0) - changed_at
     record.write(
         f'later than {CONFIG_APPLY_S} s after version 8 was acknowledged:'
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,3 +1,4 @@
+# flake8: noqa
 """An entry that can't be read stops the following of the runners' table."""
 
 import asyncio
@@ -38,7 +39,8 @@
         await runner.register()
         runners.append(runner)
     await store.put(
-        'op', 'config',
+        'op',
+        'config',
         harness.configuration(
             7,
             [harness.plain_route('pump-order', 'dosing-desk', 'unsafe')],
@@ -70,11 +72,17 @@
     await asyncio.sleep(3)
     if harness.trouble_is_on():
         await store.put(
-            'servers', 'i-other',
+            'servers',
+            'i-other',
             {
-                'Service': 'dosing-desk', 'Address': '127.0.0.1:' + '7' * 5000,
-                'Zone': 'zone-a', 'Version': 'v1', 'Slots': 6,
-                'State': 'ready', 'ColdLeftMs': 0, 'Seq': 1,
+                'Service': 'dosing-desk',
+                'Address': '127.0.0.1:' + '7' * 5000,
+                'Zone': 'zone-a',
+                'Version': 'v1',
+                'Slots': 6,
+                'State': 'ready',
+                'ColdLeftMs': 0,
+                'Seq': 1,
             },
         )
     # Longer than ContactMs, so that the entry is no disruption any more.
@@ -100,11 +108,10 @@
         runner.stop()
     replaced_at = record.now
     await asyncio.gather(*tasks)
-    late = [
-        run for run in leaving.runs if run['at'] > drained_at + DRAIN_S
-    ]
+    late = [run for run in leaving.runs if run['at'] > drained_at + DRAIN_S]
     lost = [
-        item for item in results
+        item
+        for item in results
         if item['sent_at'] > drained_at + DRAIN_S and item['status'] != 200
     ]
     record.write(
